--- a/src/bin/dilltide-drill.rs
+++ b/src/bin/steppick-drill.rs
@@ -1,7 +1,7 @@
 //! Hosts many aggregators on the simulator's wire: standard input to standard output. Translation only.
 
-use dilltide::wire::{self, Line};
-use dilltide::{Action, Aggregator, Event, Listed, ReplicaId};
+use steppick::wire::{self, Line};
+use steppick::{Action, Aggregator, Event, Listed, ReplicaId};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
@@ -134,7 +134,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("dilltide-drill: {error}");
+            eprintln!("steppick-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! dilltide makes the decisions of a root node (aggregator) of a sharded search service: which replica
+//! steppick makes the decisions of a root node (aggregator) of a sharded search service: which replica
 //! gets each part of a query, which parts get a twin, when to try again, when to reply and what to refuse.
 //!
 //! It does no I/O and reads no clock: tell it what happened with [`Aggregator::step`] and carry out the
 //! actions it appends, in order.
 //!
 //! ```
-//! use dilltide::*;
+//! use steppick::*;
 //!
 //! let class = Class {
 //!     aim: 1000.0, deadline: 3000.0, worth: 1.0, late_share: 0.0, effect: Effect::Safe,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small hand-driven world around one aggregator: no bench, no clock.
 #![allow(dead_code)]
 
-use dilltide::*;
+use steppick::*;
 
 pub fn class() -> Class {
     Class {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dilltide::*;
+use steppick::*;
 
 fn two() -> Vec<Listed> {
     vec![listed(1, 0), listed(2, 0)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use dilltide::*;
+use steppick::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::BTreeMap;
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The codec and the drill: translation, malformed input, end of input.
 
-use dilltide::wire::{self, Line};
-use dilltide::*;
+use steppick::wire::{self, Line};
+use steppick::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
@@ -16,7 +16,7 @@
 "news":"skipped"}"#;
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_dilltide-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_steppick-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
