--- a/src/bin/steppick-drill.rs
+++ b/src/bin/steppick-drill.rs
@@ -1,11 +1,11 @@
 //! Hosts many aggregators on the simulator's wire: standard input to standard output. Translation only.
 
-use steppick::wire::{self, Line};
-use steppick::{Action, Aggregator, Event, Listed, ReplicaId};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 use std::sync::Arc;
+use steppick::wire::{self, Line};
+use steppick::{Action, Aggregator, Event, Listed, ReplicaId};
 
 struct Instance {
     aggregator: Aggregator,
@@ -39,7 +39,7 @@
             Line::Attach(attach) => {
                 let aggregator = Aggregator::new(attach.profile_data.settings()?, attach.random_seed);
                 let classes = attach.profile_data.classes.iter().map(|class| class.name.clone()).collect();
-                let names = attach.profile_data.report;
+                let names = attach.profile_data.report.unwrap_or_default();
                 let instance = Instance { aggregator, classes, names, events: Vec::new(), touched: true };
                 self.instances.insert(attach.i, instance);
                 return Ok(false);
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,576 @@
+//! The core: it knows no wire. Neutral inputs and the time come in, the module decides, neutral effects go
+//! out. It owns the queries, parts, attempts, ids and timers, and guards the rules.
+
+mod counters;
+
+pub use counters::Counters;
+
+use crate::choice::Aggregator;
+use crate::interface::{Effect as Repeats, *};
+use crate::settings::Transport;
+use std::collections::{BTreeMap, HashMap};
+
+/// What must hold: asserted in debug builds, counted in release builds. Tells whether it held.
+#[macro_export]
+macro_rules! must_hold {
+    ($counters:expr, $held:expr, $($why:tt)+) => {{
+        let held: bool = $held;
+        debug_assert!(held, $($why)+);
+        if !held {
+            $counters.broken += 1;
+            tracing::error!($($why)+);
+        }
+        held
+    }};
+}
+
+/// Names one attempt of a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The part.
+    pub part: RequestId,
+    /// Its number, from 0.
+    pub number: usize,
+}
+
+/// A query as a front hands it over.
+#[derive(Debug, Clone)]
+pub struct NewQuery {
+    /// Index into [`Settings::classes`].
+    pub class: usize,
+    /// When its client stops waiting.
+    pub expires_at: Ms,
+    /// The client marks this as another try.
+    pub retry: bool,
+    /// Shard and weight of each part.
+    pub parts: Vec<(usize, f64)>,
+}
+
+/// What the core is told; `V` is the value of a part.
+#[derive(Debug, Clone)]
+pub enum Input<V> {
+    /// News of the list of replicas.
+    List(ListKind, Vec<Listed>),
+    /// A query was taken; its id comes from [`Core::new_id`].
+    Query(RequestId, NewQuery),
+    /// The client of a query has gone.
+    Gone(RequestId),
+    /// A part was served, with its score and value.
+    Served(AttemptId, i64, V),
+    /// An attempt ended otherwise.
+    Ended(AttemptId, Outcome),
+    /// A probe was answered.
+    Probed(ReplicaId, Outcome, Report),
+}
+
+/// What a part of the second step carries.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Second {
+    /// The shards that were in.
+    pub from: Vec<usize>,
+    /// Whether the first step was whole.
+    pub whole: bool,
+}
+
+/// One attempt to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Send {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The query of its part.
+    pub query: RequestId,
+    /// The shard that it asks.
+    pub shard: usize,
+    /// Where it goes.
+    pub replica: ReplicaId,
+    /// When the core stops waiting for it.
+    pub stop_at: Ms,
+    /// Present in a second step.
+    pub second: Option<Second>,
+}
+
+/// How a query ends without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// Its time was over.
+    TimedOut,
+    /// A part could not be had.
+    Unserved,
+}
+
+/// What is to be carried out, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect<V> {
+    /// Send an attempt.
+    Send(Send),
+    /// Call an attempt off.
+    Cancel(AttemptId, ReplicaId),
+    /// Final answer of a query: whether it is whole, and the shards with their values.
+    Answer(RequestId, bool, Vec<(usize, V)>),
+    /// Final answer: refused, with advice when to come back.
+    Refuse(RequestId, Option<Ms>),
+    /// Final answer: failed.
+    Fail(RequestId, Failure),
+    /// Ask a replica for its load.
+    Probe(ReplicaId),
+    /// The grace of a draining replica is over: what is not begun must not go out.
+    DropUnsent(ReplicaId),
+    /// A line for on-call staff.
+    Log(String),
+}
+
+/// Kept back from the grace of a drain, ms: the first byte of a send must leave inside it.
+const DRAIN_SPARE: Ms = 100.0;
+/// Slack when shares of weight are summed.
+const WEIGHT_SLACK: f64 = 1e-4;
+
+struct Query {
+    number: u64,
+    class: usize,
+    expires_at: Ms,
+    parts: Vec<RequestId>,
+    second: Option<Second>,
+}
+
+struct Part<V> {
+    query: RequestId,
+    shard: usize,
+    weight: f64,
+    step: usize,
+    tries: usize,
+    /// When the first attempt that may have run was sent.
+    may_have_run: Option<Ms>,
+    out: Vec<usize>,
+    value: Option<(i64, V)>,
+}
+
+struct Attempt {
+    replica: ReplicaId,
+    sent_at: Ms,
+    stop_at: Ms,
+}
+
+struct Known {
+    cell: usize,
+    /// When this process was told that the replica drains or is gone, and whether its grace has ended.
+    off: Option<(Ms, bool)>,
+}
+
+/// The coordinator without its wires.
+pub struct Core<V> {
+    module: Aggregator,
+    set: Settings,
+    limits: Transport,
+    now: Ms,
+    next_id: u64,
+    queries: BTreeMap<RequestId, Query>,
+    parts: HashMap<RequestId, Part<V>>,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    replicas: BTreeMap<ReplicaId, Known>,
+    wake_at: Option<Ms>,
+    /// Events for the next step: outcomes of this one's own doing, parts of a second step.
+    pending: Vec<Event>,
+    /// What is counted.
+    pub counters: Counters,
+}
+
+impl<V: Clone> Core<V> {
+    /// A fresh core; all chance comes from `seed`.
+    pub fn new(set: Settings, limits: Transport, seed: u64) -> Self {
+        Core {
+            module: Aggregator::new(set.clone(), seed),
+            set,
+            limits,
+            now: 0.0,
+            next_id: 1,
+            queries: BTreeMap::new(),
+            parts: HashMap::new(),
+            attempts: BTreeMap::new(),
+            replicas: BTreeMap::new(),
+            wake_at: None,
+            pending: Vec::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// An id that was never given out.
+    pub fn new_id(&mut self) -> RequestId {
+        self.next_id += 1;
+        RequestId(self.next_id)
+    }
+
+    /// The classes and the rest of the module's settings.
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// Whether any replica in service is known.
+    pub fn can_serve(&self) -> bool {
+        self.replicas.values().any(|known| known.off.is_none())
+    }
+
+    /// Queries without a final answer yet.
+    pub fn open_queries(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// When the next step is due without any input.
+    pub fn next_step(&self) -> Option<Ms> {
+        if !self.pending.is_empty() {
+            return Some(self.now);
+        }
+        let stops = self.attempts.values().map(|a| a.stop_at);
+        let ends = self.queries.values().map(|q| q.expires_at);
+        let graces = self.replicas.values().filter_map(|r| r.off.filter(|off| !off.1).map(|off| off.0));
+        let graces = graces.map(|told| self.grace_end(told));
+        stops.chain(ends).chain(graces).chain(self.wake_at).min_by(f64::total_cmp)
+    }
+
+    fn grace_end(&self, told: Ms) -> Ms {
+        told + (self.limits.drain_grace - DRAIN_SPARE).max(0.0)
+    }
+
+    /// Takes in all that is ready, lets the module decide once and appends what is to be done.
+    pub fn step(&mut self, now: Ms, inputs: Vec<Input<V>>, effects: &mut Vec<Effect<V>>) {
+        self.now = now.max(self.now);
+        let mut events = std::mem::take(&mut self.pending);
+        for input in inputs {
+            self.take(input, &mut events, effects);
+        }
+        self.time_out(&mut events, effects);
+        if self.wake_at.take_if(|at| *at <= self.now).is_some() {
+            events.push(Event::Woken);
+        }
+        let mut actions = Vec::new();
+        self.module.step(self.now, &events, &mut actions);
+        for action in actions {
+            self.carry_out(action, effects);
+        }
+        self.end_overdue(effects);
+    }
+
+    fn take(&mut self, input: Input<V>, events: &mut Vec<Event>, effects: &mut Vec<Effect<V>>) {
+        match input {
+            Input::List(kind, entries) => {
+                self.counters.lists += 1;
+                self.take_list(kind, &entries);
+                events.push(Event::List { kind, entries });
+            }
+            Input::Query(id, ask) => self.take_query(id, ask, events, effects),
+            Input::Gone(id) => {
+                if self.close(id).is_some() {
+                    self.counters.gone += 1;
+                    events.push(Event::Withdrawn { id });
+                }
+            }
+            Input::Served(id, score, value) => {
+                if self.attempts.contains_key(&id) {
+                    if let Some(part) = self.parts.get_mut(&id.part) {
+                        part.value.get_or_insert((score, value));
+                    }
+                }
+                events.extend(self.end_attempt(id, Outcome::Pass));
+            }
+            Input::Ended(id, outcome) => events.extend(self.end_attempt(id, outcome)),
+            Input::Probed(replica, outcome, report) => {
+                events.push(Event::Probed { replica, outcome, report })
+            }
+        }
+    }
+
+    fn take_list(&mut self, kind: ListKind, entries: &[Listed]) {
+        let now = self.now;
+        if matches!(kind, ListKind::Replace | ListKind::Restored) {
+            for (id, known) in &mut self.replicas {
+                if !entries.iter().any(|entry| entry.id == *id) {
+                    known.off.get_or_insert((now, false));
+                }
+            }
+        }
+        for entry in entries {
+            let known = self.replicas.entry(entry.id).or_insert(Known { cell: entry.cell, off: None });
+            known.cell = entry.cell;
+            if entry.lifecycle == Lifecycle::On {
+                known.off = None;
+            } else {
+                known.off.get_or_insert((now, false));
+            }
+        }
+    }
+
+    fn take_query(
+        &mut self,
+        id: RequestId,
+        ask: NewQuery,
+        events: &mut Vec<Event>,
+        effects: &mut Vec<Effect<V>>,
+    ) {
+        self.counters.queries += 1;
+        // More than this is refused before the module sees it, as the settings state.
+        if self.queries.len() + self.parts.len() >= self.limits.max_open {
+            self.counters.refused += 1;
+            self.counters.refused_full += 1;
+            effects.push(Effect::Refuse(id, self.set.may_advise.then_some(self.set.advice_limit)));
+            return;
+        }
+        let number = id.0;
+        events.push(Event::Query {
+            id,
+            class: ask.class,
+            number,
+            parts: ask.parts.len(),
+            expires_in: ask.expires_at - self.now,
+            retry: ask.retry,
+        });
+        let mut parts = Vec::new();
+        for (shard, weight) in ask.parts {
+            parts.push(self.add_part(id, number, shard, weight, 0, events));
+        }
+        let query = Query { number, class: ask.class, expires_at: ask.expires_at, parts, second: None };
+        self.queries.insert(id, query);
+    }
+
+    fn add_part(
+        &mut self,
+        query: RequestId,
+        number: u64,
+        shard: usize,
+        weight: f64,
+        step: usize,
+        events: &mut Vec<Event>,
+    ) -> RequestId {
+        let id = self.new_id();
+        events.push(Event::Part { id, number, shard, weight });
+        let part =
+            Part { query, shard, weight, step, tries: 0, may_have_run: None, out: Vec::new(), value: None };
+        self.parts.insert(id, part);
+        id
+    }
+
+    /// Forgets a query and its parts; attempts that are out go on until they end.
+    fn close(&mut self, id: RequestId) -> Option<Query> {
+        let query = self.queries.remove(&id)?;
+        for part in &query.parts {
+            self.parts.remove(part);
+        }
+        Some(query)
+    }
+
+    /// Ends an attempt once; what comes after its end is not news.
+    fn end_attempt(&mut self, id: AttemptId, outcome: Outcome) -> Option<Event> {
+        let attempt = self.attempts.remove(&id)?;
+        self.counters.outcome(outcome);
+        if let Some(part) = self.parts.get_mut(&id.part) {
+            part.out.retain(|number| *number != id.number);
+            if !outcome.never_ran() {
+                let first = part.may_have_run.get_or_insert(attempt.sent_at);
+                *first = first.min(attempt.sent_at);
+            }
+        }
+        let elapsed = self.now - attempt.sent_at;
+        let (part, number) = (id.part, id.number);
+        Some(Event::Done { part, attempt: number, replica: attempt.replica, outcome, elapsed })
+    }
+
+    fn time_out(&mut self, events: &mut Vec<Event>, effects: &mut Vec<Effect<V>>) {
+        let due: Vec<AttemptId> =
+            self.attempts.iter().filter(|(_, a)| a.stop_at <= self.now).map(|(id, _)| *id).collect();
+        for id in due {
+            effects.push(Effect::Cancel(id, self.attempts[&id].replica));
+            events.extend(self.end_attempt(id, Outcome::TooSlow));
+        }
+        let (now, grace) = (self.now, (self.limits.drain_grace - DRAIN_SPARE).max(0.0));
+        for (id, known) in &mut self.replicas {
+            if let Some((told, over)) = &mut known.off {
+                if !*over && *told + grace <= now {
+                    *over = true;
+                    effects.push(Effect::DropUnsent(*id));
+                }
+            }
+        }
+    }
+
+    /// The module ends each query before its time. Should it not, the client still gets one final answer.
+    fn end_overdue(&mut self, effects: &mut Vec<Effect<V>>) {
+        let overdue: Vec<RequestId> =
+            self.queries.iter().filter(|(_, q)| q.expires_at <= self.now).map(|(id, _)| *id).collect();
+        for id in overdue {
+            self.close(id);
+            self.pending.push(Event::Withdrawn { id });
+            self.counters.failed += 1;
+            self.counters.overdue += 1;
+            effects.push(Effect::Fail(id, Failure::TimedOut));
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, effects: &mut Vec<Effect<V>>) {
+        match action {
+            Action::Send { part, replica, stop_at } => self.send(part, replica, stop_at, effects),
+            Action::Cancel { part, attempt } => {
+                let id = AttemptId { part, number: attempt };
+                if let Some(replica) = self.attempts.get(&id).map(|a| a.replica) {
+                    effects.push(Effect::Cancel(id, replica));
+                    let event = self.end_attempt(id, Outcome::Cancelled);
+                    self.pending.extend(event);
+                }
+            }
+            Action::Answer { query, whole } => self.answer(query, whole, effects),
+            Action::Refuse { query, retry_after } => {
+                let Some(held) = self.queries.get(&query) else { return };
+                let safe = self.set.classes[held.class].effect == Repeats::Safe
+                    || held.parts.iter().all(|part| !self.ran(*part));
+                let harmless = crate::must_hold!(self.counters, safe, "a refusal must be harmless");
+                self.close(query);
+                if harmless {
+                    self.counters.refused += 1;
+                    let limit = self.set.advice_limit;
+                    effects.push(Effect::Refuse(query, retry_after.map(|after| after.min(limit))));
+                } else {
+                    self.counters.failed += 1;
+                    effects.push(Effect::Fail(query, Failure::Unserved));
+                }
+            }
+            Action::Fail { query } => {
+                let Some(held) = self.close(query) else { return };
+                self.counters.failed += 1;
+                let late = held.expires_at - self.now < 50.0;
+                let why = if late { Failure::TimedOut } else { Failure::Unserved };
+                effects.push(Effect::Fail(query, why));
+            }
+            Action::Wake { after } => {
+                let at = self.now + after;
+                self.wake_at = Some(self.wake_at.map_or(at, |old| old.min(at)));
+            }
+            Action::Probe { replica } => {
+                if self.may_send_to(replica) {
+                    self.counters.probes += 1;
+                    effects.push(Effect::Probe(replica));
+                }
+            }
+            // Both fronts are told of changes unasked.
+            Action::Subscribe => {}
+            Action::Log(line) => effects.push(Effect::Log(line)),
+        }
+    }
+
+    /// Whether a part may have run, or is still out.
+    fn ran(&self, part: RequestId) -> bool {
+        self.parts.get(&part).is_some_and(|part| part.may_have_run.is_some() || !part.out.is_empty())
+    }
+
+    fn may_send_to(&self, replica: ReplicaId) -> bool {
+        let known = self.replicas.get(&replica);
+        known.is_some_and(|known| known.off.is_none_or(|(told, _)| self.now < self.grace_end(told)))
+    }
+
+    /// Why the rules forbid this send, if they do.
+    fn forbidden(&self, id: RequestId, replica: ReplicaId) -> Option<&'static str> {
+        let Some(part) = self.parts.get(&id) else { return Some("a part that is over is not sent") };
+        let Some(query) = self.queries.get(&part.query) else { return Some("an ended query is not sent") };
+        let Some(known) = self.replicas.get(&replica) else { return Some("an unlisted replica") };
+        let cells = self.set.cells.max(1);
+        let holds = (0..self.set.reach).any(|j| (part.shard + j) % cells == known.cell);
+        let first = part.out.iter().filter_map(|n| self.attempts.get(&AttemptId { part: id, number: *n }));
+        let first = first.map(|a| a.sent_at).chain(part.may_have_run).min_by(f64::total_cmp);
+        let repeat = match (self.set.classes[query.class].effect, first) {
+            (Repeats::Unsafe, Some(_)) => true,
+            (Repeats::Keyed(window), Some(first)) => self.now > first + window,
+            _ => false,
+        };
+        let told = [
+            (part.value.is_some(), "a part that is in is not sent again"),
+            (!holds, "the replica does not hold the shard"),
+            (!self.may_send_to(replica), "nothing new goes to a draining replica past its grace"),
+            (part.tries >= self.set.try_limit, "a part has a limit on its attempts"),
+            (repeat, "a repeat keeps to what the class allows"),
+            (!part.out.is_empty() && !self.set.may_copy, "no second copies here"),
+        ];
+        told.iter().find(|(broken, _)| *broken).map(|(_, why)| *why)
+    }
+
+    fn send(&mut self, id: RequestId, replica: ReplicaId, stop_at: Ms, effects: &mut Vec<Effect<V>>) {
+        let forbidden = self.forbidden(id, replica);
+        let allowed = crate::must_hold!(self.counters, forbidden.is_none(), "send: {forbidden:?}");
+        let now = self.now;
+        let Some(part) = self.parts.get_mut(&id) else { return };
+        let number = part.tries;
+        part.tries += 1;
+        let attempt = AttemptId { part: id, number };
+        if !allowed {
+            let outcome = Outcome::NotSent;
+            self.pending.push(Event::Done { part: id, attempt: number, replica, outcome, elapsed: 0.0 });
+            return;
+        }
+        part.out.push(number);
+        self.counters.sent += 1;
+        self.counters.repeats += u64::from(number > 0);
+        let query = part.query;
+        let held = &self.queries[&query];
+        let stop_at = stop_at.min(held.expires_at);
+        let second = if part.step == 1 { held.second.clone() } else { None };
+        let shard = part.shard;
+        self.attempts.insert(attempt, Attempt { replica, sent_at: now, stop_at });
+        effects.push(Effect::Send(Send { attempt, query, shard, replica, stop_at, second }));
+    }
+
+    fn answer(&mut self, id: RequestId, whole: bool, effects: &mut Vec<Effect<V>>) {
+        let Some(query) = self.queries.get(&id) else { return };
+        let class = &self.set.classes[query.class];
+        let step = usize::from(query.second.is_some());
+        let parts = query.parts.iter().filter_map(|part| self.parts.get(part));
+        let mut values: Vec<(usize, i64, V)> = Vec::new();
+        let (mut weight, mut all) = (0.0, 0.0);
+        for part in parts.filter(|part| part.step == step) {
+            all += part.weight;
+            if let Some((score, value)) = &part.value {
+                weight += part.weight;
+                values.push((part.shard, *score, value.clone()));
+            }
+        }
+        let (need, floor) = match &query.second {
+            None => (class.whole_at, class.floor),
+            Some(_) => (all, if class.floor < class.whole_at { class.floor } else { all }),
+        };
+        let first_whole = query.second.as_ref().is_none_or(|second| second.whole);
+        let enough = !values.is_empty() && weight + WEIGHT_SLACK >= floor;
+        let is_whole = first_whole && weight + WEIGHT_SLACK >= need;
+        if !crate::must_hold!(self.counters, enough, "an answer needs its class's least share") {
+            self.close(id);
+            self.counters.failed += 1;
+            self.pending.push(Event::Withdrawn { id });
+            effects.push(Effect::Fail(id, Failure::Unserved));
+            return;
+        }
+        let whole = whole && crate::must_hold!(self.counters, is_whole || !whole, "whole without all parts");
+        if step == 0 && class.fetch > 0 {
+            let fetch = class.fetch;
+            self.begin_second_step(id, whole, fetch, values);
+            return;
+        }
+        self.close(id);
+        self.counters.answered += 1;
+        self.counters.whole += u64::from(whole);
+        effects.push(Effect::Answer(id, whole, values.into_iter().map(|(shard, _, v)| (shard, v)).collect()));
+    }
+
+    /// The parts of the second step go to the shards with the highest scores among those that are in.
+    fn begin_second_step(&mut self, id: RequestId, whole: bool, fetch: usize, values: Vec<(usize, i64, V)>) {
+        let mut from: Vec<usize> = values.iter().map(|value| value.0).collect();
+        from.sort_unstable();
+        let mut best: Vec<(i64, usize)> = values.iter().map(|value| (value.1, value.0)).collect();
+        best.sort_unstable_by_key(|(score, shard)| (std::cmp::Reverse(*score), *shard));
+        best.truncate(fetch);
+        let weight = 1.0 / best.len() as f64;
+        let mut events = Vec::new();
+        let number = self.queries[&id].number;
+        let mut parts = Vec::new();
+        for (_, shard) in best {
+            parts.push(self.add_part(id, number, shard, weight, 1, &mut events));
+        }
+        self.pending.extend(events);
+        if let Some(query) = self.queries.get_mut(&id) {
+            query.parts.extend(parts);
+            query.second = Some(Second { from, whole });
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,7 +43,11 @@
 #![warn(missing_docs)]
 
 mod choice;
+pub mod core;
 mod interface;
+pub mod net;
+pub mod platform;
+pub mod settings;
 pub mod wire;
 
 pub use choice::Aggregator;
--- /dev/null
+++ b/src/net/client.rs
@@ -0,0 +1,116 @@
+//! A client's connection as a state machine: bytes in, requests out, answers in, bytes out. No I/O.
+
+use super::http::{self, Bad, Request};
+use crate::interface::{Ms, RequestId};
+
+/// Bytes held for one client beyond which nothing more is read: one request of the greatest size and then some.
+const READ_LIMIT: usize = 128 * 1024;
+
+/// Where a client's connection is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientState {
+    /// Between requests, or inside one that has not fully come.
+    Reading,
+    /// A query waits for its final answer.
+    Asked(RequestId),
+    /// The last answer is being written; nothing more is read.
+    Closing,
+}
+
+/// One client's connection.
+#[derive(Debug)]
+pub struct ClientConn {
+    state: ClientState,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// The request being answered asked to close after it.
+    close: bool,
+    /// When bytes last came or an answer last left.
+    pub active_at: Ms,
+    /// When the bytes of the request in hand last came.
+    pub received_at: Ms,
+}
+
+impl ClientConn {
+    /// A connection that was just accepted.
+    pub fn new(now: Ms) -> Self {
+        ClientConn {
+            state: ClientState::Reading,
+            input: Vec::new(),
+            output: Vec::new(),
+            close: false,
+            active_at: now,
+            received_at: now,
+        }
+    }
+
+    /// Where it is.
+    pub fn state(&self) -> ClientState {
+        self.state
+    }
+
+    /// Whether more bytes are taken now.
+    pub fn wants_input(&self) -> bool {
+        self.state != ClientState::Closing && self.input.len() < READ_LIMIT
+    }
+
+    /// Takes bytes in.
+    pub fn received(&mut self, bytes: &[u8], now: Ms) {
+        if self.state != ClientState::Closing {
+            self.input.extend_from_slice(bytes);
+            (self.active_at, self.received_at) = (now, now);
+        }
+    }
+
+    /// The next whole request, where none is being answered.
+    pub fn next_request(&mut self) -> Option<Result<Request, Bad>> {
+        if self.state != ClientState::Reading || self.input.is_empty() {
+            return None;
+        }
+        match http::request(&self.input) {
+            Ok(None) => None,
+            Ok(Some((request, used))) => {
+                self.input.drain(..used);
+                self.close = request.close;
+                Some(Ok(request))
+            }
+            Err(bad) => {
+                self.close = true;
+                Some(Err(bad))
+            }
+        }
+    }
+
+    /// The request just read is a query with this id.
+    pub fn asked(&mut self, id: RequestId) {
+        self.state = ClientState::Asked(id);
+    }
+
+    /// Puts the one final answer of the request in hand into the output.
+    pub fn answer(&mut self, response: &http::Response, close: bool, now: Ms) {
+        let close = close || self.close;
+        self.output.extend(response.bytes(close));
+        self.active_at = now;
+        self.state = if close { ClientState::Closing } else { ClientState::Reading };
+    }
+
+    /// What is to be written.
+    pub fn output(&self) -> &[u8] {
+        &self.output
+    }
+
+    /// So many bytes of the output were written.
+    pub fn wrote(&mut self, count: usize) {
+        self.output.drain(..count);
+    }
+
+    /// Whether it is between requests with nothing left to do.
+    pub fn is_idle(&self) -> bool {
+        self.state == ClientState::Reading && self.input.is_empty() && self.output.is_empty()
+    }
+
+    /// Whether the last answer has left and the connection is to be closed.
+    pub fn is_over(&self) -> bool {
+        self.state == ClientState::Closing && self.output.is_empty()
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,199 @@
+//! Sockets: the loop gathers what is ready, makes one step of the core and carries out its effects.
+
+pub mod client;
+pub mod http;
+pub mod node;
+mod server;
+
+pub use server::{Server, Sockets};
+
+use crate::core::{Failure, NewQuery, Send};
+use crate::interface::*;
+use calloop::generic::Generic;
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsFd;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// What a front makes of a client's request.
+#[derive(Debug)]
+pub enum Take {
+    /// A query for the core.
+    Query(NewQuery),
+    /// An answer at once.
+    Answer(http::Response),
+}
+
+/// A reply of a book node.
+#[derive(Debug)]
+pub enum NodeReply<V> {
+    /// How an attempt ended, with score and value if it was served. No name: the oldest that is out.
+    Part(Option<String>, Result<(i64, V), Outcome>),
+    /// Answer to a probe for load.
+    Load(Outcome, Report),
+    /// The node closes the connection after its last reply.
+    Close,
+}
+
+/// A language for clients and book nodes. The core's rules are the same for each.
+pub trait Dialect {
+    /// What a part brings.
+    type Value: Clone;
+
+    /// Takes a whole request, received at `at`. The query keeps `id` until its final answer.
+    fn take(&mut self, id: RequestId, request: &http::Request, at: Ms, can_serve: bool) -> Take;
+    /// The final answer of a query from the values that are in.
+    fn answer(&mut self, query: RequestId, whole: bool, values: Vec<(usize, Self::Value)>) -> http::Response;
+    /// The final answer of a refused query.
+    fn refuse(&mut self, query: RequestId, after: Option<Ms>) -> http::Response;
+    /// The final answer of a failed query.
+    fn fail(&mut self, query: RequestId, why: Failure) -> http::Response;
+    /// Nobody waits for the query any more.
+    fn gone(&mut self, query: RequestId);
+    /// The answer to a request that can't be read.
+    fn bad(&self, bad: http::Bad) -> http::Response;
+
+    /// The frame of an attempt, and the name that its reply will bear.
+    fn frame(&mut self, send: &Send, now: Ms) -> (String, Vec<u8>);
+    /// The frame that calls an attempt off, where there is one.
+    fn cancel(&self, name: &str) -> Option<Vec<u8>>;
+    /// The frame of a probe for load, where there is one.
+    fn probe(&self) -> Option<Vec<u8>>;
+    /// Reads one reply off the front of `input`.
+    ///
+    /// # Errors
+    /// Tells why the connection can't go on.
+    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<Self::Value>>, String>;
+}
+
+/// News of the list of replicas.
+#[derive(Debug)]
+pub struct News {
+    /// What the entries are.
+    pub kind: ListKind,
+    /// The entries.
+    pub entries: Vec<Listed>,
+    /// Where the replicas listen.
+    pub addrs: Vec<(ReplicaId, SocketAddr)>,
+}
+
+/// Where news comes from: a stream that is asked once for each connection.
+pub trait Roster {
+    /// Where it is.
+    fn address(&self) -> SocketAddr;
+    /// What to write on a new connection.
+    fn request(&mut self) -> Vec<u8>;
+    /// Takes bytes in.
+    ///
+    /// # Errors
+    /// Tells why the connection can't go on.
+    fn received(&mut self, bytes: &[u8]) -> Result<Vec<News>, String>;
+}
+
+/// The clock of the core: monotonic, from the start of the program.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix_start: Ms,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_start: unix.as_secs_f64() * 1000.0 }
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> Ms {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Unix time at the start, ms: takes wall-clock times to this clock, always to the same value.
+    pub fn unix_start(&self) -> Ms {
+        self.unix_start
+    }
+}
+
+/// Names a socket of one server of the program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Key {
+    /// Where clients connect.
+    Listener,
+    /// A client's connection.
+    Client(u64),
+    /// A connection to a book node.
+    Node(u64),
+    /// A connection to discovery.
+    Roster(u64),
+}
+
+/// What the loop has gathered.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    /// Sockets on which something can be done: which server, which socket, and whether it can be written.
+    pub ready: Vec<(usize, Key)>,
+    /// Signals that came.
+    pub signals: Vec<calloop::signals::Signal>,
+}
+
+/// The event loop of the program.
+pub type Loop = EventLoop<'static, Gathered>;
+
+/// A socket and its place in the loop.
+struct Watched<S: AsFd + 'static> {
+    socket: Rc<S>,
+    token: RegistrationToken,
+    handle: LoopHandle<'static, Gathered>,
+}
+
+impl<S: AsFd + 'static> Watched<S> {
+    /// Watches a socket, edge by edge: it is read and written until it would block.
+    fn new(handle: &LoopHandle<'static, Gathered>, server: usize, key: Key, socket: S) -> io::Result<Self> {
+        let socket = Rc::new(socket);
+        let source = Generic::new(socket.clone(), Interest::BOTH, Mode::Edge);
+        let token = handle
+            .insert_source(source, move |_, _, gathered: &mut Gathered| {
+                gathered.ready.push((server, key));
+                Ok(PostAction::Continue)
+            })
+            .map_err(|error| io::Error::other(error.to_string()))?;
+        Ok(Watched { socket, token, handle: handle.clone() })
+    }
+}
+
+impl<S: AsFd + 'static> Drop for Watched<S> {
+    fn drop(&mut self) {
+        self.handle.remove(self.token);
+    }
+}
+
+/// Reads what is there, up to `limit` bytes; tells whether the other side has ended the connection.
+fn read_all(mut socket: &TcpStream, limit: usize, into: &mut Vec<u8>) -> bool {
+    let mut buffer = [0; 16 * 1024];
+    while into.len() < limit {
+        match socket.read(&mut buffer) {
+            Ok(0) => return true,
+            Ok(count) => into.extend_from_slice(&buffer[..count]),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return true,
+        }
+    }
+    false
+}
+
+/// Opens a connection without waiting for it.
+fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(to), socket2::Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&to.into()) {
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(115) || error.kind() == io::ErrorKind::WouldBlock => {}
+        Err(error) => return Err(error),
+    }
+    Ok(socket.into())
+}
--- /dev/null
+++ b/src/net/node.rs
@@ -0,0 +1,191 @@
+//! A connection to a book node as a state machine: frames queue, leave byte by byte and are answered. It
+//! knows of every attempt whether its first and its last byte was written. No I/O.
+
+use crate::core::AttemptId;
+use crate::interface::{Ms, Outcome};
+use std::collections::VecDeque;
+
+/// Where a connection to a node is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NodeState {
+    /// Being opened since then.
+    Connecting(Ms),
+    /// Up.
+    Open,
+    /// Up, finishing what it carries; takes nothing new.
+    Retired,
+}
+
+/// What a frame is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Purpose {
+    /// One attempt, and the name that its answer bears.
+    Part(AttemptId, String),
+    /// A probe for load.
+    Probe,
+    /// Nobody waits for what it brings.
+    Other,
+}
+
+#[derive(Debug)]
+struct Frame {
+    purpose: Purpose,
+    bytes: Vec<u8>,
+}
+
+/// What calling an attempt off asks of the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Called {
+    /// It was not here, or nothing of it had left.
+    Removed,
+    /// The node was sent, or will be sent, the frame that says so.
+    Told,
+    /// The dialect has no such frame: close the connection.
+    MustClose,
+}
+
+/// One connection to a node.
+#[derive(Debug)]
+pub struct NodeConn {
+    state: NodeState,
+    queue: VecDeque<Frame>,
+    /// Bytes of the first frame that were written.
+    written: usize,
+    /// Frames fully written and not answered yet, oldest first.
+    out: VecDeque<Purpose>,
+    /// Bytes that came and make no whole reply yet.
+    pub input: Vec<u8>,
+    /// When bytes last went either way.
+    pub active_at: Ms,
+}
+
+impl NodeConn {
+    /// A connection that is being opened.
+    pub fn new(now: Ms) -> Self {
+        NodeConn {
+            state: NodeState::Connecting(now),
+            queue: VecDeque::new(),
+            written: 0,
+            out: VecDeque::new(),
+            input: Vec::new(),
+            active_at: now,
+        }
+    }
+
+    /// Where it is.
+    pub fn state(&self) -> NodeState {
+        self.state
+    }
+
+    /// It is up.
+    pub fn connected(&mut self, now: Ms) {
+        if let NodeState::Connecting(_) = self.state {
+            (self.state, self.active_at) = (NodeState::Open, now);
+        }
+    }
+
+    /// It takes nothing new from now on.
+    pub fn retire(&mut self) {
+        self.state = NodeState::Retired;
+    }
+
+    /// What it carries, queued frames too.
+    pub fn load(&self) -> usize {
+        let parts = self.queue.iter().map(|frame| &frame.purpose).chain(&self.out);
+        parts.filter(|purpose| **purpose != Purpose::Other).count()
+    }
+
+    /// Whether nothing is queued or out.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.out.is_empty()
+    }
+
+    /// Whether one more call fits. A connection near the end of its idle time is not used again: what is
+    /// written to it may meet the other side's close and end as a reset.
+    pub fn has_room(&self, streams: usize, retire_after: Ms, now: Ms) -> bool {
+        let fresh = !self.is_idle() || now - self.active_at < retire_after;
+        self.state != NodeState::Retired && fresh && self.load() < streams
+    }
+
+    /// Queues a frame.
+    pub fn push(&mut self, purpose: Purpose, bytes: Vec<u8>) {
+        self.queue.push_back(Frame { purpose, bytes });
+    }
+
+    /// What is to be written next.
+    pub fn output(&self) -> &[u8] {
+        self.queue.front().map_or(&[], |frame| &frame.bytes[self.written..])
+    }
+
+    /// So many bytes of the output were written.
+    pub fn wrote(&mut self, count: usize, now: Ms) {
+        self.active_at = now;
+        self.written += count;
+        if self.queue.front().is_some_and(|frame| self.written >= frame.bytes.len()) {
+            self.written = 0;
+            let purpose = self.queue.pop_front().map(|frame| frame.purpose);
+            self.out.extend(purpose.filter(|purpose| *purpose != Purpose::Other));
+        }
+    }
+
+    /// Takes off what a reply of this name answers; `None` names the oldest that is out.
+    pub fn answered(&mut self, name: Option<&str>) -> Option<Purpose> {
+        let fits = |purpose: &Purpose| match (purpose, name) {
+            (_, None) => true,
+            (Purpose::Part(_, known), Some(name)) => known == name,
+            _ => false,
+        };
+        let place = self.out.iter().position(fits)?;
+        self.out.remove(place)
+    }
+
+    /// Takes off the oldest probe that is out.
+    pub fn probe_answered(&mut self) -> bool {
+        let place = self.out.iter().position(|purpose| *purpose == Purpose::Probe);
+        place.and_then(|place| self.out.remove(place)).is_some()
+    }
+
+    /// Calls an attempt off: a frame not begun is taken out; one partly written is finished first, since the
+    /// node could not tell where the next frame begins, and the notice that `notice` makes follows it.
+    pub fn cancel(&mut self, id: AttemptId, notice: impl Fn(&str) -> Option<Vec<u8>>) -> Called {
+        let told = |purpose: &Purpose| match purpose {
+            Purpose::Part(_, name) => notice(name),
+            _ => None,
+        };
+        let is = |purpose: &Purpose| matches!(purpose, Purpose::Part(known, _) if *known == id);
+        if let Some(place) = self.queue.iter().position(|frame| is(&frame.purpose)) {
+            if place > 0 || self.written == 0 {
+                self.queue.remove(place);
+                return Called::Removed;
+            }
+            let Some(bytes) = told(&self.queue[0].purpose) else { return Called::MustClose };
+            self.queue[0].purpose = Purpose::Other;
+            self.queue.insert(1, Frame { purpose: Purpose::Other, bytes });
+            return Called::Told;
+        }
+        let Some(place) = self.out.iter().position(is) else { return Called::Removed };
+        let Some(bytes) = told(&self.out[place]) else { return Called::MustClose };
+        self.out.remove(place);
+        self.push(Purpose::Other, bytes);
+        Called::Told
+    }
+
+    /// Takes out all parts and probes whose first byte has not left.
+    pub fn drop_unsent(&mut self) -> Vec<Purpose> {
+        let begun = usize::from(self.written > 0).min(self.queue.len());
+        let rest = self.queue.split_off(begun);
+        let (keep, dropped) = rest.into_iter().partition::<VecDeque<_>, _>(|f| f.purpose == Purpose::Other);
+        self.queue.extend(keep);
+        dropped.into_iter().map(|frame| frame.purpose).collect()
+    }
+
+    /// The connection broke: how each attempt on it ended. Before the last byte of a frame was written the
+    /// node cannot have run it; after that it may have.
+    pub fn broken(&mut self) -> Vec<(Purpose, Outcome)> {
+        self.written = 0;
+        self.state = NodeState::Retired;
+        let out = self.out.drain(..).map(|purpose| (purpose, Outcome::Cut));
+        let queued = self.queue.drain(..).map(|frame| (frame.purpose, Outcome::NoRoute));
+        out.chain(queued).filter(|(purpose, _)| *purpose != Purpose::Other).collect()
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,213 @@
+//! The platform's protocol: HTTP for clients, frames for book nodes, a watch for discovery.
+
+pub mod config;
+pub mod frames;
+pub mod watch;
+
+use crate::core::{Failure, NewQuery, Send};
+use crate::interface::*;
+use crate::net::http::{Bad, Request, Response};
+use crate::net::{Dialect, NodeReply, Take};
+use miniserde::json;
+use std::collections::{BTreeSet, HashMap};
+
+/// Most of a request's time that its way here can have taken, ms: kept back from `X-Deadline`, which runs
+/// from the client's send.
+const CLIENT_TRIP: Ms = 3.0;
+/// Slack when the weights of a query are summed.
+const WEIGHT_SLACK: f64 = 1e-3;
+
+#[derive(miniserde::Deserialize)]
+struct Ask {
+    shards: Vec<AskPart>,
+    q: String,
+}
+
+#[derive(miniserde::Deserialize)]
+struct AskPart {
+    shard: usize,
+    weight: f64,
+}
+
+#[derive(miniserde::Serialize)]
+struct Reply {
+    complete: bool,
+    hits: Vec<Hit>,
+}
+
+#[derive(miniserde::Serialize)]
+struct Hit {
+    shard: usize,
+    doc: String,
+}
+
+/// What the frames of a query need.
+struct Held {
+    name: String,
+    text: String,
+    key: Option<String>,
+}
+
+/// The platform's dialect.
+pub struct Platform {
+    /// Names of the classes, in order, and whether they are keyed.
+    classes: Vec<(String, bool)>,
+    deadlines: Vec<Ms>,
+    shards: usize,
+    held: HashMap<RequestId, Held>,
+    /// Names of the queries that are held: a part's name must stay unique.
+    names: BTreeSet<String>,
+}
+
+/// Why a request is not taken.
+type Declined = Response;
+
+fn declined(status: u16, why: &str) -> Declined {
+    Response::new(status, json::to_string(&std::collections::BTreeMap::from([("error", why)])))
+}
+
+fn is_hex_id(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
+/// Reads a time of waiting: a number and `m` for milliseconds or `u` for microseconds.
+fn deadline(text: &str) -> Option<Ms> {
+    let digits = text.get(..text.len().checked_sub(1)?)?;
+    let unit = match text.as_bytes()[digits.len()] {
+        b'm' => 1.0,
+        b'u' => 0.001,
+        _ => return None,
+    };
+    let plain = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let value: f64 = digits.parse().ok().filter(|_| plain)?;
+    (value.is_finite() && value < 1e12).then_some(value * unit)
+}
+
+impl Platform {
+    /// A dialect for these classes.
+    pub fn new(classes: Vec<(String, bool)>, deadlines: Vec<Ms>, shards: usize) -> Self {
+        Platform { classes, deadlines, shards, held: HashMap::new(), names: BTreeSet::new() }
+    }
+
+    fn query(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<NewQuery, Declined> {
+        let first = request.path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        let class = self.classes.iter().position(|(name, _)| name == first);
+        let class = class.ok_or_else(|| declined(404, "no such path"))?;
+        if request.method != "POST" {
+            return Err(Response { allow: Some("POST"), ..declined(405, "queries are posted") });
+        }
+        let header = |name: &str| request.headers.get(name);
+        if header("X-Class").is_some_and(|told| told != first) {
+            return Err(declined(400, "X-Class is not the class of the path"));
+        }
+        let name = header("X-Request-Id").filter(|id| is_hex_id(id));
+        let name = name.ok_or_else(|| declined(400, "X-Request-Id is not 16 hex digits"))?;
+        let waits = match header("X-Deadline") {
+            Some(text) => deadline(text).ok_or_else(|| declined(400, "X-Deadline is not a time"))?,
+            None => self.deadlines[class],
+        };
+        // The key is written into a list of the frame: its separators would forge entries.
+        let fits =
+            |key: &&str| !key.is_empty() && key.len() <= 128 && key.bytes().all(|b| b.is_ascii_graphic());
+        let key = header("Idempotency-Key").filter(|key| fits(key) && !key.contains([',', '=']));
+        if self.classes[class].1 && key.is_none() {
+            return Err(declined(400, "this class needs an Idempotency-Key"));
+        }
+        let text = std::str::from_utf8(&request.body).map_err(|_| declined(400, "the body is not UTF-8"))?;
+        let ask: Ask = json::from_str(text).map_err(|_| declined(400, "the body is not a query"))?;
+        let sound = |part: &AskPart| {
+            part.shard < self.shards && part.weight.is_finite() && part.weight > 0.0 && part.weight <= 1.0
+        };
+        let distinct: BTreeSet<usize> = ask.shards.iter().map(|part| part.shard).collect();
+        let sum: f64 = ask.shards.iter().map(|part| part.weight).sum();
+        if ask.shards.is_empty()
+            || !ask.shards.iter().all(sound)
+            || distinct.len() != ask.shards.len()
+            || (sum - 1.0).abs() > WEIGHT_SLACK
+        {
+            return Err(declined(400, "shards are distinct and their weights sum to 1"));
+        }
+        if !self.names.insert(name.to_string()) {
+            return Err(declined(400, "a request with this X-Request-Id is being answered"));
+        }
+        let key = key.filter(|_| self.classes[class].1).map(str::to_string);
+        self.held.insert(id, Held { name: name.to_string(), text: ask.q, key });
+        Ok(NewQuery {
+            class,
+            expires_at: at + (waits - CLIENT_TRIP).max(0.0),
+            retry: header("X-Retry") == Some("1"),
+            parts: ask.shards.iter().map(|part| (part.shard, part.weight)).collect(),
+        })
+    }
+
+    fn forget(&mut self, query: RequestId) {
+        if let Some(held) = self.held.remove(&query) {
+            self.names.remove(&held.name);
+        }
+    }
+}
+
+impl Dialect for Platform {
+    type Value = String;
+
+    fn take(&mut self, id: RequestId, request: &Request, at: Ms, can_serve: bool) -> Take {
+        if request.path == "/ready" {
+            return Take::Answer(match (request.method.as_str(), can_serve) {
+                ("GET", true) => Response::new(200, ""),
+                ("GET", false) => Response::new(503, ""),
+                _ => Response { allow: Some("GET"), ..Response::new(405, "") },
+            });
+        }
+        match self.query(id, request, at) {
+            Ok(query) => Take::Query(query),
+            Err(response) => Take::Answer(response),
+        }
+    }
+
+    fn answer(&mut self, query: RequestId, whole: bool, values: Vec<(usize, String)>) -> Response {
+        self.forget(query);
+        let hits = values.into_iter().map(|(shard, doc)| Hit { shard, doc }).collect();
+        Response::new(200, json::to_string(&Reply { complete: whole, hits }))
+    }
+
+    fn refuse(&mut self, query: RequestId, after: Option<Ms>) -> Response {
+        self.forget(query);
+        declined(503, "refused, ask again later").after(after)
+    }
+
+    fn fail(&mut self, query: RequestId, why: Failure) -> Response {
+        self.forget(query);
+        match why {
+            Failure::TimedOut => declined(504, "not answered in time"),
+            Failure::Unserved => declined(500, "a part could not be had"),
+        }
+    }
+
+    fn gone(&mut self, query: RequestId) {
+        self.forget(query);
+    }
+
+    fn bad(&self, bad: Bad) -> Response {
+        match bad {
+            Bad::Malformed => declined(400, "not HTTP as it should be"),
+            Bad::TooLarge => declined(413, "the body is over 64 KiB"),
+        }
+    }
+
+    fn frame(&mut self, send: &Send, now: Ms) -> (String, Vec<u8>) {
+        let Some(held) = self.held.get(&send.query) else { return Default::default() };
+        frames::query(&held.name, &held.text, held.key.as_deref(), send, now)
+    }
+
+    fn cancel(&self, name: &str) -> Option<Vec<u8>> {
+        Some(frames::frame(b'X', name.as_bytes()))
+    }
+
+    fn probe(&self) -> Option<Vec<u8>> {
+        Some(frames::frame(b'L', b""))
+    }
+
+    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, String> {
+        frames::reply(input)
+    }
+}
--- /dev/null
+++ b/src/platform/watch.rs
@@ -0,0 +1,168 @@
+//! Discovery: the list of book nodes, whole or changed, and the watch that brings it.
+
+use crate::interface::*;
+use crate::net::http::{self, Chunks, Framing};
+use crate::net::{News, Roster};
+use miniserde::{json, Deserialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Longest line of the watch, bytes.
+const LINE_LIMIT: usize = 1 << 20;
+
+/// A list as discovery writes it.
+#[derive(Deserialize, Debug)]
+pub struct List {
+    version: u64,
+    full: bool,
+    servers: Vec<Entry>,
+}
+
+#[derive(Deserialize, Debug)]
+struct Entry {
+    id: String,
+    addr: String,
+    zone: Option<String>,
+    kind: Option<String>,
+    cell: usize,
+    state: String,
+    weight: Option<f64>,
+    started_ms: Option<f64>,
+}
+
+/// Turns lists into news: names become numbers, wall-clock times those of the module's clock.
+#[derive(Debug, Default)]
+pub struct Directory {
+    names: HashMap<String, ReplicaId>,
+    unix_start: Ms,
+}
+
+impl Directory {
+    /// `unix_start` is the Unix time at which the module's clock started.
+    pub fn new(unix_start: Ms) -> Self {
+        Directory { names: HashMap::new(), unix_start }
+    }
+
+    /// The entries of a list.
+    ///
+    /// # Errors
+    /// Names the entry that makes no sense.
+    pub fn news(&mut self, kind: ListKind, list: &List) -> Result<News, String> {
+        let (mut entries, mut addrs) = (Vec::new(), Vec::new());
+        for entry in &list.servers {
+            let next = ReplicaId(self.names.len() as u32 + 1);
+            let id = *self.names.entry(entry.id.clone()).or_insert(next);
+            let lifecycle = match entry.state.as_str() {
+                "in_service" => Lifecycle::On,
+                "terminating" => Lifecycle::Fading,
+                "terminated" => Lifecycle::Off,
+                other => return Err(format!("{}: unknown state {other}", entry.id)),
+            };
+            let addr = entry.addr.parse().map_err(|_| format!("{}: bad address {}", entry.id, entry.addr))?;
+            addrs.push((id, addr));
+            let started = entry.started_ms.filter(|started| *started > 0.0);
+            entries.push(Listed {
+                id,
+                cell: entry.cell,
+                zone: entry.zone.clone().unwrap_or_default(),
+                model: entry.kind.clone().unwrap_or_default(),
+                size: entry.weight.unwrap_or(1.0),
+                born: started.map(|started| started - self.unix_start),
+                lifecycle,
+            });
+        }
+        Ok(News { kind, entries, addrs })
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    Head(Vec<u8>),
+    Body(Chunks),
+}
+
+/// The watch: one request, then a line for each change, in chunks split anywhere.
+#[derive(Debug)]
+pub struct Watch {
+    address: SocketAddr,
+    directory: Directory,
+    version: u64,
+    state: State,
+    line: Vec<u8>,
+}
+
+impl Watch {
+    /// A watch that goes on after the list known last, and the news in that list.
+    ///
+    /// # Errors
+    /// Tells why the known list makes no sense.
+    pub fn new(address: SocketAddr, mut directory: Directory, known: &List) -> Result<(Self, News), String> {
+        let news = directory.news(ListKind::Restored, known)?;
+        let state = State::Head(Vec::new());
+        Ok((Watch { address, directory, version: known.version, state, line: Vec::new() }, news))
+    }
+
+    fn take_line(&mut self, line: &[u8]) -> Result<Option<News>, String> {
+        let text = std::str::from_utf8(line).map_err(|_| "a line that is not UTF-8")?.trim();
+        if text.is_empty() {
+            return Ok(None);
+        }
+        let list: List = json::from_str(text).map_err(|_| format!("a line that is no list: {text:.60}"))?;
+        // A change that is known already says nothing new; a whole list is always what holds now.
+        if !list.full && list.version <= self.version {
+            return Ok(None);
+        }
+        let kind = if list.full { ListKind::Replace } else { ListKind::Update };
+        let news = self.directory.news(kind, &list)?;
+        self.version = list.version;
+        Ok(Some(news))
+    }
+}
+
+impl Roster for Watch {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn request(&mut self) -> Vec<u8> {
+        self.state = State::Head(Vec::new());
+        self.line.clear();
+        let (version, host) = (self.version, self.address);
+        format!("GET /v1/endpoints?watch=1&after={version} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
+    }
+
+    fn received(&mut self, bytes: &[u8]) -> Result<Vec<News>, String> {
+        let mut data = Vec::new();
+        match &mut self.state {
+            State::Head(head) => {
+                head.extend_from_slice(bytes);
+                let Some(told) = http::response_head(head).map_err(|_| "not an HTTP answer")? else {
+                    return Ok(Vec::new());
+                };
+                if told.status != 200 || told.framing != Some(Framing::Chunked) {
+                    return Err(format!("status {} instead of a watch", told.status));
+                }
+                let mut chunks = Chunks::default();
+                chunks.read(&head[told.length..], &mut data).map_err(|_| "bad chunks")?;
+                self.state = State::Body(chunks);
+            }
+            State::Body(chunks) => {
+                chunks.read(bytes, &mut data).map_err(|_| "bad chunks")?;
+            }
+        }
+        let mut news = Vec::new();
+        for byte in data {
+            self.line.push(byte);
+            if byte == b'\n' {
+                let line = std::mem::take(&mut self.line);
+                news.extend(self.take_line(&line)?);
+            } else if self.line.len() > LINE_LIMIT {
+                return Err("a line without end".into());
+            }
+        }
+        if matches!(&self.state, State::Body(chunks) if chunks.is_done()) {
+            return Err("the watch ended".into());
+        }
+        Ok(news)
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
-use steppick::*;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::BTreeMap;
+use steppick::*;
 
 struct Asked {
     query: RequestId,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,9 +1,9 @@
 //! The codec and the drill: translation, malformed input, end of input.
 
-use steppick::wire::{self, Line};
-use steppick::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
+use steppick::wire::{self, Line};
+use steppick::*;
 
 const PROFILE: &str = r#"{"az":"a","classes":[{"deadline_ms":3000.0,"effect":"idempotent","goal_time_ms":1000.0,
 "late_share":0.3,"name":"find","worth":5.0,"dedup_window_ms":5000.0,"group":"all","stream":false}],
