Add the OpenSearch-style front with contracts and DNS-SD records

The second front takes the same core, loop and connection states as the platform's. A search is a query whose parts are shards, asked with preference=_shards:N; hits are merged by score or sort values, aggregations by their exact merges, and what has none (cardinality, percentiles, terms beyond what a shard lists, ...) is rejected. A scroll keeps no state on nodes: each page goes on after the last hit, so it outlives a draining node. A shard that failed inside a 200 counts as a failed attempt. Contracts give classes, deadlines and a query budget.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod core;
 mod interface;
 pub mod net;
+pub mod opensearch;
 pub mod platform;
 pub mod settings;
 pub mod wire;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -117,7 +117,7 @@
     };
     let headers = Headers::read(head.headers)?;
     let framing = headers.framing()?.unwrap_or(Framing::Length(0));
-    let Some((body, used)) = body(framing, &buffer[length..])? else { return Ok(None) };
+    let Some((body, used)) = body(framing, &buffer[length..], BODY_LIMIT)? else { return Ok(None) };
     let target = head.path.unwrap_or("/");
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let close = headers.closes() || head.version == Some(0);
@@ -144,18 +144,18 @@
     Ok(Some(Head { status: head.code.unwrap_or(0), framing, close, length }))
 }
 
-/// Reads a whole body off the front of `buffer`; also how many bytes it took.
+/// Reads a whole body of at most `limit` bytes off the front of `buffer`; also how many bytes it took.
 ///
 /// # Errors
 /// Tells what can't be taken.
-pub fn body(framing: Framing, buffer: &[u8]) -> Result<Option<(Vec<u8>, usize)>, Bad> {
+pub fn body(framing: Framing, buffer: &[u8], limit: usize) -> Result<Option<(Vec<u8>, usize)>, Bad> {
     match framing {
-        Framing::Length(length) if length > BODY_LIMIT => Err(Bad::TooLarge),
+        Framing::Length(length) if length > limit => Err(Bad::TooLarge),
         Framing::Length(length) => Ok(buffer.get(..length).map(|body| (body.to_vec(), length))),
         Framing::Chunked => {
             let (mut chunks, mut body) = (Chunks::default(), Vec::new());
             let used = chunks.read(buffer, &mut body)?;
-            if body.len() > BODY_LIMIT {
+            if body.len() > limit {
                 return Err(Bad::TooLarge);
             }
             Ok(chunks.is_done().then_some((body, used)))
@@ -263,6 +263,7 @@
         let reason = match self.status {
             200 => "OK",
             400 => "Bad Request",
+            403 => "Forbidden",
             404 => "Not Found",
             405 => "Method Not Allowed",
             413 => "Content Too Large",
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -30,11 +30,10 @@
 #[derive(Debug)]
 pub enum NodeReply<V> {
     /// How an attempt ended, with score and value if it was served. No name: the oldest that is out.
-    Part(Option<String>, Result<(i64, V), Outcome>),
+    /// Also whether the node takes nothing more on this connection.
+    Part(Option<String>, Result<(i64, V), Outcome>, bool),
     /// Answer to a probe for load.
     Load(Outcome, Report),
-    /// The node closes the connection after its last reply.
-    Close,
 }
 
 /// A language for clients and book nodes. The core's rules are the same for each.
@@ -45,7 +44,13 @@
     /// Takes a whole request, received at `at`. The query keeps `id` until its final answer.
     fn take(&mut self, id: RequestId, request: &http::Request, at: Ms, can_serve: bool) -> Take;
     /// The final answer of a query from the values that are in.
-    fn answer(&mut self, query: RequestId, whole: bool, values: Vec<(usize, Self::Value)>) -> http::Response;
+    fn answer(
+        &mut self,
+        query: RequestId,
+        whole: bool,
+        values: Vec<(usize, Self::Value)>,
+        now: Ms,
+    ) -> http::Response;
     /// The final answer of a refused query.
     fn refuse(&mut self, query: RequestId, after: Option<Ms>) -> http::Response;
     /// The final answer of a failed query.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -365,7 +365,7 @@
             }
         }
         let mut bytes = Vec::new();
-        let mut ended = read_all(&node.link.socket, NODE_READ, &mut bytes);
+        let ended = read_all(&node.link.socket, NODE_READ, &mut bytes);
         if !bytes.is_empty() {
             node.conn.active_at = now;
             node.conn.input.extend_from_slice(&bytes);
@@ -374,13 +374,15 @@
             let Some(node) = self.nodes.get_mut(&key) else { return };
             match self.dialect.reply(&mut node.conn.input) {
                 Ok(None) => break,
-                Ok(Some(NodeReply::Close)) => ended = true,
                 Ok(Some(NodeReply::Load(outcome, report))) => {
                     if node.conn.probe_answered() {
                         self.inputs.push(Input::Probed(node.replica, outcome, report));
                     }
                 }
-                Ok(Some(NodeReply::Part(name, end))) => {
+                Ok(Some(NodeReply::Part(name, end, last))) => {
+                    if last {
+                        node.conn.retire();
+                    }
                     let Some(Purpose::Part(id, _)) = node.conn.answered(name.as_deref()) else { continue };
                     self.placed.remove(&id);
                     self.inputs.push(match end {
@@ -510,7 +512,8 @@
         }
     }
 
-    fn take_news(&mut self, news: News) {
+    /// Takes in news of the list of replicas.
+    pub fn take_news(&mut self, news: News) {
         self.addrs.extend(news.addrs);
         self.inputs.push(Input::List(news.kind, news.entries));
     }
@@ -549,7 +552,7 @@
                 }
             }
             Effect::Answer(query, whole, values) => {
-                let response = self.dialect.answer(query, whole, values);
+                let response = self.dialect.answer(query, whole, values, now);
                 self.final_answer(query, response, now);
             }
             Effect::Refuse(query, after) => {
--- /dev/null
+++ b/src/opensearch/config.rs
@@ -0,0 +1,174 @@
+//! The file that says where the second front listens, who may ask what of it, and which book nodes it has.
+
+use super::records::Records;
+use super::{Contract, OpenSearch};
+use crate::core::Core;
+use crate::interface::*;
+use crate::net::{Clock, Loop, Server, Sockets};
+use crate::settings::{Profile, Transport};
+use miniserde::{json, Deserialize};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Pause between looks at the file of records, ms.
+const LOOK_GAP: Ms = 250.0;
+
+#[derive(Deserialize, Debug)]
+struct File {
+    listen: String,
+    index: String,
+    service: String,
+    records: String,
+    seed: u64,
+    sockets: usize,
+    contracts: Vec<FileContract>,
+    settings: Profile,
+}
+
+#[derive(Deserialize, Debug)]
+struct FileContract {
+    team: String,
+    classes: Vec<String>,
+    deadline_ms: Option<f64>,
+    queries_per_s: f64,
+    burst: f64,
+}
+
+/// The file's contents, once they make sense.
+#[derive(Debug)]
+pub struct Config {
+    listen: SocketAddr,
+    index: String,
+    service: String,
+    records: PathBuf,
+    seed: u64,
+    sockets: usize,
+    contracts: Vec<Contract>,
+    classes: Vec<String>,
+    set: Settings,
+    limits: Transport,
+}
+
+impl Config {
+    /// Reads the file's text; names in it are relative to `folder`.
+    ///
+    /// # Errors
+    /// One line that tells what is wrong.
+    pub fn read(text: &str, folder: &Path) -> Result<Config, String> {
+        let file: File =
+            json::from_str(text).map_err(|_| "not a configuration in JSON, or a field is missing")?;
+        let set = file.settings.settings()?;
+        // The dialect has no idempotency key and no second step: what needs them can't be kept here.
+        if set.classes.iter().any(|class| matches!(class.effect, Effect::Keyed(_)) || class.fetch > 0) {
+            return Err("classes of this front are idempotent or at_most_once, without a second step".into());
+        }
+        let limits = Transport { streams: 1, ..file.settings.transport() };
+        if limits.shards == usize::MAX || limits.shards == 0 || set.cells == 0 || set.reach == 0 {
+            return Err("field `settings.domain` needs `slices`, `cells` and `reach`".into());
+        }
+        let classes: Vec<String> = file.settings.classes.iter().map(|class| class.name.clone()).collect();
+        let mut contracts = Vec::new();
+        for contract in &file.contracts {
+            let known = |name: &String| {
+                let class = classes.iter().position(|known| known == name);
+                class.ok_or_else(|| format!("team `{}`: no class `{name}`", contract.team))
+            };
+            let of = contract.classes.iter().map(known).collect::<Result<Vec<_>, _>>()?;
+            let sound = |value: f64| value.is_finite() && value > 0.0;
+            if of.is_empty()
+                || !sound(contract.queries_per_s)
+                || !(sound(contract.burst) && contract.burst >= 1.0)
+            {
+                return Err(format!("team `{}`: a contract has classes, a rate and a burst", contract.team));
+            }
+            let longest = contract.deadline_ms.unwrap_or(f64::INFINITY);
+            contracts.push(Contract::new(
+                &contract.team,
+                of,
+                longest,
+                contract.queries_per_s,
+                contract.burst,
+            ));
+        }
+        Ok(Config {
+            listen: file
+                .listen
+                .parse()
+                .map_err(|_| format!("field `listen` is no address: `{}`", file.listen))?,
+            index: file.index,
+            service: file.service,
+            records: folder.join(file.records),
+            seed: file.seed,
+            sockets: file.sockets,
+            contracts,
+            classes,
+            set,
+            limits,
+        })
+    }
+
+    /// The front that this file describes.
+    ///
+    /// # Errors
+    /// One line that tells what is wrong.
+    pub fn front(self, event_loop: &Loop, clock: Clock, number: usize) -> Result<Front, String> {
+        let mut records = Records::new(clock.unix_start());
+        let path = self.records;
+        let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+        let known = records.read(&text, &self.service).map_err(|why| format!("{}: {why}", path.display()))?;
+        let deadlines = self.set.classes.iter().map(|class| class.deadline).collect();
+        let (shards, advice) = (self.limits.shards, self.set.advice_limit);
+        let dialect =
+            OpenSearch::new(self.index, self.classes, deadlines, shards, advice, self.contracts, self.seed);
+        let core = Core::new(self.set, self.limits, self.seed);
+        let server = Server::new(
+            event_loop,
+            number,
+            dialect,
+            core,
+            self.limits,
+            Sockets::of(self.sockets),
+            self.listen,
+            Some(known),
+            None,
+        );
+        let server = server.map_err(|error| format!("can't listen on {}: {error}", self.listen))?;
+        Ok(Front { server, records, path, text, service: self.service, looked_at: 0.0 })
+    }
+}
+
+/// The second front: its server and the file of records that it follows.
+pub struct Front {
+    /// The server.
+    pub server: Server<OpenSearch>,
+    records: Records,
+    path: PathBuf,
+    text: String,
+    service: String,
+    looked_at: Ms,
+}
+
+impl Front {
+    /// When the file of records is looked at next.
+    pub fn next_look(&self) -> Ms {
+        self.looked_at + LOOK_GAP
+    }
+
+    /// Takes in the records if they have changed. What can't be read changes nothing: the list stands.
+    pub fn look(&mut self, now: Ms) {
+        if now < self.next_look() {
+            return;
+        }
+        self.looked_at = now;
+        let text = match std::fs::read_to_string(&self.path) {
+            Ok(text) if text != self.text => text,
+            Ok(_) => return,
+            Err(error) => return tracing::warn!("{}: {error}", self.path.display()),
+        };
+        match self.records.read(&text, &self.service) {
+            Ok(news) => self.server.take_news(news),
+            Err(why) => tracing::warn!("{}: {why}", self.path.display()),
+        }
+        self.text = text;
+    }
+}
--- a/src/platform/frames.rs
+++ b/src/platform/frames.rs
@@ -68,7 +68,7 @@
         "busy" => Err(Outcome::NoRoom),
         _ => return None,
     };
-    Some(NodeReply::Part(Some(id.to_string()), end))
+    Some(NodeReply::Part(Some(id.to_string()), end, false))
 }
 
 fn load(text: &str) -> NodeReply<String> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -164,7 +164,7 @@
         }
     }
 
-    fn answer(&mut self, query: RequestId, whole: bool, values: Vec<(usize, String)>) -> Response {
+    fn answer(&mut self, query: RequestId, whole: bool, values: Vec<(usize, String)>, _: Ms) -> Response {
         self.forget(query);
         let hits = values.into_iter().map(|(shard, doc)| Hit { shard, doc }).collect();
         Response::new(200, json::to_string(&Reply { complete: whole, hits }))
