--- /dev/null
+++ b/tests/client_conn.rs
@@ -0,0 +1,110 @@
+//! A model of a client's connection: requests split anywhere, answered one at a time in their order.
+
+mod support;
+
+use steppick::net::client::{ClientConn, ClientState};
+use steppick::net::http::{Bad, Response};
+use steppick::RequestId;
+use support::{check, Step};
+
+/// What the model expects of one request on the wire.
+#[derive(Debug, Clone, PartialEq)]
+enum Expected {
+    Body(Vec<u8>, bool),
+    Bad(Bad),
+}
+
+/// Writes a request as the step says; also what must come of it.
+fn request((what, a, b): Step) -> (Vec<u8>, Expected) {
+    let body = vec![b'x'; usize::from(a)];
+    let close = b % 16 == 0;
+    let extra = if close { "Connection: close\r\n" } else { "" };
+    let (text, expected) = match what % 8 {
+        0..=2 => (format!("Content-Length: {a}\r\n{extra}\r\n"), Expected::Body(body.clone(), close)),
+        3..=5 => (format!("Transfer-Encoding: chunked\r\n{extra}\r\n"), Expected::Body(body.clone(), close)),
+        6 if b % 4 == 0 => ("Content-Length: 70000\r\n\r\n".into(), Expected::Bad(Bad::TooLarge)),
+        7 if b % 4 == 0 => {
+            ("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n".into(), Expected::Bad(Bad::Malformed))
+        }
+        7 if b % 4 == 1 => ("No colon here\r\n\r\n".into(), Expected::Bad(Bad::Malformed)),
+        _ => (format!("{extra}\r\n"), Expected::Body(Vec::new(), close)),
+    };
+    let mut bytes = format!("POST /x HTTP/1.1\r\nHost: x\r\n{text}").into_bytes();
+    match what % 8 {
+        0..=2 => bytes.extend(&body),
+        3..=5 => {
+            for chunk in body.chunks(usize::from(b) + 1) {
+                bytes.extend(format!("{:x};note=1\r\n", chunk.len()).bytes());
+                bytes.extend(chunk);
+                bytes.extend(b"\r\n");
+            }
+            bytes.extend(b"0\r\nTrailer: 1\r\n\r\n");
+        }
+        _ => {}
+    }
+    (bytes, expected)
+}
+
+fn holds(requests: Vec<Step>, steps: Vec<Step>) -> bool {
+    let mut wire = Vec::new();
+    let mut expected = Vec::new();
+    for step in requests {
+        let (bytes, result) = request(step);
+        wire.extend(bytes);
+        let last = !matches!(result, Expected::Body(_, false));
+        expected.push(result);
+        if last {
+            break;
+        }
+    }
+    let mut conn = ClientConn::new(0.0);
+    let (mut fed, mut written, mut answered) = (0, Vec::new(), 0);
+    let mut all = steps;
+    // Enough further steps to carry everything through.
+    all.extend(
+        (0..4 * (wire.len() as u32 / 200 + 4 * expected.len() as u32 + 4)).map(|n| (n as u8, 255, 255)),
+    );
+    for (what, a, b) in all {
+        match what % 4 {
+            0 if conn.wants_input() => {
+                let end = wire.len().min(fed + usize::from(a));
+                conn.received(&wire[fed..end], 1.0);
+                fed = end;
+            }
+            1 => match conn.next_request() {
+                None => {}
+                Some(Ok(request)) => {
+                    assert_eq!(Expected::Body(request.body, request.close), expected[answered]);
+                    conn.asked(RequestId(1));
+                    assert!(conn.next_request().is_none(), "one request at a time");
+                }
+                Some(Err(bad)) => {
+                    assert_eq!(Expected::Bad(bad), expected[answered]);
+                    conn.answer(&Response::new(400, ""), true, 1.0);
+                    answered += 1;
+                }
+            },
+            2 if matches!(conn.state(), ClientState::Asked(_)) => {
+                conn.answer(&Response::new(200, format!("{answered}")), false, 1.0);
+                answered += 1;
+            }
+            3 => {
+                let count = conn.output().len().min(usize::from(b));
+                written.extend_from_slice(&conn.output()[..count]);
+                conn.wrote(count);
+            }
+            _ => {}
+        }
+        let closes = answered > 0 && !matches!(expected[answered - 1], Expected::Body(_, false));
+        assert_eq!(conn.state() == ClientState::Closing, closes);
+        assert!(!conn.is_over() || conn.output().is_empty());
+    }
+    assert_eq!(answered, expected.len(), "each request has its answer");
+    let text = String::from_utf8(written).expect("ASCII");
+    text.matches("HTTP/1.1 ").count() == answered
+}
+
+#[test]
+fn a_client_connection_keeps_to_its_model() {
+    check(holds as fn(Vec<Step>, Vec<Step>) -> bool);
+}
--- /dev/null
+++ b/tests/core_rules.rs
@@ -0,0 +1,235 @@
+//! The rules, checked on the core's effects alone while random things happen to it: no I/O, no clock.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use steppick::core::{AttemptId, Core, Effect as Out, Input, NewQuery};
+use steppick::*;
+use support::{check, core, listed, settings, Step};
+
+const NODES: u8 = 6;
+
+#[derive(Default)]
+struct Asked {
+    class: usize,
+    expires_at: f64,
+    parts: usize,
+    finals: usize,
+    gone: bool,
+}
+
+struct World {
+    core: Core<u32>,
+    now: f64,
+    told_off: BTreeMap<ReplicaId, f64>,
+    asked: BTreeMap<RequestId, Asked>,
+    out: BTreeMap<AttemptId, (RequestId, ReplicaId)>,
+    /// Of each part: attempts, and when the first that may have run was sent.
+    tries: BTreeMap<RequestId, usize>,
+    first: BTreeMap<RequestId, Vec<(AttemptId, f64)>>,
+    in_shards: BTreeMap<RequestId, BTreeSet<usize>>,
+    shard_of: BTreeMap<AttemptId, (usize, bool)>,
+}
+
+impl World {
+    fn step(&mut self, inputs: Vec<Input<u32>>) {
+        let mut effects = Vec::new();
+        self.core.step(self.now, inputs, &mut effects);
+        for effect in effects {
+            match effect {
+                Out::Send(send) => {
+                    let set = settings();
+                    let asked = &self.asked[&send.query];
+                    assert_eq!(asked.finals, 0, "nothing is sent for an ended query");
+                    let told = self.told_off.get(&send.replica);
+                    assert!(told.is_none_or(|told| self.now <= told + 1000.0), "drain kept");
+                    assert!((0..set.reach).any(|j| (send.shard + j) % 4 == send.replica.0 as usize % 4));
+                    let tries = self.tries.entry(send.attempt.part).or_default();
+                    *tries += 1;
+                    assert!(*tries <= set.try_limit, "most attempts of a part");
+                    let ran = self.first.entry(send.attempt.part).or_default();
+                    match set.classes[asked.class].effect {
+                        Effect::Safe => {}
+                        Effect::Keyed(window) => {
+                            assert!(
+                                ran.first().is_none_or(|(_, at)| self.now <= at + window),
+                                "keyed repeat"
+                            );
+                        }
+                        Effect::Unsafe => assert!(ran.is_empty(), "unsafe repeat"),
+                    }
+                    ran.push((send.attempt, self.now));
+                    if let Some(second) = &send.second {
+                        let known = &self.in_shards[&send.query];
+                        assert!(
+                            second.from.iter().all(|shard| known.contains(shard)),
+                            "only shards that are in"
+                        );
+                        assert!(second.from.contains(&send.shard) && second.whole);
+                    }
+                    self.shard_of.insert(send.attempt, (send.shard, send.second.is_some()));
+                    self.out.insert(send.attempt, (send.query, send.replica));
+                }
+                Out::Cancel(id, _) => {
+                    self.out.remove(&id);
+                }
+                Out::Answer(query, whole, values) => {
+                    let asked = self.end(query);
+                    let fetch = settings().classes[asked.class].fetch;
+                    let expected = if fetch > 0 { asked.parts.min(fetch) } else { asked.parts };
+                    assert!(whole && values.len() == expected, "whole with all parts");
+                }
+                Out::Refuse(query, after) => {
+                    let class = self.end(query).class;
+                    assert!(after.is_some_and(|after| after <= 500.0), "advice inside its limit");
+                    let ran =
+                        self.out.iter().any(|(id, (q, _))| *q == query && !self.first[&id.part].is_empty());
+                    assert!(
+                        settings().classes[class].effect == Effect::Safe || !ran,
+                        "a refusal is harmless"
+                    );
+                }
+                Out::Fail(query, _) => {
+                    self.end(query);
+                }
+                Out::Probe(_) | Out::DropUnsent(_) | Out::Log(_) => {}
+            }
+        }
+    }
+
+    fn end(&mut self, query: RequestId) -> &Asked {
+        let asked = self.asked.get_mut(&query).expect("it was asked");
+        assert!(!asked.gone, "a client that went needs no answer");
+        assert!(self.now <= asked.expires_at + 20.0, "inside the client's time");
+        asked.finals += 1;
+        assert_eq!(asked.finals, 1, "one final answer");
+        asked
+    }
+
+    /// Ends one attempt that is out.
+    fn end_attempt(&mut self, id: AttemptId, outcome: Outcome) {
+        let Some((query, _)) = self.out.remove(&id) else { return };
+        if outcome.never_ran() {
+            self.first.entry(id.part).or_default().retain(|(known, _)| *known != id);
+        }
+        if outcome == Outcome::Pass {
+            let (shard, second) = self.shard_of[&id];
+            if !second {
+                self.in_shards.entry(query).or_default().insert(shard);
+            }
+            self.step(vec![Input::Served(id, shard as i64, 1)]);
+        } else {
+            self.step(vec![Input::Ended(id, outcome)]);
+        }
+    }
+}
+
+fn holds(steps: Vec<Step>) -> bool {
+    let mut world = World {
+        core: core(),
+        now: 0.0,
+        told_off: BTreeMap::new(),
+        asked: BTreeMap::new(),
+        out: BTreeMap::new(),
+        tries: BTreeMap::new(),
+        first: BTreeMap::new(),
+        in_shards: BTreeMap::new(),
+        shard_of: BTreeMap::new(),
+    };
+    let all = (0..NODES).map(|id| listed(u32::from(id), Lifecycle::On)).collect();
+    world.step(vec![Input::List(ListKind::Restored, all)]);
+    let idle = std::iter::repeat_n((255, 10, 0), 220);
+    for (what, a, b) in steps.into_iter().chain(idle) {
+        match what {
+            0..=79 => {
+                let id = world.core.new_id();
+                let (class, parts) = (usize::from(a) % 4, usize::from(b) % 4 + 1);
+                let shards = (0..parts).map(|n| ((n + usize::from(a)) % 4, 1.0 / parts as f64)).collect();
+                let expires_at = world.now + 100.0 + 8.0 * f64::from(b);
+                world.asked.insert(id, Asked { class, expires_at, parts, finals: 0, gone: false });
+                world.step(vec![Input::Query(
+                    id,
+                    NewQuery { class, expires_at, retry: false, parts: shards },
+                )]);
+            }
+            80..=179 => {
+                let outcomes = [
+                    Outcome::Pass,
+                    Outcome::Pass,
+                    Outcome::Fault,
+                    Outcome::Cut,
+                    Outcome::NoRoute,
+                    Outcome::NoRoom,
+                ];
+                let place = usize::from(a) % world.out.len().max(1);
+                let id = world.out.keys().nth(place).copied();
+                id.into_iter()
+                    .for_each(|id| world.end_attempt(id, outcomes[usize::from(b) % outcomes.len()]));
+            }
+            180..=194 => {
+                let lifecycle = [Lifecycle::On, Lifecycle::Fading, Lifecycle::Off][usize::from(b) % 3];
+                let entry = listed(u32::from(a % NODES), lifecycle);
+                if lifecycle == Lifecycle::On {
+                    world.told_off.remove(&entry.id);
+                } else {
+                    world.told_off.entry(entry.id).or_insert(world.now);
+                }
+                world.step(vec![Input::List(ListKind::Update, vec![entry])]);
+            }
+            195..=199 => {
+                let open = world.asked.iter_mut().find(|(_, asked)| asked.finals == 0 && !asked.gone);
+                let Some((id, asked)) = open else { continue };
+                asked.gone = true;
+                let id = *id;
+                world.step(vec![Input::Gone(id)]);
+            }
+            _ => {
+                // As the loop does: a step whenever the core has one due, then one at the end of the sleep.
+                let end = world.now + f64::from(a);
+                while let Some(at) = world.core.next_step().filter(|at| *at < end) {
+                    world.now = world.now.max(at);
+                    world.step(Vec::new());
+                }
+                world.now = end;
+                world.step(Vec::new());
+            }
+        }
+    }
+    assert!(world.asked.values().all(|asked| asked.gone || asked.finals == 1), "each query has its answer");
+    assert_eq!(world.core.open_queries(), 0);
+    world.core.counters.broken == 0
+}
+
+#[test]
+fn the_rules_hold_whatever_happens() {
+    check(holds as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn what_is_queued_at_a_draining_node_is_dropped_inside_the_grace() {
+    let mut core = core();
+    let mut effects = Vec::new();
+    core.step(0.0, vec![Input::List(ListKind::Replace, vec![listed(0, Lifecycle::Fading)])], &mut effects);
+    assert!(effects.is_empty());
+    let due = core.next_step().expect("a step is due");
+    assert!(due < 1000.0, "{due}");
+    core.step(due, Vec::new(), &mut effects);
+    assert_eq!(effects, vec![Out::DropUnsent(ReplicaId(0))]);
+    effects.clear();
+    core.step(2000.0, Vec::new(), &mut effects);
+    assert!(effects.is_empty(), "once is enough: {effects:?}");
+}
+
+#[test]
+fn a_full_coordinator_refuses_at_once_with_advice() {
+    let mut core = core();
+    let mut effects = Vec::new();
+    let ask = NewQuery { class: 0, expires_at: 2000.0, retry: false, parts: vec![(0, 0.5), (1, 0.5)] };
+    let inputs = (0..20).map(|_| Input::Query(core.new_id(), ask.clone())).collect();
+    core.step(0.0, inputs, &mut effects);
+    // 40 may be held: a query of two parts counts three, so 14 fit.
+    let advised =
+        |e: &Out<u32>| !matches!(e, Out::Refuse(_, after) if after.is_none_or(|after| after > 500.0));
+    assert!(effects.iter().all(advised));
+    assert_eq!(core.counters.refused_full, 6);
+}
--- /dev/null
+++ b/tests/node_conn.rs
@@ -0,0 +1,140 @@
+//! A model of a node's connection: what the node has seen of the byte stream, against random steps.
+
+mod support;
+
+use std::collections::BTreeMap;
+use steppick::core::AttemptId;
+use steppick::net::node::{Called, NodeConn, NodeState, Purpose};
+use steppick::{Outcome, RequestId};
+use support::{check, Step};
+
+const NOTICE: u8 = 0x80;
+
+fn attempt(id: u8) -> AttemptId {
+    AttemptId { part: RequestId(u64::from(id)), number: 0 }
+}
+
+fn id_of(purpose: &Purpose) -> u8 {
+    match purpose {
+        Purpose::Part(id, _) => id.part.0 as u8,
+        other => panic!("no part: {other:?}"),
+    }
+}
+
+/// The node's view: frames are an id, a length and filler; a notice is two bytes.
+#[derive(Default)]
+struct Seen {
+    bytes: Vec<u8>,
+}
+
+impl Seen {
+    /// Whole frames, and the id and length of one that has begun.
+    fn frames(&self) -> (Vec<u8>, Option<u8>) {
+        let (mut whole, mut rest) = (Vec::new(), self.bytes.as_slice());
+        while let Some(id) = rest.first() {
+            match rest.get(1).map(|length| *length as usize) {
+                Some(length) if rest.len() >= length => rest = &rest[length..],
+                _ => return (whole, Some(*id)),
+            }
+            whole.push(*id);
+        }
+        (whole, None)
+    }
+
+    /// Whether the first byte of a part's frame has left.
+    fn began(&self, id: u8) -> bool {
+        let (whole, begun) = self.frames();
+        whole.contains(&id) || begun == Some(id)
+    }
+}
+
+#[derive(Debug, PartialEq, Clone, Copy)]
+enum End {
+    Answered,
+    Cancelled,
+    Dropped,
+    Broken(Outcome),
+}
+
+fn holds(steps: Vec<Step>) -> bool {
+    let mut conn = NodeConn::new(0.0);
+    let mut seen = Seen::default();
+    let mut ends: BTreeMap<u8, Option<End>> = BTreeMap::new();
+    let mut next = 0;
+    let end = |ends: &mut BTreeMap<u8, Option<End>>, id: u8, how: End| {
+        let old = ends.insert(id, Some(how)).expect("it was pushed");
+        assert_eq!(old, None, "part {id} ends once");
+    };
+    for (what, a, b) in steps {
+        let open = conn.state() == NodeState::Open;
+        match what % 8 {
+            0 | 1 if next < 100 => {
+                let mut bytes = vec![next, a % 9 + 3];
+                bytes.resize(bytes[1] as usize, b);
+                conn.push(Purpose::Part(attempt(next), next.to_string()), bytes);
+                ends.insert(next, None);
+                next += 1;
+            }
+            2 => conn.connected(0.0),
+            3 | 4 if open => {
+                let count = conn.output().len().min(1 + a as usize % 12);
+                seen.bytes.extend_from_slice(&conn.output()[..count]);
+                conn.wrote(count, 0.0);
+            }
+            5 => {
+                let (whole, _) = seen.frames();
+                let Some(id) = whole.get(a as usize % whole.len().max(1)).filter(|id| **id < NOTICE) else {
+                    continue;
+                };
+                if let Some(purpose) = conn.answered(Some(&id.to_string())) {
+                    assert_eq!(id_of(&purpose), *id);
+                    end(&mut ends, *id, End::Answered);
+                }
+            }
+            6 if next > 0 => {
+                let id = a % next;
+                // A dialect without notices must close for what the node has seen any of.
+                let called = conn.cancel(attempt(id), |_| (b % 4 > 0).then(|| vec![id | NOTICE, 2]));
+                if ends[&id].is_some() {
+                    assert_eq!(called, Called::Removed, "an ended part costs nothing");
+                    continue;
+                }
+                let expected = match (seen.began(id), b % 4 > 0) {
+                    (false, _) => Called::Removed,
+                    (true, true) => Called::Told,
+                    (true, false) => Called::MustClose,
+                };
+                assert_eq!(called, expected, "part {id}");
+                if called != Called::MustClose {
+                    end(&mut ends, id, End::Cancelled);
+                }
+            }
+            7 if a % 4 == 0 => {
+                for purpose in conn.drop_unsent() {
+                    let id = id_of(&purpose);
+                    assert!(!seen.began(id), "part {id} had begun");
+                    end(&mut ends, id, End::Dropped);
+                }
+            }
+            _ => {}
+        }
+    }
+    let (whole, _) = seen.frames();
+    for (purpose, outcome) in conn.broken() {
+        let id = id_of(&purpose);
+        let expected = if whole.contains(&id) { Outcome::Cut } else { Outcome::NoRoute };
+        assert_eq!(outcome, expected, "part {id}");
+        end(&mut ends, id, End::Broken(outcome));
+    }
+    assert!(ends.values().all(Option::is_some), "no part is forgotten: {ends:?}");
+    for id in whole.iter().filter(|id| **id >= NOTICE) {
+        let part = id - NOTICE;
+        assert!(whole.contains(&part), "a notice follows the whole frame of {part}");
+    }
+    conn.is_idle()
+}
+
+#[test]
+fn a_node_connection_keeps_to_its_model() {
+    check(holds as fn(Vec<Step>) -> bool);
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,240 @@
+//! The helper of the tests that check a model against random steps, and of those that run the program
+//! against stand-ins. Seeds are fixed, ports are the system's choice, nothing asserts a speed.
+#![allow(dead_code)]
+
+use quickcheck::{Gen, QuickCheck, Testable};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use steppick::core::Core;
+use steppick::settings::Transport;
+use steppick::*;
+
+/// A random step: what to do and two arguments, each read as the test likes.
+pub type Step = (u8, u8, u8);
+
+/// Checks a property on the same random inputs each time.
+pub fn check(property: impl Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(80, 20_261_201)).tests(400).quickcheck(property);
+}
+
+pub fn transport() -> Transport {
+    Transport {
+        dial_timeout: 250.0,
+        idle_close: 15_000.0,
+        streams: 8,
+        max_open: 40,
+        shards: 4,
+        drain_grace: 1000.0,
+    }
+}
+
+pub fn class(effect: Effect, fetch: usize) -> Class {
+    Class {
+        aim: 1000.0,
+        deadline: 2000.0,
+        worth: 1.0,
+        late_share: 0.3,
+        effect,
+        whole_at: 1.0,
+        floor: 1.0,
+        partial_earns: 0.9,
+        fetch,
+    }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        siblings: 1,
+        zone: "a".into(),
+        classes: vec![
+            class(Effect::Safe, 0),
+            class(Effect::Keyed(400.0), 0),
+            class(Effect::Unsafe, 0),
+            class(Effect::Safe, 2),
+        ],
+        cells: 4,
+        reach: 2,
+        parts_a_call: 1,
+        call_cost: 0.0,
+        must_subscribe: false,
+        ask_within: 10_000.0,
+        period: 5.0,
+        may_cancel: true,
+        may_copy: true,
+        may_probe: false,
+        probe_reports: false,
+        may_advise: true,
+        advice_limit: 500.0,
+        try_limit: 3,
+        cold_from: 0.28,
+        cold_time: 10_000.0,
+        fall_multiple: 2.5,
+        overload_time: 1000.0,
+        cross_zone_fee: 0.0,
+        budget: None,
+    }
+}
+
+pub fn listed(id: u32, lifecycle: Lifecycle) -> Listed {
+    let (zone, model) = ("a".to_string(), "m".to_string());
+    Listed { id: ReplicaId(id), cell: id as usize % 4, zone, model, size: 1.0, born: None, lifecycle }
+}
+
+pub fn core() -> Core<u32> {
+    Core::new(settings(), transport(), 7)
+}
+
+/// A folder that is gone with the test.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("steppick-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a temporary folder");
+        Folder(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("a temporary file");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// The real program; ended with the test.
+pub struct Program {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+impl Program {
+    pub fn start(arguments: &[&str], config: Option<&PathBuf>) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_steppick"));
+        command.args(arguments).env_remove("LB_CONFIG").stderr(Stdio::piped());
+        if let Some(path) = config {
+            command.env("LB_CONFIG", path);
+        }
+        let mut child = command.spawn().expect("the program starts");
+        let log = BufReader::new(child.stderr.take().expect("piped"));
+        let (tell, lines) = channel();
+        std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| tell.send(line)));
+        Program { child, lines }
+    }
+
+    /// The next log line that holds `text`.
+    pub fn line(&self, text: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(Duration::from_secs(60)).expect("a line of the log");
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        let line = self.line(" on 127.0.0.1:");
+        line.rsplit(' ').next().expect("an address").parse().expect("an address")
+    }
+
+    /// Asks it to end and tells whether it ended well.
+    pub fn terminate(&mut self) -> bool {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
+        self.child.wait().expect("it ends").success()
+    }
+
+    /// Waits for its end without asking.
+    pub fn ends(&mut self) -> Option<i32> {
+        self.child.wait().expect("it ends").code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Reads one HTTP message that has a Content-Length: its head and its body.
+pub fn message(stream: &mut impl BufRead) -> Option<(String, String)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if stream.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let lower = head.to_ascii_lowercase();
+    let length = lower.split("content-length: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+    let mut body = vec![0; length.map_or(0, |length| length.parse().expect("a length"))];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8(body).expect("UTF-8")))
+}
+
+/// A client with one connection.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn new(to: SocketAddr) -> Client {
+        let stream = TcpStream::connect(to).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a time-out");
+        Client(BufReader::new(stream))
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).expect("written");
+    }
+
+    /// The status, head and body of the next answer.
+    pub fn read(&mut self) -> (u16, String, String) {
+        let (head, body) = message(&mut self.0).expect("an answer");
+        (head[9..12].parse().expect("a status"), head, body)
+    }
+
+    /// Whether the other side has ended the connection without a further byte.
+    pub fn is_ended(&mut self) -> bool {
+        self.0.fill_buf().map_or(true, <[u8]>::is_empty)
+    }
+
+    pub fn ask(&mut self, method: &str, path: &str, headers: &str, body: &str) -> (u16, String, String) {
+        let length = body.len();
+        let text =
+            format!("{method} {path} HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        self.write(text.as_bytes());
+        self.read()
+    }
+}
+
+/// Listens on loopback and serves each connection in a thread of its own.
+pub fn stand_in(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// Counts and notes shared between a stand-in and its test.
+pub type Notes = Arc<Mutex<Vec<String>>>;
+
+/// Runs `work` in a thread and returns a handle; for requests that must overlap.
+pub fn apart<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> std::thread::JoinHandle<T> {
+    std::thread::spawn(work)
+}
