--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -514,6 +514,8 @@
 
     /// Takes in news of the list of replicas.
     pub fn take_news(&mut self, news: News) {
+        let on = news.entries.iter().filter(|entry| entry.lifecycle == Lifecycle::On).count();
+        tracing::info!("{:?} list: {} replicas, {on} in service", news.kind, news.entries.len());
         self.addrs.extend(news.addrs);
         self.inputs.push(Input::List(news.kind, news.entries));
     }
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,322 @@
+//! The platform's front from request to answer: the real program between clients, stand-in book nodes and a
+//! stand-in discovery.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use support::{stand_in, Client, Folder, Notes, Program};
+
+/// What a stand-in node does with a part.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Mood {
+    Serves,
+    Nonsense,
+    Silent,
+}
+
+struct Node {
+    address: SocketAddr,
+    asked: Notes,
+    mood: Arc<Mutex<Mood>>,
+}
+
+fn frame(stream: &mut TcpStream) -> Option<(u8, String)> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).ok()?;
+    let mut body = vec![0; u32::from_le_bytes(length) as usize];
+    stream.read_exact(&mut body).ok()?;
+    Some((body[0], String::from_utf8(body[1..].to_vec()).expect("UTF-8")))
+}
+
+fn serve(mut stream: TcpStream, asked: &Notes, mood: &Mutex<Mood>) {
+    while let Some((letter, text)) = frame(&mut stream) {
+        let now = *mood.lock().expect("no panic");
+        asked.lock().expect("no panic").push(format!("{}{text}", letter as char));
+        let id = text.split(' ').next().expect("an id");
+        let shard = text.split(' ').nth(1).unwrap_or_default();
+        let reply = match (letter, now) {
+            (b'Q', Mood::Serves) => format!("A{id} ok 10{shard} -\nvalue \"{shard}\""),
+            (b'Q', Mood::Nonsense) => "what?".to_string(),
+            (b'L', _) => "Linflight=0,queue=0".to_string(),
+            _ => continue,
+        };
+        // In two pieces: a frame may come split anywhere.
+        let bytes = [&(reply.len() as u32).to_le_bytes()[..], reply.as_bytes()].concat();
+        let (first, second) = bytes.split_at(3);
+        if stream.write_all(first).and_then(|()| stream.write_all(second)).is_err() {
+            return;
+        }
+    }
+}
+
+fn node() -> Node {
+    let (asked, mood) = (Notes::default(), Arc::new(Mutex::new(Mood::Serves)));
+    let (notes, state) = (asked.clone(), mood.clone());
+    Node { address: stand_in(move |stream| serve(stream, &notes, &state)), asked, mood }
+}
+
+impl Node {
+    fn count(&self) -> usize {
+        self.asked.lock().expect("no panic").iter().filter(|text| text.starts_with('Q')).count()
+    }
+
+    fn mood(&self, mood: Mood) {
+        *self.mood.lock().expect("no panic") = mood;
+    }
+}
+
+/// A discovery that writes to its newest watch what it is handed.
+fn discovery() -> (SocketAddr, Sender<String>, Receiver<String>) {
+    let (tell, told) = channel::<String>();
+    let (note, asked) = channel();
+    let told = Mutex::new(told);
+    let address = stand_in(move |mut stream| {
+        let mut head = [0; 2048];
+        let length = stream.read(&mut head).unwrap_or(0);
+        let _ = note.send(String::from_utf8_lossy(&head[..length]).into_owned());
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        while let Ok(text) = told.lock().expect("no panic").recv() {
+            if text == "end" {
+                return;
+            }
+            // A line in two chunks: chunks say nothing of lines.
+            let (a, b) = text.split_at(text.len() / 2);
+            let _ = write!(stream, "{:x}\r\n{a}\r\n{:x}\r\n{b}\n\r\n", a.len(), b.len() + 1);
+        }
+    });
+    (address, tell, asked)
+}
+
+struct Site {
+    _folder: Folder,
+    nodes: [Node; 2],
+    program: Program,
+    address: SocketAddr,
+    tell: Sender<String>,
+    asked: Receiver<String>,
+}
+
+fn entry(nodes: &[Node; 2], n: usize, state: &str) -> String {
+    let address = nodes[n].address;
+    format!(
+        "{{\"id\":\"s-{n}\",\"addr\":\"{address}\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":{n},\"state\":\"{state}\",\
+         \"weight\":1.0,\"started_ms\":0}}"
+    )
+}
+
+fn config(listen: &str, discovery: SocketAddr, servers: &str) -> String {
+    format!(
+        "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
+         \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":256}},\
+         \"known\":{{\"version\":41,\"full\":true,\"servers\":[{servers}]}},\"settings\":{}}}",
+        include_str!("settings.json")
+    )
+}
+
+impl Site {
+    fn new(name: &str) -> Site {
+        let folder = Folder::new(name);
+        let nodes = [node(), node()];
+        let (discovery, tell, asked) = discovery();
+        let servers = format!("{},{}", entry(&nodes, 0, "in_service"), entry(&nodes, 1, "in_service"));
+        let path = folder.write("config.json", &config("127.0.0.1:0", discovery, &servers));
+        let program = Program::start(&[], Some(&path));
+        let address = program.address();
+        Site { _folder: folder, nodes, program, address, tell, asked }
+    }
+
+    fn ask(&self, class: &str, id: u64, shards: &[usize]) -> (u16, String, String) {
+        Client::new(self.address).ask("POST", &format!("/{class}"), &headers(class, id), &body(shards))
+    }
+}
+
+fn headers(class: &str, id: u64) -> String {
+    format!("X-Request-Id: {id:016x}\r\nX-Class: {class}\r\nX-Deadline: 1500m\r\nIdempotency-Key: k{id}\r\n")
+}
+
+fn body(shards: &[usize]) -> String {
+    let weight = 1.0 / shards.len() as f64;
+    let each: Vec<String> =
+        shards.iter().map(|s| format!("{{\"shard\":{s},\"weight\":{weight},\"cost\":9000}}")).collect();
+    format!("{{\"shards\":[{}],\"q\":\"some text\"}}", each.join(","))
+}
+
+#[test]
+fn a_query_goes_all_the_way_and_back() {
+    let site = Site::new("way");
+    assert_eq!(Client::new(site.address).ask("GET", "/ready", "", "").0, 200);
+    let (status, _, answer) = site.ask("view", 1, &[0, 1]);
+    assert_eq!(status, 200, "{answer}");
+    assert!(answer.contains("\"complete\":true"), "{answer}");
+    assert!(
+        answer.contains(r#"{"shard":0,"doc":"value \"0\""}"#) && answer.contains("\"shard\":1"),
+        "{answer}"
+    );
+    // A keyed part carries its key; a part of the second step what the first step had.
+    assert_eq!(site.ask("entry", 2, &[1]).0, 200);
+    let (status, _, answer) = site.ask("report", 3, &[0, 1, 2]);
+    assert_eq!(status, 200, "{answer}");
+    assert!(answer.contains("\"shard\":2") && answer.contains("\"shard\":1"), "the best scores: {answer}");
+    assert!(!answer.contains("\"shard\":0"), "the second step fetches two: {answer}");
+    let seen: Vec<String> =
+        site.nodes.iter().flat_map(|node| node.asked.lock().expect("no panic").clone()).collect();
+    assert!(seen
+        .iter()
+        .any(|text| text.starts_with("Q0000000000000002.1 1 d=") && text.contains(",k=k2 9\nsome text")));
+    assert!(
+        seen.iter().any(|text| text.contains("3.2.f 2 d=") && text.contains(",from=0+1+2,whole=1 9\n")),
+        "{seen:?}"
+    );
+}
+
+#[test]
+fn bad_input_gets_its_status_and_no_node_hears_of_it() {
+    let site = Site::new("bad");
+    let ask = |method: &str, path: &str, headers: &str, body: &str| {
+        Client::new(site.address).ask(method, path, headers, body).0
+    };
+    let (fine, good) = (headers("view", 1), body(&[0]));
+    for (status, method, path, headers, body) in [
+        (404, "POST", "/nowhere", fine.as_str(), good.as_str()),
+        (405, "GET", "/view", &fine, &good),
+        (405, "POST", "/ready", "", ""),
+        (400, "POST", "/view", "", &good),
+        (400, "POST", "/view", "X-Request-Id: short\r\n", &good),
+        (400, "POST", "/view", &fine.replace("view", "entry"), &good),
+        (400, "POST", "/view", &fine.replace("1500m", "soon"), &good),
+        (400, "POST", "/view", &fine.replace("1500m", "m"), &good),
+        (400, "POST", "/view", &fine.replace("1500m", "1e9m"), &good),
+        (400, "POST", "/entry", &headers("entry", 1).replace("k1", "k,d=9"), &good),
+        (400, "POST", "/view", &fine, "{"),
+        (400, "POST", "/view", &fine, "{\"shards\":[],\"q\":\"x\"}"),
+        (400, "POST", "/view", &fine, &good.replace("\"shard\":0", "\"shard\":99")),
+        (400, "POST", "/view", &fine, &good.replace("\"shard\":0", "\"shard\":-1")),
+        (400, "POST", "/view", &fine, &good.replace("\"weight\":1", "\"weight\":7")),
+        (
+            400,
+            "POST",
+            "/view",
+            &fine,
+            "{\"shards\":[{\"shard\":0,\"weight\":0.5},{\"shard\":0,\"weight\":0.5}],\"q\":\"x\"}",
+        ),
+    ] {
+        assert_eq!(ask(method, path, headers, body), status, "{method} {path} {headers} {body}");
+    }
+    let mut client = Client::new(site.address);
+    client.write(b"POST /view HTTP/1.1\r\nContent-Length: 65537\r\n\r\n");
+    assert_eq!(client.read().0, 413);
+    for malformed in
+        ["\x01\r\n\r\n", "POST /view HTTP/1.1\r\nContent-Length: x\r\n\r\n", "POST / HTTP/9\r\n\r\n"]
+    {
+        let mut client = Client::new(site.address);
+        client.write(malformed.as_bytes());
+        assert_eq!(client.read().0, 400, "{malformed:?}");
+        assert!(client.is_ended());
+    }
+    assert_eq!(site.nodes.iter().map(Node::count).sum::<usize>(), 0);
+}
+
+#[test]
+fn pipelined_and_split_requests_are_answered_in_order() {
+    let site = Site::new("pipe");
+    let mut client = Client::new(site.address);
+    let mut wire = String::new();
+    for id in 1..=5 {
+        let (headers, body) = (headers("view", id), body(&[id as usize % 4]));
+        let head = format!("POST /view HTTP/1.1\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
+        let (a, b) = body.split_at(7);
+        wire += &format!("{head}{:x}\r\n{a}\r\n{:x}\r\n{b}\r\n0\r\n\r\n", a.len(), b.len());
+    }
+    for piece in wire.as_bytes().chunks(31) {
+        client.write(piece);
+    }
+    for id in 1..=5 {
+        let (status, _, answer) = client.read();
+        assert_eq!(status, 200);
+        assert!(answer.contains(&format!("\"shard\":{}", id % 4)), "{answer}");
+    }
+}
+
+#[test]
+fn a_bad_frame_closes_its_connection_and_another_node_answers() {
+    let site = Site::new("frame");
+    site.nodes[0].mood(Mood::Nonsense);
+    for id in 1..6 {
+        assert_eq!(site.ask("view", id, &[0]).0, 200);
+    }
+    site.nodes[1].mood(Mood::Nonsense);
+    let (status, head, _) = site.ask("view", 9, &[0]);
+    assert_eq!(status, 503, "a safe query is refused at once: {head}");
+    assert!(head.contains("Retry-After: 0."), "{head}");
+}
+
+#[test]
+fn a_draining_node_gets_nothing_new_and_the_watch_goes_on_where_it_broke() {
+    let site = Site::new("drain");
+    let watch = site.asked.recv().expect("a watch");
+    assert!(watch.starts_with("GET /v1/endpoints?watch=1&after=41 "), "{watch}");
+    let change = |version: u64, n, state| {
+        let servers = entry(&site.nodes, n, state);
+        site.tell
+            .send(format!("{{\"version\":{version},\"full\":false,\"servers\":[{servers}]}}"))
+            .expect("sent");
+    };
+    change(43, 0, "terminating");
+    site.program.line("Update list: 1 replicas, 0 in service");
+    std::thread::sleep(std::time::Duration::from_millis(1100));
+    let before = site.nodes[0].count();
+    for id in 1..10 {
+        assert_eq!(site.ask("view", id, &[0, 1]).0, 200);
+    }
+    assert_eq!(site.nodes[0].count(), before);
+    site.tell.send("end".into()).expect("sent");
+    let watch = site.asked.recv().expect("another watch");
+    assert!(watch.starts_with("GET /v1/endpoints?watch=1&after=43 "), "{watch}");
+    // What is known already changes nothing; what is new does.
+    change(42, 1, "terminated");
+    change(44, 0, "in_service");
+    site.program.line("Update list: 1 replicas, 1 in service");
+    assert_eq!(site.ask("view", 20, &[0, 1]).0, 200);
+}
+
+#[test]
+fn an_orderly_end_answers_what_was_taken() {
+    let mut site = Site::new("end");
+    site.nodes.iter().for_each(|node| node.mood(Mood::Silent));
+    let address = site.address;
+    let taken =
+        support::apart(move || Client::new(address).ask("POST", "/view", &headers("view", 1), &body(&[0])));
+    while site.nodes.iter().map(Node::count).sum::<usize>() == 0 {
+        std::thread::yield_now();
+    }
+    assert!(site.program.terminate(), "it ends well");
+    let (status, head, _) = taken.join().expect("an answer");
+    assert!(status >= 500 && head.contains("Connection: close"), "{head}");
+    let line = site.program.line("platform: queries");
+    assert!(line.contains("queries: 1") && line.contains("broken: 0"), "{line}");
+}
+
+#[test]
+fn a_bad_configuration_gives_one_line() {
+    let folder = Folder::new("config");
+    let nowhere: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    let good = config("127.0.0.1:0", nowhere, "");
+    let taken = stand_in(drop);
+    for (text, told) in [
+        ("{".to_string(), "not a configuration"),
+        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\""), "field `listen`"),
+        (good.replace("8c1f30d27a5be964", "no hex"), "field `seed`"),
+        (good.replace("\"idempotent\"", "\"sometimes\""), "field `effect`"),
+        (good.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{taken}\"")), "can't listen"),
+    ] {
+        let path: PathBuf = folder.write("bad.json", &text);
+        let mut program = Program::start(&[], Some(&path));
+        let line = program.line("steppick: ");
+        assert!(line.contains(told), "{line}");
+        assert_eq!(program.ends(), Some(1), "{told}");
+    }
+}
