--- a/src/choice.rs
+++ b/src/choice.rs
@@ -283,7 +283,7 @@
         match event {
             Event::List { kind, entries } => self.take_list(*kind, entries, actions),
             Event::Query { id, class, .. } if *class >= self.set.classes.len() => {
-                actions.push(Action::Fail { query: *id })
+                actions.push(Action::Fail { query: *id, retry_after: None })
             }
             Event::Query { id, class, number, parts, expires_in, retry } => {
                 self.take_query(*id, *class, *number, *parts, *expires_in, *retry)
@@ -836,15 +836,13 @@
     }
 
     /// Ends a query without an answer: refused where a retry is surely harmless, else failed.
-    fn give_up(&self, query: &Query, jam: Option<Ms>, actions: &mut Vec<Action>) {
-        let about = &self.set.classes[query.class];
-        if about.effect == Effect::Safe || !query.parts.iter().any(|p| p.unproved().is_some()) {
-            let wait = jam.unwrap_or(0.0).max(self.service_of(query.class)).min(self.set.advice_limit);
-            let retry_after = self.set.may_advise.then_some(wait);
-            actions.push(Action::Refuse { query: query.id, retry_after });
-        } else {
-            actions.push(Action::Fail { query: query.id });
-        }
+    fn give_up(&self, held: &Query, jam: Option<Ms>, actions: &mut Vec<Action>) {
+        let (effect, query) = (self.set.classes[held.class].effect, held.id);
+        let wait = jam.unwrap_or(0.0).max(self.service_of(held.class)).min(self.set.advice_limit);
+        let harmless = effect == Effect::Safe || !held.parts.iter().any(|p| p.unproved().is_some());
+        let retry_after = (self.set.may_advise && (harmless || effect != Effect::Unsafe)).then_some(wait);
+        let fail = Action::Fail { query, retry_after };
+        actions.push(if harmless { Action::Refuse { query, retry_after } } else { fail });
     }
 
     /// Answers or ends the query if it is time; tells whether that was final.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -109,8 +109,8 @@
     Answer(RequestId, bool, Vec<(usize, V)>),
     /// Final answer: refused, with advice when to come back.
     Refuse(RequestId, Option<Ms>),
-    /// Final answer: failed.
-    Fail(RequestId, Failure),
+    /// Final answer: failed, with advice when to come back.
+    Fail(RequestId, Failure, Option<Ms>),
     /// Ask a replica for its load.
     Probe(ReplicaId),
     /// The grace of a draining replica is over: what is not begun must not go out.
@@ -399,7 +399,7 @@
             self.pending.push(Event::Withdrawn { id });
             self.counters.failed += 1;
             self.counters.overdue += 1;
-            effects.push(Effect::Fail(id, Failure::TimedOut));
+            effects.push(Effect::Fail(id, Failure::TimedOut, None));
         }
     }
 
@@ -427,15 +427,16 @@
                     effects.push(Effect::Refuse(query, retry_after.map(|after| after.min(limit))));
                 } else {
                     self.counters.failed += 1;
-                    effects.push(Effect::Fail(query, Failure::Unserved));
+                    effects.push(Effect::Fail(query, Failure::Unserved, None));
                 }
             }
-            Action::Fail { query } => {
+            Action::Fail { query, retry_after } => {
                 let Some(held) = self.close(query) else { return };
                 self.counters.failed += 1;
                 let late = held.expires_at - self.now < 50.0;
                 let why = if late { Failure::TimedOut } else { Failure::Unserved };
-                effects.push(Effect::Fail(query, why));
+                let limit = self.set.advice_limit;
+                effects.push(Effect::Fail(query, why, retry_after.map(|after| after.min(limit))));
             }
             Action::Wake { after } => {
                 let at = self.now + after;
@@ -458,7 +459,8 @@
         self.parts.get(&part).is_some_and(|part| part.may_have_run.is_some() || !part.out.is_empty())
     }
 
-    fn may_send_to(&self, replica: ReplicaId) -> bool {
+    /// Whether anything new may still go to a replica.
+    pub fn may_send_to(&self, replica: ReplicaId) -> bool {
         let known = self.replicas.get(&replica);
         known.is_some_and(|known| known.off.is_none_or(|(told, _)| self.now < self.grace_end(told)))
     }
@@ -528,7 +530,8 @@
             }
         }
         let (need, floor) = match &query.second {
-            None => (class.whole_at, class.floor),
+            // Weights come rounded: their sum may fall short of 1.
+            None => (class.whole_at.min(all), class.floor.min(all)),
             Some(_) => (all, if class.floor < class.whole_at { class.floor } else { all }),
         };
         let first_whole = query.second.as_ref().is_none_or(|second| second.whole);
@@ -538,7 +541,7 @@
             self.close(id);
             self.counters.failed += 1;
             self.pending.push(Event::Withdrawn { id });
-            effects.push(Effect::Fail(id, Failure::Unserved));
+            effects.push(Effect::Fail(id, Failure::Unserved, None));
             return;
         }
         let whole = whole && crate::must_hold!(self.counters, is_whole || !whole, "whole without all parts");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -294,6 +294,8 @@
     Fail {
         /// The query.
         query: RequestId,
+        /// Advice when to come back, where the class lets a repeat be harmless.
+        retry_after: Option<Ms>,
     },
     /// Ask for [`Event::Woken`].
     Wake {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, Bad, Request};
 use crate::interface::{Ms, RequestId};
+use std::collections::VecDeque;
 
 /// Bytes held for one client beyond which nothing more is read: one request of the greatest size and then some.
 const READ_LIMIT: usize = 128 * 1024;
@@ -27,8 +28,10 @@
     close: bool,
     /// When bytes last came or an answer last left.
     pub active_at: Ms,
-    /// When the bytes of the request in hand last came.
-    pub received_at: Ms,
+    /// When the last byte of the request in hand came.
+    pub request_at: Ms,
+    /// How far the input reached at which time: a pipelined request's time runs from its own last byte.
+    marks: VecDeque<(usize, Ms)>,
 }
 
 impl ClientConn {
@@ -40,7 +43,8 @@
             output: Vec::new(),
             close: false,
             active_at: now,
-            received_at: now,
+            request_at: now,
+            marks: VecDeque::new(),
         }
     }
 
@@ -58,7 +62,8 @@
     pub fn received(&mut self, bytes: &[u8], now: Ms) {
         if self.state != ClientState::Closing {
             self.input.extend_from_slice(bytes);
-            (self.active_at, self.received_at) = (now, now);
+            self.marks.push_back((self.input.len(), now));
+            self.active_at = now;
         }
     }
 
@@ -71,6 +76,10 @@
             Ok(None) => None,
             Ok(Some((request, used))) => {
                 self.input.drain(..used);
+                self.request_at =
+                    self.marks.iter().find(|mark| mark.0 >= used).map_or(self.active_at, |mark| mark.1);
+                self.marks.retain(|mark| mark.0 > used);
+                self.marks.iter_mut().for_each(|mark| mark.0 -= used);
                 self.close = request.close;
                 Some(Ok(request))
             }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -17,12 +17,12 @@
 }
 
 /// What a frame is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Purpose {
     /// One attempt, and the name that its answer bears.
     Part(AttemptId, String),
-    /// A probe for load.
-    Probe,
+    /// A probe for load, asked for then.
+    Probe(Ms),
     /// Nobody waits for what it brings.
     Other,
 }
@@ -141,10 +141,22 @@
 
     /// Takes off the oldest probe that is out.
     pub fn probe_answered(&mut self) -> bool {
-        let place = self.out.iter().position(|purpose| *purpose == Purpose::Probe);
+        let place = self.out.iter().position(|purpose| matches!(purpose, Purpose::Probe(_)));
         place.and_then(|place| self.out.remove(place)).is_some()
     }
 
+    /// When the oldest probe that is out was asked for.
+    pub fn oldest_probe(&self) -> Option<Ms> {
+        self.out.iter().find_map(|purpose| if let Purpose::Probe(at) = purpose { Some(*at) } else { None })
+    }
+
+    /// Takes off the probes asked for before then; tells how many.
+    pub fn expire_probes(&mut self, before: Ms) -> usize {
+        let held = self.out.len();
+        self.out.retain(|purpose| !matches!(purpose, Purpose::Probe(at) if *at <= before));
+        held - self.out.len()
+    }
+
     /// Calls an attempt off: a frame not begun is taken out; one partly written is finished first, since the
     /// node could not tell where the next frame begins, and the notice that `notice` makes follows it.
     pub fn cancel(&mut self, id: AttemptId, notice: impl Fn(&str) -> Option<Vec<u8>>) -> Called {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -76,8 +76,7 @@
     /// One line that tells what is wrong.
     pub fn server(&self, event_loop: &Loop, clock: Clock, number: usize) -> Result<Server<Platform>, String> {
         let directory = Directory::new(clock.unix_start());
-        let (watch, known) = Watch::new(self.discovery, directory, &self.known)
-            .map_err(|why| format!("field `known`: {why}"))?;
+        let (watch, known) = Watch::new(self.discovery, directory, &self.known);
         let deadlines = self.set.classes.iter().map(|class| class.deadline).collect();
         let dialect = Platform::new(self.classes.clone(), deadlines, self.limits.shards);
         let core = Core::new(self.set.clone(), self.limits, self.seed);
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -43,11 +43,8 @@
         Directory { names: HashMap::new(), unix_start }
     }
 
-    /// The entries of a list.
-    ///
-    /// # Errors
-    /// Names the entry that makes no sense.
-    pub fn news(&mut self, kind: ListKind, list: &List) -> Result<News, String> {
+    /// The entries of a list. One entry that can't be read hides no other: it is left out, with a warning.
+    pub fn news(&mut self, kind: ListKind, list: &List) -> News {
         let (mut entries, mut addrs) = (Vec::new(), Vec::new());
         for entry in &list.servers {
             let next = ReplicaId(self.names.len() as u32 + 1);
@@ -56,9 +53,16 @@
                 "in_service" => Lifecycle::On,
                 "terminating" => Lifecycle::Fading,
                 "terminated" => Lifecycle::Off,
-                other => return Err(format!("{}: unknown state {other}", entry.id)),
+                other => {
+                    // Whatever it means, it is not said to be in service.
+                    tracing::warn!("{}: unknown state {other}", entry.id);
+                    Lifecycle::Fading
+                }
+            };
+            let Ok(addr) = entry.addr.parse() else {
+                tracing::warn!("{}: bad address {}", entry.id, entry.addr);
+                continue;
             };
-            let addr = entry.addr.parse().map_err(|_| format!("{}: bad address {}", entry.id, entry.addr))?;
             addrs.push((id, addr));
             let started = entry.started_ms.filter(|started| *started > 0.0);
             entries.push(Listed {
@@ -71,7 +75,7 @@
                 lifecycle,
             });
         }
-        Ok(News { kind, entries, addrs })
+        News { kind, entries, addrs }
     }
 }
 
@@ -93,13 +97,10 @@
 
 impl Watch {
     /// A watch that goes on after the list known last, and the news in that list.
-    ///
-    /// # Errors
-    /// Tells why the known list makes no sense.
-    pub fn new(address: SocketAddr, mut directory: Directory, known: &List) -> Result<(Self, News), String> {
-        let news = directory.news(ListKind::Restored, known)?;
+    pub fn new(address: SocketAddr, mut directory: Directory, known: &List) -> (Self, News) {
+        let news = directory.news(ListKind::Restored, known);
         let state = State::Head(Vec::new());
-        Ok((Watch { address, directory, version: known.version, state, line: Vec::new() }, news))
+        (Watch { address, directory, version: known.version, state, line: Vec::new() }, news)
     }
 
     fn take_line(&mut self, line: &[u8]) -> Result<Option<News>, String> {
@@ -113,9 +114,8 @@
             return Ok(None);
         }
         let kind = if list.full { ListKind::Replace } else { ListKind::Update };
-        let news = self.directory.news(kind, &list)?;
         self.version = list.version;
-        Ok(Some(news))
+        Ok(Some(self.directory.news(kind, &list)))
     }
 }
 
@@ -131,13 +131,13 @@
         format!("GET /v1/endpoints?watch=1&after={version} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
     }
 
-    fn received(&mut self, bytes: &[u8]) -> Result<Vec<News>, String> {
+    fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), String> {
         let mut data = Vec::new();
         match &mut self.state {
             State::Head(head) => {
                 head.extend_from_slice(bytes);
                 let Some(told) = http::response_head(head).map_err(|_| "not an HTTP answer")? else {
-                    return Ok(Vec::new());
+                    return Ok(());
                 };
                 if told.status != 200 || told.framing != Some(Framing::Chunked) {
                     return Err(format!("status {} instead of a watch", told.status));
@@ -150,7 +150,6 @@
                 chunks.read(bytes, &mut data).map_err(|_| "bad chunks")?;
             }
         }
-        let mut news = Vec::new();
         for byte in data {
             self.line.push(byte);
             if byte == b'\n' {
@@ -163,6 +162,6 @@
         if matches!(&self.state, State::Body(chunks) if chunks.is_done()) {
             return Err("the watch ended".into());
         }
-        Ok(news)
+        Ok(())
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -210,7 +210,8 @@
         Action::Refuse { query, retry_after } => {
             Out::Reject { i, ticket: ticket(*query), cool_down_ms: *retry_after }
         }
-        Action::Fail { query } => Out::Fail { i, ticket: ticket(*query) },
+        // The simulator's wire has no advice on failures.
+        Action::Fail { query, .. } => Out::Fail { i, ticket: ticket(*query) },
         Action::Wake { after } => Out::WakeMe { i, cookie: 0, in_ms: *after },
         Action::Probe { replica } => Out::Ping { i, server: replica.0 },
         Action::Subscribe => Out::Track { i, whole: true },
--- a/tests/client_conn.rs
+++ b/tests/client_conn.rs
@@ -108,3 +108,16 @@
 fn a_client_connection_keeps_to_its_model() {
     check(holds as fn(Vec<Step>, Vec<Step>) -> bool);
 }
+
+#[test]
+fn the_time_of_a_pipelined_request_is_that_of_its_own_last_byte() {
+    let mut conn = ClientConn::new(0.0);
+    let wire = b"GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /c";
+    conn.received(&wire[..25], 10.0);
+    conn.received(&wire[25..], 20.0);
+    conn.received(b" HTTP/1.1\r\n\r\n", 30.0);
+    for expected in [10.0, 20.0, 30.0] {
+        assert!(conn.next_request().is_some_and(|request| request.is_ok()));
+        assert_eq!(conn.request_at, expected);
+    }
+}
--- a/tests/node_conn.rs
+++ b/tests/node_conn.rs
@@ -138,3 +138,17 @@
 fn a_node_connection_keeps_to_its_model() {
     check(holds as fn(Vec<Step>) -> bool);
 }
+
+#[test]
+fn a_probe_without_an_answer_does_not_keep_its_connection_in_use() {
+    let mut conn = NodeConn::new(0.0);
+    conn.connected(0.0);
+    conn.push(Purpose::Probe(0.0), vec![1]);
+    conn.wrote(1, 0.0);
+    assert!(!conn.is_idle());
+    assert_eq!((conn.oldest_probe(), conn.expire_probes(-1.0)), (Some(0.0), 0));
+    assert_eq!(conn.expire_probes(0.0), 1);
+    assert!(conn.is_idle());
+    // Near the end of its idle time it is not used again.
+    assert!(conn.has_room(1, 100.0, 99.0) && !conn.has_room(1, 100.0, 100.0));
+}
