--- a/src/main.rs
+++ b/src/main.rs
@@ -88,7 +88,7 @@
             ended &= front.server.has_ended(now);
         }
         gathered.ready.clear();
-        if ended || !signals.is_empty() {
+        if ended || signals.contains(&Signal::SIGUSR1) {
             coordinator.iter().for_each(|server| tracing::info!("platform: {}", server.counters()));
             front.iter().for_each(|front| tracing::info!("opensearch: {}", front.server.counters()));
         }
