Let a last answer arrive: linger after it, and refuse a request that can't fit

Seen in review, shown by tests: after a 413 the connection was closed with the rest of the body unread, which resets it and can take the answer along (write_client in server.rs); and a request of many tiny chunks that outgrew the read limit was neither read on nor answered (next_request in client.rs). A connection now lingers until the client ends or 1 s is over, and what does not fit gets 413. Clients that stall inside a request make room at the limit, and two fronts in one process share the descriptors.

--- a/src/main.rs
+++ b/src/main.rs
@@ -40,11 +40,12 @@
         .handle()
         .insert_source(signals, |event, _, gathered: &mut Gathered| gathered.signals.push(event.signal()))
         .map_err(|error| format!("no signals: {error}"))?;
+    let fronts = usize::from(platform_file.is_some()) + usize::from(opensearch_file.is_some());
     let mut coordinator = None;
     if let Some(path) = platform_file {
         let named = |why: String| format!("{path}: {why}");
         let config = platform::config::Config::read(&read(&path)?).map_err(named)?;
-        let server = config.server(&event_loop, clock, 0).map_err(named)?;
+        let server = config.server(&event_loop, clock, 0, fronts).map_err(named)?;
         let listen = server.local_addr().map_err(|error| error.to_string())?;
         tracing::info!("{} serves the platform on {listen}", config.name);
         coordinator = Some(server);
@@ -54,7 +55,7 @@
         let named = |why: String| format!("{path}: {why}");
         let folder = Path::new(&path).parent().unwrap_or(Path::new("."));
         let config = opensearch::config::Config::read(&read(&path)?, folder).map_err(named)?;
-        let made = config.front(&event_loop, clock, 1).map_err(named)?;
+        let made = config.front(&event_loop, clock, 1, fronts).map_err(named)?;
         let listen = made.server.local_addr().map_err(|error| error.to_string())?;
         tracing::info!("serves OpenSearch queries on {listen}");
         front = Some(made);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -4,11 +4,12 @@
 use crate::interface::{Ms, RequestId};
 use std::collections::VecDeque;
 
-/// Bytes held for one client beyond which nothing more is read: one request of the greatest size and then some.
-const READ_LIMIT: usize = 128 * 1024;
+/// Bytes held for one client beyond which nothing more is read: a request of the greatest size, chunked in a
+/// sensible way. All clients together stay within the memory limit.
+const READ_LIMIT: usize = 160 * 1024;
 
 /// Where a client's connection is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ClientState {
     /// Between requests, or inside one that has not fully come.
     Reading,
@@ -16,6 +17,8 @@
     Asked(RequestId),
     /// The last answer is being written; nothing more is read.
     Closing,
+    /// The last answer has left since then; what still comes is thrown away until the client ends too.
+    Lingering(Ms),
 }
 
 /// One client's connection.
@@ -60,7 +63,7 @@
 
     /// Takes bytes in.
     pub fn received(&mut self, bytes: &[u8], now: Ms) {
-        if self.state != ClientState::Closing {
+        if matches!(self.state, ClientState::Reading | ClientState::Asked(_)) {
             self.input.extend_from_slice(bytes);
             self.marks.push_back((self.input.len(), now));
             self.active_at = now;
@@ -73,6 +76,11 @@
             return None;
         }
         match http::request(&self.input) {
+            // Nothing more would be read: a request that does not fit must not hang.
+            Ok(None) if self.input.len() >= READ_LIMIT => {
+                self.close = true;
+                Some(Err(Bad::TooLarge))
+            }
             Ok(None) => None,
             Ok(Some((request, used))) => {
                 self.input.drain(..used);
@@ -118,8 +126,23 @@
         self.state == ClientState::Reading && self.input.is_empty() && self.output.is_empty()
     }
 
-    /// Whether the last answer has left and the connection is to be closed.
-    pub fn is_over(&self) -> bool {
-        self.state == ClientState::Closing && self.output.is_empty()
+    /// Whether nothing that was taken is lost if it is closed now: nothing was asked and nothing has come
+    /// since `before`, or its last answer has left.
+    pub fn may_go(&self, before: Ms) -> bool {
+        match self.state {
+            ClientState::Reading => self.output.is_empty() && (self.is_idle() || self.active_at < before),
+            ClientState::Lingering(_) => true,
+            ClientState::Asked(_) | ClientState::Closing => false,
+        }
+    }
+
+    /// Begins to linger once the last answer has left; true if it did so now. Closing at once, with bytes
+    /// of the client unread, would reset the connection and could take the answer with it.
+    pub fn linger(&mut self, now: Ms) -> bool {
+        let over = self.state == ClientState::Closing && self.output.is_empty();
+        if over {
+            self.state = ClientState::Lingering(now);
+        }
+        over
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -9,7 +9,7 @@
 use calloop::LoopHandle;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
 /// Share of the idle time after which a connection is retired: well before the other side closes it.
 const RETIRE_SHARE: f64 = 0.8;
@@ -24,8 +24,12 @@
 /// Clients may go on opening connections for 0.4 s.
 const LINGER_IDLE: Ms = 500.0;
 const LINGER: Ms = 800.0;
-/// A request that has not come in whole for so long does not hold up the end, ms.
+/// A request that has not come in whole for so long does not hold up the end, ms; after the longer time it
+/// makes room for other clients.
 const STALE_REQUEST: Ms = 1000.0;
+const STALE_CLIENT: Ms = 10_000.0;
+/// How long a connection lingers for the client to end it, ms.
+const LINGER_CLOSE: Ms = 1000.0;
 /// Time for the answer to a probe, ms: one that a hung node never answers must not keep its connection in use.
 const PROBE_TIME: Ms = 1000.0;
 /// Bytes taken from a node's connection at a time.
@@ -61,9 +65,10 @@
 }
 
 impl Sockets {
-    /// Shares out a limit on descriptors: most go to clients, who can't be told to be fewer.
-    pub fn of(limit: usize) -> Sockets {
-        let free = limit.saturating_sub(RESERVE).max(8);
+    /// Shares out a limit on descriptors among so many fronts of a process: most go to clients, who can't be
+    /// told to be fewer.
+    pub fn of(limit: usize, fronts: usize) -> Sockets {
+        let free = (limit.saturating_sub(RESERVE) / fronts.max(1)).max(8);
         Sockets { clients: free * 3 / 4, nodes: free / 4 }
     }
 }
@@ -155,11 +160,7 @@
 
     /// Whether the orderly end is complete.
     pub fn has_ended(&self, now: Ms) -> bool {
-        let settled = |client: &Client| match client.conn.state() {
-            ClientState::Reading => client.conn.is_idle() || now - client.conn.active_at > STALE_REQUEST,
-            ClientState::Asked(_) => false,
-            ClientState::Closing => client.conn.is_over(),
-        };
+        let settled = |client: &Client| client.conn.may_go(now - STALE_REQUEST);
         self.ending_since.is_some_and(|since| now - since >= LINGER) && self.clients.values().all(settled)
     }
 
@@ -179,7 +180,11 @@
             _ => node.conn.oldest_probe().map(|sent| sent + PROBE_TIME),
         });
         let ending = self.ending_since.map(|_| now + 50.0);
-        nodes.chain(roster).chain(ending).chain(self.core.next_step()).min_by(f64::total_cmp)
+        let lingering = self.clients.values().filter_map(|client| match client.conn.state() {
+            ClientState::Lingering(since) => Some(since + LINGER_CLOSE),
+            _ => None,
+        });
+        nodes.chain(lingering).chain(roster).chain(ending).chain(self.core.next_step()).min_by(f64::total_cmp)
     }
 
     fn retire_after(&self) -> Ms {
@@ -219,7 +224,7 @@
         loop {
             if self.clients.len() >= self.sockets.clients {
                 // Closing between requests is allowed: the longest idle client makes room.
-                let idle = self.clients.iter().filter(|(_, client)| client.conn.is_idle());
+                let idle = self.clients.iter().filter(|(_, client)| client.conn.may_go(now - STALE_CLIENT));
                 let oldest = idle.min_by(|a, b| a.1.conn.active_at.total_cmp(&b.1.conn.active_at));
                 let Some(key) = oldest.map(|(key, _)| *key) else { return };
                 self.clients.remove(&key);
@@ -265,7 +270,7 @@
                 client.conn.received(&bytes, now);
             }
             self.take_requests(key, now);
-            self.write_client(key, ended);
+            self.write_client(key, ended, now);
             if ended || bytes.is_empty() {
                 return;
             }
@@ -302,7 +307,7 @@
     }
 
     /// Writes what a client's connection has for it; `ended` tells that the client has gone.
-    fn write_client(&mut self, key: u64, mut ended: bool) {
+    fn write_client(&mut self, key: u64, mut ended: bool, now: Ms) {
         let Some(client) = self.clients.get_mut(&key) else { return };
         while !ended && !client.conn.output().is_empty() {
             match (&*client.link.socket).write(client.conn.output()) {
@@ -313,7 +318,10 @@
                 Err(_) => ended = true,
             }
         }
-        if ended || client.conn.is_over() {
+        if client.conn.linger(now) {
+            let _ = client.link.socket.shutdown(Shutdown::Write);
+        }
+        if ended {
             if let ClientState::Asked(id) = client.conn.state() {
                 self.asked.remove(&id);
                 self.dialect.gone(id);
@@ -327,7 +335,7 @@
         let Some(key) = self.asked.remove(&id) else { return };
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.conn.answer(&response, self.ending_since.is_some(), now);
-        self.write_client(key, false);
+        self.write_client(key, false, now);
         // A further request may have come while this one was being answered.
         self.serve_client(key, now);
     }
@@ -465,6 +473,11 @@
         if self.ending_since.is_some_and(|since| now - since >= LINGER_IDLE) {
             self.clients.retain(|_, client| !client.conn.is_idle());
         }
+        let lingers = |client: &Client| match client.conn.state() {
+            ClientState::Lingering(since) => now - since < LINGER_CLOSE,
+            _ => true,
+        };
+        self.clients.retain(|_, client| lingers(client));
         let lost = match &self.stream {
             Stream::Down(at) => now >= *at,
             Stream::Connecting(since, _) => now - since >= ROSTER_DIAL,
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -107,11 +107,17 @@
         })
     }
 
-    /// The front that this file describes.
+    /// The front that this file describes, one of so many of the process.
     ///
     /// # Errors
     /// One line that tells what is wrong.
-    pub fn front(self, event_loop: &Loop, clock: Clock, number: usize) -> Result<Front, String> {
+    pub fn front(
+        self,
+        event_loop: &Loop,
+        clock: Clock,
+        number: usize,
+        fronts: usize,
+    ) -> Result<Front, String> {
         let mut records = Records::new(clock.unix_start());
         let path = self.records;
         let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
@@ -127,7 +133,7 @@
             dialect,
             core,
             self.limits,
-            Sockets::of(self.sockets),
+            Sockets::of(self.sockets, fronts),
             self.listen,
             Some(known),
             None,
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -70,17 +70,23 @@
         })
     }
 
-    /// The server that this configuration describes.
+    /// The server that this configuration describes, one of so many fronts of the process.
     ///
     /// # Errors
     /// One line that tells what is wrong.
-    pub fn server(&self, event_loop: &Loop, clock: Clock, number: usize) -> Result<Server<Platform>, String> {
+    pub fn server(
+        &self,
+        event_loop: &Loop,
+        clock: Clock,
+        number: usize,
+        fronts: usize,
+    ) -> Result<Server<Platform>, String> {
         let directory = Directory::new(clock.unix_start());
         let (watch, known) = Watch::new(self.discovery, directory, &self.known);
         let deadlines = self.set.classes.iter().map(|class| class.deadline).collect();
         let dialect = Platform::new(self.classes.clone(), deadlines, self.limits.shards);
         let core = Core::new(self.set.clone(), self.limits, self.seed);
-        let sockets = Sockets::of(self.sockets);
+        let sockets = Sockets::of(self.sockets, fronts);
         let roster = Some(Box::new(watch) as _);
         Server::new(event_loop, number, dialect, core, self.limits, sockets, self.listen, Some(known), roster)
             .map_err(|error| format!("can't listen on {}: {error}", self.listen))
--- a/tests/client_conn.rs
+++ b/tests/client_conn.rs
@@ -97,7 +97,7 @@
         }
         let closes = answered > 0 && !matches!(expected[answered - 1], Expected::Body(_, false));
         assert_eq!(conn.state() == ClientState::Closing, closes);
-        assert!(!conn.is_over() || conn.output().is_empty());
+        assert!(!conn.may_go(2.0) || conn.output().is_empty());
     }
     assert_eq!(answered, expected.len(), "each request has its answer");
     let text = String::from_utf8(written).expect("ASCII");
@@ -121,3 +121,18 @@
         assert_eq!(conn.request_at, expected);
     }
 }
+
+#[test]
+fn a_request_that_does_not_fit_is_refused_and_its_answer_is_left_time_to_arrive() {
+    let mut conn = ClientConn::new(0.0);
+    conn.received(b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 0.0);
+    while conn.wants_input() {
+        conn.received(&b"1\r\nx\r\n".repeat(1000), 0.0);
+    }
+    assert_eq!(conn.next_request(), Some(Err(Bad::TooLarge)));
+    conn.answer(&Response::new(413, ""), true, 0.0);
+    assert!(!conn.linger(1.0), "the answer has not left");
+    conn.wrote(conn.output().len());
+    assert!(conn.linger(1.0) && !conn.linger(2.0));
+    assert_eq!(conn.state(), ClientState::Lingering(1.0));
+}
