--- a/src/opensearch/mod.rs
+++ b/src/opensearch/mod.rs
@@ -26,6 +26,8 @@
 /// Scrolls held at once, and the longest that one is kept, ms.
 const SCROLLS: usize = 256;
 const SCROLL_LONGEST: Ms = 300_000.0;
+/// An answer so close to its deadline that lacks shards lacks them for want of time, ms.
+const LATE: Ms = 50.0;
 
 /// What a team may ask.
 #[derive(Debug, Clone)]
@@ -70,8 +72,9 @@
 struct Held {
     search: Rc<Search>,
     body: Rc<str>,
-    shards: usize,
+    shards: Vec<usize>,
     began_at: Ms,
+    expires_at: Ms,
     scroll: Option<String>,
     /// This is the first page of its scroll: its client does not know the scroll's name yet.
     first_page: bool,
@@ -329,11 +332,11 @@
         // A page that lacks a shard would lose that shard's hits for good: the next one goes on after it.
         let allow_partial = allow_partial && scroll.is_none();
         let search = Rc::new(search);
-        let held = Held { search, body, shards: count, began_at: at, scroll, first_page, allow_partial };
+        let expires_at = at + timeout.min(self.deadlines[class]).min(self.contracts[team].longest);
+        let parts = shards.iter().map(|shard| (*shard, 1.0 / count as f64)).collect();
+        let held = Held { search, body, shards, began_at: at, expires_at, scroll, first_page, allow_partial };
         self.held.insert(id, held);
-        let wait = timeout.min(self.deadlines[class]).min(self.contracts[team].longest);
-        let parts = shards.into_iter().map(|shard| (shard, 1.0 / count as f64)).collect();
-        Take::Query(NewQuery { class, expires_at: at + wait, retry: false, parts })
+        Take::Query(NewQuery { class, expires_at, retry: false, parts })
     }
 
     fn next_page(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<Take, Response> {
@@ -400,6 +403,21 @@
         }
     }
 
+    /// The `_shards` of an answer: how many were asked, and which of them are not in it.
+    fn shards_of(&self, held: &Held, values: &[(usize, Found)]) -> String {
+        let missing = held.shards.iter().filter(|shard| !values.iter().any(|value| value.0 == **shard));
+        let index = json::to_string(&self.index);
+        let reason = "{\"type\":\"shard_not_available_exception\",\"reason\":\"no answer in time\"}";
+        let failures: Vec<String> = missing
+            .map(|shard| format!("{{\"shard\":{shard},\"index\":{index},\"node\":null,\"reason\":{reason}}}"))
+            .collect();
+        let (total, failed) = (held.shards.len(), failures.len());
+        let listed =
+            if failed > 0 { format!(",\"failures\":[{}]", failures.join(",")) } else { String::new() };
+        let successful = total - failed;
+        format!("{{\"total\":{total},\"successful\":{successful},\"skipped\":0,\"failed\":{failed}{listed}}}")
+    }
+
     fn failed(&mut self, query: RequestId, response: Response) -> Response {
         self.end(query, false, None);
         response
@@ -446,17 +464,14 @@
                 return self.failed(query, error(500, "search_phase_execution_exception", &reason));
             }
         };
-        let (total, in_time) = (held.shards, bodies.len());
         let took = (now - held.began_at).max(0.0).round();
         let scroll =
             held.scroll.as_ref().map_or_else(String::new, |name| format!("\"_scroll_id\":\"{name}\","));
-        let shards = format!(
-            "{{\"total\":{total},\"successful\":{in_time},\"skipped\":0,\"failed\":{}}}",
-            total - in_time
-        );
+        let timed_out = !whole && now >= held.expires_at - LATE;
+        let shards = self.shards_of(held, &values);
         let body = format!(
-            "{{{scroll}\"took\":{took},\"timed_out\":{},\"_shards\":{shards},{}}}",
-            !whole, merged.members
+            "{{{scroll}\"took\":{took},\"timed_out\":{timed_out},\"_shards\":{shards},{}}}",
+            merged.members
         );
         self.end(query, true, merged.last);
         Response::new(200, body)
--- a/tests/opensearch.rs
+++ b/tests/opensearch.rs
@@ -141,6 +141,10 @@
 
 impl Site {
     fn new(name: &str, effect: &str) -> Site {
+        Self::with(name, effect, "1, 1")
+    }
+
+    fn with(name: &str, effect: &str, floor: &str) -> Site {
         let folder = Folder::new(name);
         let nodes = [node(), node()];
         folder.write("nodes.zone", &records(&nodes, ["in_service"; 2]));
@@ -148,6 +152,7 @@
             .replace("127.0.0.1:9200", "127.0.0.1:0")
             .replace("book-nodes.zone", "nodes.zone")
             .replace("\"effect\": \"idempotent\"", &format!("\"effect\": \"{effect}\""))
+            .replace("\"floor_by_class\": [1, 1]", &format!("\"floor_by_class\": [{floor}]"))
             .replace("\"queries_per_s\": 2, \"burst\": 4", "\"queries_per_s\": 0.001, \"burst\": 2");
         let path = folder.write("front.json", &text);
         let program = Program::start(&["--opensearch", path.to_str().expect("UTF-8")], None);
@@ -346,3 +351,20 @@
     let line = site.program.line("opensearch: queries");
     assert!(line.contains("broken: 0"), "{line}");
 }
+
+#[test]
+fn an_answer_that_lacks_a_shard_says_so_and_only_where_the_class_allows_it() {
+    let site = Site::with("partial", "at_most_once", "1, 0.5");
+    site.mood(0, Mood::Silent);
+    let (status, _, body) = site.ask("/_search?timeout=300ms", BY_PRICE);
+    assert_eq!((status, ids(&body)), (200, vec![1, 2, 3, 5, 6, 7]), "{body}");
+    let shards = r#""_shards":{"total":4,"successful":3,"skipped":0,"failed":1,"failures":[{"shard":0,"#;
+    assert!(body.contains(shards) && body.contains("\"timed_out\":true"), "{body}");
+    let strict = "/_search?timeout=300ms&allow_partial_search_results=false";
+    assert_eq!(site.ask(strict, BY_PRICE).0, 504);
+    // The next page of a scroll would go on after the hits that are missing.
+    assert_eq!(site.ask("/_search?timeout=300ms&scroll=1m", BY_PRICE).0, 504);
+    // Below the class's least share there is no answer.
+    [1, 2].into_iter().for_each(|shard| site.mood(shard, Mood::Silent));
+    assert!(site.ask("/_search?timeout=300ms", BY_PRICE).0 >= 500);
+}
