--- a/tests/opensearch.rs
+++ b/tests/opensearch.rs
@@ -145,16 +145,27 @@
     }
 
     fn with(name: &str, effect: &str, floor: &str) -> Site {
+        Self::changed(name, effect, floor, |records| records, |front| front)
+    }
+
+    /// A site whose records and front file are changed before the start.
+    fn changed(
+        name: &str,
+        effect: &str,
+        floor: &str,
+        records_as: impl Fn(String) -> String,
+        front_as: impl Fn(String) -> String,
+    ) -> Site {
         let folder = Folder::new(name);
         let nodes = [node(), node()];
-        folder.write("nodes.zone", &records(&nodes, ["in_service"; 2]));
+        folder.write("nodes.zone", &records_as(records(&nodes, ["in_service"; 2])));
         let text = include_str!("../deploy/opensearch.json")
             .replace("127.0.0.1:9200", "127.0.0.1:0")
             .replace("book-nodes.zone", "nodes.zone")
             .replace("\"effect\": \"idempotent\"", &format!("\"effect\": \"{effect}\""))
             .replace("\"floor_by_class\": [1, 1]", &format!("\"floor_by_class\": [{floor}]"))
             .replace("\"queries_per_s\": 2, \"burst\": 4", "\"queries_per_s\": 0.001, \"burst\": 2");
-        let path = folder.write("front.json", &text);
+        let path = folder.write("front.json", &front_as(text));
         let program = Program::start(&["--opensearch", path.to_str().expect("UTF-8")], None);
         let front = program.address();
         Site { folder, nodes, program, front }
@@ -368,3 +379,37 @@
     [1, 2].into_iter().for_each(|shard| site.mood(shard, Mood::Silent));
     assert!(site.ask("/_search?timeout=1000ms", BY_PRICE).0 >= 500);
 }
+
+#[test]
+fn a_node_fresh_from_starting_is_sent_no_more_than_its_credit() {
+    // A node that starts with next to no capacity and takes for ever to warm up earns no credit at all.
+    let started = |text: String| text.replace("\"cell=1\"", "\"cell=1\" \"started_ms=4102444800000\"");
+    let cold = |text: String| text.replace("\"cold_from\": 0.28", "\"cold_from\": 0.0001");
+    let site = Site::changed("cold", "idempotent", "1, 1", started, cold);
+    for _ in 0..10 {
+        assert_eq!(site.ask("/_search", BY_PRICE).0, 200);
+    }
+    assert_eq!(site.nodes[1].count(), 0);
+    assert!(site.nodes[0].count() >= 40);
+}
+
+#[test]
+fn each_query_of_a_crowd_has_one_final_answer_at_once() {
+    let mut site = Site::new("crowd", "idempotent");
+    let front = site.front;
+    let ask = || apart(move || Client::new(front).ask("POST", "/_search", "X-Opaque-Id: desk\r\n", BY_PRICE));
+    let crowd: Vec<_> = (0..60).map(|_| ask()).collect();
+    let mut served = 0;
+    for answer in crowd {
+        let (status, head, body) = answer.join().expect("an answer");
+        assert!(status == 200 || status == 429 && head.contains("Retry-After: 0."), "{head}{body}");
+        served += usize::from(status == 200);
+    }
+    assert!(served > 0);
+    assert!(site.program.terminate());
+    let line = site.program.line("opensearch: queries");
+    assert!(
+        line.contains(&format!("answered: {served}, whole: {served}")) && line.contains("broken: 0"),
+        "{line}"
+    );
+}
