--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -11,15 +11,15 @@
 impl<D: Dialect> Server<D> {
     pub(super) fn accept(&mut self, now: Ms) {
         loop {
-            if self.clients.len() >= self.sockets.clients {
-                // Closing between requests is allowed: the longest idle client makes room.
-                let idle = self.clients.iter().filter(|(_, client)| client.conn.may_go(now - STALE_CLIENT));
-                let oldest = idle.min_by(|a, b| a.1.conn.active_at.total_cmp(&b.1.conn.active_at));
-                let Some(key) = oldest.map(|(key, _)| *key) else { return };
-                self.clients.remove(&key);
+            let full = self.clients.len() >= self.sockets.clients;
+            let spare = self.spare_client(now);
+            if full && spare.is_none() {
+                return;
             }
             match self.listener.socket.accept() {
                 Ok((socket, _)) => {
+                    // Closing between requests is allowed; only a client that is there already makes it needed.
+                    spare.filter(|_| full).and_then(|key| self.clients.remove(&key));
                     let _ = socket.set_nonblocking(true);
                     let _ = socket.set_nodelay(true);
                     let key = self.new_key();
@@ -44,6 +44,12 @@
         }
     }
 
+    /// The client that nothing is lost by closing, the longest idle one first.
+    fn spare_client(&self, now: Ms) -> Option<u64> {
+        let idle = self.clients.iter().filter(|(_, client)| client.conn.may_go(now - STALE_CLIENT));
+        idle.min_by(|a, b| a.1.conn.active_at.total_cmp(&b.1.conn.active_at)).map(|(key, _)| *key)
+    }
+
     pub(super) fn new_key(&mut self) -> u64 {
         self.next_key += 1;
         self.next_key
@@ -98,13 +104,16 @@
     /// Writes what a client's connection has for it; `ended` tells that the client has gone.
     pub(super) fn write_client(&mut self, key: u64, mut ended: bool, now: Ms) {
         let Some(client) = self.clients.get_mut(&key) else { return };
-        while !ended && !client.conn.output().is_empty() {
+        // Also where the client has ended its side: what was answered at once may still reach it.
+        while !client.conn.output().is_empty() {
             match (&*client.link.socket).write(client.conn.output()) {
-                Ok(0) => ended = true,
-                Ok(count) => client.conn.wrote(count),
+                Ok(count) if count > 0 => client.conn.wrote(count),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => ended = true,
+                _ => {
+                    ended = true;
+                    break;
+                }
             }
         }
         if client.conn.linger(now) {
