--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use quickcheck::{Gen, QuickCheck, Testable};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -186,6 +186,11 @@
         (head[9..12].parse().expect("a status"), head, body)
     }
 
+    /// Ends its own side and goes on reading.
+    pub fn half_close(&self) {
+        self.0.get_ref().shutdown(Shutdown::Write).expect("shut down");
+    }
+
     /// Whether the other side has ended the connection without a further byte.
     pub fn is_ended(&mut self) -> bool {
         self.0.fill_buf().map_or(true, <[u8]>::is_empty)
