--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -209,6 +209,19 @@
     let mut client = Client::new(site.address);
     client.write(b"POST /view HTTP/1.1\r\nContent-Length: 65537\r\n\r\n");
     assert_eq!(client.read().0, 413);
+    // An answer made at once reaches a client that has ended its own side, ...
+    let mut client = Client::new(site.address);
+    client.write(b"GET /nowhere HTTP/1.1\r\n\r\n");
+    client.half_close();
+    assert_eq!(client.read().0, 404);
+    // ... and one that is still sending its body.
+    let mut client = Client::new(site.address);
+    let head = "POST /view HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
+    client.write(format!("{head}{}", "x".repeat(300_000)).as_bytes());
+    // A reset would arrive by then, and may cost a client what it has not read yet.
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    assert_eq!(client.read().0, 413);
+    assert!(client.ends_cleanly());
     for malformed in
         ["\x01\r\n\r\n", "POST /view HTTP/1.1\r\nContent-Length: x\r\n\r\n", "POST / HTTP/9\r\n\r\n"]
     {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -196,6 +196,11 @@
         self.0.fill_buf().map_or(true, <[u8]>::is_empty)
     }
 
+    /// Whether it has done so in order, without a reset.
+    pub fn ends_cleanly(&mut self) -> bool {
+        self.0.fill_buf().is_ok_and(<[u8]>::is_empty)
+    }
+
     pub fn ask(&mut self, method: &str, path: &str, headers: &str, body: &str) -> (u16, String, String) {
         let length = body.len();
         let text =
