Read a node's connection until less comes than was asked for

Seen in review: readiness is told once, at its edge, yet serve_node stopped after one bounded read, so the rest of a long reply could wait until the attempt timed out. It now reads on, taking whole replies between reads, so that the limit on a body still holds.

--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -37,7 +37,7 @@
 /// Time for the answer to a probe, ms: one that a hung node never answers must not keep its connection in use.
 const PROBE_TIME: Ms = 1000.0;
 /// Bytes taken from a node's connection at a time.
-const NODE_READ: usize = 1 << 20;
+const NODE_READ: usize = 64 * 1024;
 
 struct Client {
     link: Watched<TcpStream>,
--- a/src/net/server/nodes.rs
+++ b/src/net/server/nodes.rs
@@ -41,22 +41,40 @@
                 _ => return self.close_node(key, "could not connect"),
             }
         }
-        let mut bytes = Vec::new();
-        let ended = read_all(&node.link.socket, NODE_READ, &mut bytes);
-        if !bytes.is_empty() {
-            node.conn.active_at = now;
-            node.conn.input.extend_from_slice(&bytes);
-        }
+        // Until less came than was asked for: the loop tells of readiness once.
         loop {
             let Some(node) = self.nodes.get_mut(&key) else { return };
-            match self.dialect.reply(&mut node.conn.input) {
-                Ok(None) => break,
-                Ok(Some(NodeReply::Load(outcome, report))) => {
+            let mut bytes = Vec::new();
+            let ended = read_all(&node.link.socket, NODE_READ, &mut bytes);
+            if !bytes.is_empty() {
+                node.conn.active_at = now;
+                node.conn.input.extend_from_slice(&bytes);
+            }
+            if let Err(why) = self.take_replies(key) {
+                self.core.counters.bad_frames += 1;
+                return self.close_node(key, &why);
+            }
+            if ended {
+                return self.close_node(key, "closed by the node");
+            }
+            if bytes.len() < NODE_READ {
+                break;
+            }
+        }
+        self.write_node(key, now);
+    }
+
+    /// Takes the whole replies off a connection's input.
+    fn take_replies(&mut self, key: u64) -> Result<(), String> {
+        while let Some(node) = self.nodes.get_mut(&key) {
+            match self.dialect.reply(&mut node.conn.input)? {
+                None => break,
+                Some(NodeReply::Load(outcome, report)) => {
                     if node.conn.probe_answered() {
                         self.inputs.push(Input::Probed(node.replica, outcome, report));
                     }
                 }
-                Ok(Some(NodeReply::Part(name, end, last))) => {
+                Some(NodeReply::Part(name, end, last)) => {
                     if last {
                         node.conn.retire();
                     }
@@ -67,16 +85,9 @@
                         Err(outcome) => Input::Ended(id, outcome),
                     });
                 }
-                Err(why) => {
-                    self.core.counters.bad_frames += 1;
-                    return self.close_node(key, &why);
-                }
             }
         }
-        if ended {
-            return self.close_node(key, "closed by the node");
-        }
-        self.write_node(key, now);
+        Ok(())
     }
 
     pub(super) fn write_node(&mut self, key: u64, now: Ms) {
--- a/src/net/server/roster.rs
+++ b/src/net/server/roster.rs
@@ -1,6 +1,6 @@
 //! The stream that brings news of the list of replicas.
 
-use super::{Server, Stream, NODE_READ, ROSTER_PAUSE};
+use super::{Server, Stream, ROSTER_PAUSE};
 use crate::interface::Ms;
 use crate::net::{connect, read_all, Dialect, Key, Watched};
 use std::io::Write;
@@ -38,7 +38,7 @@
             },
             Stream::Up(heard, link) => {
                 let mut bytes = Vec::new();
-                let ended = read_all(&link.socket, NODE_READ, &mut bytes);
+                let ended = read_all(&link.socket, usize::MAX, &mut bytes);
                 let mut news = Vec::new();
                 let read = roster.received(&bytes, &mut news);
                 let heard = if bytes.is_empty() { heard } else { now };
--- a/tests/opensearch.rs
+++ b/tests/opensearch.rs
@@ -16,6 +16,10 @@
     Serves,
     /// A shard failure inside a 200.
     FailsInside,
+    /// Serves, with much white space.
+    ServesLong,
+    /// Serves more than is taken.
+    ServesTooLong,
     Busy,
     Breaks,
     Silent,
@@ -81,6 +85,8 @@
         let mood = moods.lock().expect("no panic").get(&shard).copied().unwrap_or(Mood::Serves);
         let (status, text) = match mood {
             Mood::Serves => ("200 OK", found(shard, &body)),
+            Mood::ServesLong => ("200 OK", found(shard, &body) + &" ".repeat(500_000)),
+            Mood::ServesTooLong => ("200 OK", found(shard, &body) + &" ".repeat(1 << 20)),
             Mood::FailsInside => (
                 "200 OK",
                 "{\"timed_out\":false,\"_shards\":{\"total\":1,\"successful\":0,\"failed\":1,\"failures\":[{}]},\
@@ -413,3 +419,16 @@
         "{line}"
     );
 }
+
+#[test]
+fn a_long_answer_is_read_to_its_end_and_one_too_long_is_none() {
+    let site = Site::new("long", "idempotent");
+    site.mood(3, Mood::ServesLong);
+    for _ in 0..4 {
+        let (status, _, body) = site.ask("/_search", BY_PRICE);
+        assert_eq!((status, ids(&body)), (200, vec![0, 1, 2, 3, 4, 5]), "{body}");
+    }
+    site.mood(3, Mood::ServesTooLong);
+    let (status, _, body) = site.ask("/_search", BY_PRICE);
+    assert!(status == 429 || status >= 500, "{body}");
+}
