Leave a connection that has just come its time during the orderly end

The client that connects 500 ms after SIGTERM got its connection closed without a byte. Checked: the program's log shows neither panic nor an early end, so the loop and the signals were ruled out. At fault: watch_time in src/net/server/mod.rs closed every idle client once LINGER_IDLE had passed, also one that the same turn had accepted and whose request was still on its way. Now a connection counts as done only after 100 ms without a request, at its accept as after an answer.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -126,6 +126,12 @@
         self.state == ClientState::Reading && self.input.is_empty() && self.output.is_empty()
     }
 
+    /// Whether it has been idle since before then. A connection that has only just come, or was only just
+    /// answered, is likely to bring a request that is already on its way.
+    pub fn is_quiet(&self, before: Ms) -> bool {
+        self.is_idle() && self.active_at < before
+    }
+
     /// Whether nothing that was taken is lost if it is closed now: nothing was asked and nothing has come
     /// since `before`, or its last answer has left.
     pub fn may_go(&self, before: Ms) -> bool {
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -28,6 +28,8 @@
 /// Clients may go on opening connections for 0.4 s.
 const LINGER_IDLE: Ms = 500.0;
 const LINGER: Ms = 800.0;
+/// A connection without a request for so long, ms, is not about to bring one: a client writes as it connects.
+const QUIET: Ms = 100.0;
 /// A request that has not come in whole for so long does not hold up the end, ms; after the longer time it
 /// makes room for other clients.
 const STALE_REQUEST: Ms = 1000.0;
@@ -172,7 +174,7 @@
             }
         }
         if self.ending_since.is_some_and(|since| now - since >= LINGER_IDLE) {
-            self.clients.retain(|_, client| !client.conn.is_idle());
+            self.clients.retain(|_, client| !client.conn.is_quiet(now - QUIET));
         }
         let lingers = |client: &Client| match client.conn.state() {
             ClientState::Lingering(since) => now - since < LINGER_CLOSE,
--- a/tests/client_conn.rs
+++ b/tests/client_conn.rs
@@ -136,3 +136,11 @@
     assert!(conn.linger(1.0) && !conn.linger(2.0));
     assert_eq!(conn.state(), ClientState::Lingering(1.0));
 }
+
+#[test]
+fn a_connection_that_has_only_just_come_is_not_quiet() {
+    let mut conn = ClientConn::new(10.0);
+    assert!(conn.is_idle() && !conn.is_quiet(10.0) && conn.is_quiet(10.5));
+    conn.received(b"GET /a", 20.0);
+    assert!(!conn.is_quiet(30.0), "a request has begun");
+}
