Read the configuration anew on SIGHUP and move the watch to the new discovery

Checked: no handler for it in run() of src/net/mod.rs, whose Signals named TERM, INT and USR1 only. Now SIGHUP has each front read its file anew: the platform's watch goes on at the new address after the version that it knows, the OpenSearch front looks at its records. A file that makes no sense is logged and changes nothing. Test: a_new_configuration_moves_the_watch_while_queries_are_served.

--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 use std::process::ExitCode;
-use steppick::net::{run, Clock, Loop, Served};
+use steppick::net::{run, Clock, Front, Loop};
 use steppick::{opensearch, platform};
 
 const USAGE: &str = "usage: LB_CONFIG=FILE steppick [--opensearch FILE]; either file may be left out";
@@ -31,19 +31,19 @@
     let (platform_file, opensearch_file) = files()?;
     let event_loop = Loop::try_new().map_err(|error| format!("no event loop: {error}"))?;
     let count = usize::from(platform_file.is_some()) + usize::from(opensearch_file.is_some());
-    let mut fronts: Vec<(&str, Box<dyn Served>)> = Vec::new();
+    let mut fronts = Vec::new();
     if let Some(path) = platform_file {
         let named = |why: String| format!("{path}: {why}");
         let config = platform::config::Config::read(&read(&path)?).map_err(named)?;
         let server = config.server(&event_loop, clock, fronts.len(), count).map_err(named)?;
-        fronts.push(("platform", Box::new(server)));
+        fronts.push(Front { name: "platform", path, served: Box::new(server) });
     }
     if let Some(path) = opensearch_file {
         let named = |why: String| format!("{path}: {why}");
         let folder = Path::new(&path).parent().unwrap_or(Path::new("."));
         let config = opensearch::config::Config::read(&read(&path)?, folder).map_err(named)?;
-        let front = config.front(&event_loop, clock, fronts.len(), count).map_err(named)?;
-        fronts.push(("opensearch", Box::new(front)));
+        let served = Box::new(config.front(&event_loop, clock, fronts.len(), count).map_err(named)?);
+        fronts.push(Front { name: "opensearch", path, served });
     }
     run(event_loop, clock, fronts)
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -96,6 +96,11 @@
     /// # Errors
     /// Tells why the connection can't go on.
     fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), String>;
+    /// Takes in a new text of the front's file; tells whether it names another address.
+    ///
+    /// # Errors
+    /// Tells what makes no sense; then nothing has changed.
+    fn reload(&mut self, text: &str) -> Result<bool, String>;
 }
 
 /// The clock of the core: monotonic, from the start of the program.
@@ -154,6 +159,11 @@
     fn next_due(&self, now: Ms) -> Option<Ms>;
     /// One turn: reads what is ready, lets the core make one step and carries out what it says.
     fn turn(&mut self, now: Ms, ready: &[(usize, Key)]);
+    /// Takes in a new text of its file, while it goes on serving.
+    ///
+    /// # Errors
+    /// Tells what makes no sense; then nothing has changed.
+    fn reload(&mut self, text: &str, now: Ms) -> Result<(), String>;
     /// Begins an orderly end: what was taken is answered, and new connections are still served for a while.
     fn end(&mut self, now: Ms);
     /// Whether the orderly end is complete.
@@ -162,20 +172,38 @@
     fn counters(&self) -> &Counters;
 }
 
+/// A front of the program.
+pub struct Front {
+    /// Its name in log lines.
+    pub name: &'static str,
+    /// The file that configures it.
+    pub path: String,
+    /// What the loop drives.
+    pub served: Box<dyn Served>,
+}
+
+impl Front {
+    /// Reads the file anew. A file that can't be read or makes no sense must not end a program that serves:
+    /// what held before goes on.
+    fn reload(&mut self, now: Ms) {
+        let text = std::fs::read_to_string(&self.path).map_err(|error| error.to_string());
+        match text.and_then(|text| self.served.reload(&text, now)) {
+            Ok(()) => tracing::info!("{}: {} taken in", self.name, self.path),
+            Err(why) => tracing::warn!("{}: {} is left as it was: {why}", self.name, self.path),
+        }
+    }
+}
+
 /// Longest sleep of the loop, ms: bounds what a lost wake-up could cost.
 const LONGEST_SLEEP: Ms = 1000.0;
 
-/// Runs the loop over all fronts, each with its name, until they have ended in order. `SIGTERM` and `SIGINT`
-/// begin the end; `SIGUSR1` prints the counters.
+/// Runs the loop over all fronts until they have ended in order. `SIGTERM` and `SIGINT` begin the end;
+/// `SIGHUP` has the files read anew; `SIGUSR1` prints the counters.
 ///
 /// # Errors
 /// Tells what the system refused.
-pub fn run(
-    mut event_loop: Loop,
-    clock: Clock,
-    mut fronts: Vec<(&str, Box<dyn Served>)>,
-) -> Result<(), String> {
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+pub fn run(mut event_loop: Loop, clock: Clock, mut fronts: Vec<Front>) -> Result<(), String> {
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
         .map_err(|error| format!("no signals: {error}"))?;
     event_loop
         .handle()
@@ -184,22 +212,25 @@
     let mut gathered = Gathered::default();
     loop {
         let now = clock.now();
-        let due =
-            fronts.iter().filter_map(|(_, front)| front.next_due(now)).fold(now + LONGEST_SLEEP, f64::min);
+        let due = fronts.iter().filter_map(|front| front.served.next_due(now));
+        let due = due.fold(now + LONGEST_SLEEP, f64::min);
         let sleep = Duration::from_micros(((due - now).max(0.0) * 1000.0).ceil() as u64);
         event_loop.dispatch(sleep, &mut gathered).map_err(|error| format!("event loop: {error}"))?;
         let now = clock.now();
         let signals = std::mem::take(&mut gathered.signals);
-        for (_, front) in &mut fronts {
-            if signals.iter().any(|signal| *signal != Signal::SIGUSR1) {
-                front.end(now);
+        for front in &mut fronts {
+            if signals.contains(&Signal::SIGHUP) {
+                front.reload(now);
+            }
+            if signals.iter().any(|signal| matches!(signal, Signal::SIGTERM | Signal::SIGINT)) {
+                front.served.end(now);
             }
-            front.turn(now, &gathered.ready);
+            front.served.turn(now, &gathered.ready);
         }
         gathered.ready.clear();
-        let ended = fronts.iter().all(|(_, front)| front.has_ended(now));
+        let ended = fronts.iter().all(|front| front.served.has_ended(now));
         if ended || signals.contains(&Signal::SIGUSR1) {
-            fronts.iter().for_each(|(name, front)| tracing::info!("{name}: {}", front.counters()));
+            fronts.iter().for_each(|front| tracing::info!("{}: {}", front.name, front.served.counters()));
         }
         if ended {
             return Ok(());
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -248,12 +248,21 @@
 }
 
 impl<D: Dialect> Served for Server<D> {
+    fn reload(&mut self, text: &str, now: Ms) -> Result<(), String> {
+        if self.roster.as_mut().map_or(Ok(false), |roster| roster.reload(text))? {
+            // The old place may take connections no more and end this one: the new one is asked at once.
+            self.dial_roster(now);
+        }
+        Ok(())
+    }
+
     fn end(&mut self, now: Ms) {
         self.ending_since.get_or_insert(now);
     }
 
     fn has_ended(&self, now: Ms) -> bool {
-        let settled = |client: &Client| client.conn.may_go(now - STALE_REQUEST);
+        let fresh = |client: &Client| client.conn.is_idle() && !client.conn.is_quiet(now - QUIET);
+        let settled = |client: &Client| client.conn.may_go(now - STALE_REQUEST) && !fresh(client);
         self.ending_since.is_some_and(|since| now - since >= LINGER) && self.clients.values().all(settled)
     }
 
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -176,6 +176,13 @@
 }
 
 impl Served for Front {
+    /// The records are read whenever they change; all else in the file needs a new start.
+    fn reload(&mut self, _: &str, now: Ms) -> Result<(), String> {
+        self.looked_at = f64::NEG_INFINITY;
+        self.look(now);
+        Ok(())
+    }
+
     fn next_due(&self, now: Ms) -> Option<Ms> {
         let look = self.looked_at + LOOK_GAP;
         Some(self.server.next_due(now).map_or(look, |due| due.min(look)))
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -69,6 +69,11 @@
         })
     }
 
+    /// Where discovery is.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery
+    }
+
     /// The server that this configuration describes, one of so many fronts of the process.
     ///
     /// # Errors
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -1,5 +1,6 @@
 //! Discovery: the list of book nodes, whole or changed, and the watch that brings it.
 
+use super::config::Config;
 use crate::interface::*;
 use crate::net::http::{self, Chunks, Framing};
 use crate::net::{News, Roster};
@@ -120,6 +121,12 @@
 }
 
 impl Roster for Watch {
+    fn reload(&mut self, text: &str) -> Result<bool, String> {
+        let address = Config::read(text)?.discovery();
+        // Versions are discovery's own, the same at each of its addresses: the watch goes on after this one.
+        Ok(std::mem::replace(&mut self.address, address) != address)
+    }
+
     fn address(&self) -> SocketAddr {
         self.address
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -92,7 +92,7 @@
 }
 
 struct Site {
-    _folder: Folder,
+    folder: Folder,
     nodes: [Node; 2],
     program: Program,
     address: SocketAddr,
@@ -126,7 +126,7 @@
         let path = folder.write("config.json", &config("127.0.0.1:0", discovery, &servers));
         let program = Program::start(&[], Some(&path));
         let address = program.address();
-        Site { _folder: folder, nodes, program, address, tell, asked }
+        Site { folder, nodes, program, address, tell, asked }
     }
 
     fn ask(&self, class: &str, id: u64, shards: &[usize]) -> (u16, String, String) {
@@ -296,6 +296,29 @@
     assert_eq!(site.ask("view", 20, &[0, 1]).0, 200);
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_while_queries_are_served() {
+    let site = Site::new("reload");
+    assert!(site.asked.recv().expect("a watch").contains("after=41 "));
+    let (other, tell, asked) = discovery();
+    let path = site.folder.0.join("config.json");
+    let text = std::fs::read_to_string(&path).expect("the configuration");
+    // What makes no sense ends nothing and changes nothing.
+    site.folder.write("config.json", "{");
+    site.program.signal("HUP");
+    site.program.line("is left as it was: not a configuration");
+    assert_eq!(site.ask("view", 1, &[0, 1]).0, 200);
+    let place = text.find("\"discovery\":\"").expect("the field") + 13;
+    let end = place + text[place..].find('"').expect("its end");
+    site.folder.write("config.json", &format!("{}{other}{}", &text[..place], &text[end..]));
+    site.program.signal("HUP");
+    assert!(asked.recv().expect("a watch").contains("after=41 "), "it goes on where it was");
+    assert_eq!(site.ask("view", 2, &[0, 1]).0, 200);
+    let servers = entry(&site.nodes, 0, "terminating");
+    tell.send(format!("{{\"version\":42,\"full\":false,\"servers\":[{servers}]}}")).expect("sent");
+    site.program.line("Update list: 1 replicas, 0 in service");
+}
+
 #[test]
 fn an_orderly_end_answers_what_was_taken() {
     let mut site = Site::new("end");
