Serve kept connections after SIGTERM until a last call before the kill

Checked with a probe that logged queries and connections every 200 ms: the front sends n0 nothing after 14.8 s and n1 nothing after 16.4 s, and takes n0 back at 18.07 s though it was ready at 17.25 s. In between nobody is asked, whatever a node does: that part is not ours. At fault for the rest: has_ended and final_answer in src/net/server let connections go at 0.8 s, and has_ended also took connections that were idle at one instant for done, so a node could leave while the other was still away. Now connections are kept until a last call, from which the longest wanted time is left before the platform's kill (with wanted times as long as the desk's own, 0.5 s as before), and what is taken while ending expires before it.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,7 @@
 pub mod node;
 mod server;
 
-pub use server::{Server, Sockets};
+pub use server::{Ending, Server, Sockets};
 
 use crate::core::{Counters, Failure, NewQuery, Send};
 use crate::interface::*;
--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -73,7 +73,7 @@
     }
 
     pub(super) fn take_requests(&mut self, key: u64, now: Ms) {
-        let closing = self.ending_since.is_some();
+        let closing = self.is_closing(now);
         while let Some(client) = self.clients.get_mut(&key) {
             let Some(request) = client.conn.next_request() else { return };
             let request = match request {
@@ -86,9 +86,13 @@
             };
             let id = self.core.new_id();
             let at = client.conn.request_at;
-            let can_serve = self.core.can_serve() && !closing;
+            let can_serve = self.core.can_serve() && self.ending_since.is_none();
             match self.dialect.take(id, &request, at, can_serve) {
-                Take::Query(query) => {
+                Take::Query(mut query) => {
+                    // What is not answered when the platform kills the program is lost.
+                    let end =
+                        self.ending_since.map_or(f64::INFINITY, |since| since + self.ending.last_answer);
+                    query.expires_at = query.expires_at.min(end);
                     client.conn.asked(id);
                     self.asked.insert(id, key);
                     self.inputs.push(Input::Query(id, query));
@@ -131,8 +135,9 @@
 
     pub(super) fn final_answer(&mut self, id: RequestId, response: http::Response, now: Ms) {
         let Some(key) = self.asked.remove(&id) else { return };
+        let closing = self.is_closing(now);
         let Some(client) = self.clients.get_mut(&key) else { return };
-        client.conn.answer(&response, self.ending_since.is_some(), now);
+        client.conn.answer(&response, closing, now);
         self.write_client(key, false, now);
         // A further request may have come while this one was being answered.
         self.serve_client(key, now);
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -24,10 +24,16 @@
 /// Time for the roster's connection to come up, and pause before the next one, ms.
 const ROSTER_DIAL: Ms = 1000.0;
 const ROSTER_PAUSE: Ms = 200.0;
-/// After the order to end: how long idle connections stay, and how long the program does at least, ms.
+/// After the order to end: how long idle connections stay, and how long the program does, at least, ms.
 /// Clients may go on opening connections for 0.4 s.
 const LINGER_IDLE: Ms = 500.0;
 const LINGER: Ms = 800.0;
+/// The platform kills a program so long after the longest deadline from the order to end, ms, and counts a
+/// longer deadline as this one.
+const KILL_SLACK: Ms = 700.0;
+const KILL_DEADLINE: Ms = 3000.0;
+/// Kept back from that kill, ms: the last answers must leave before it.
+const KILL_SPARE: Ms = 100.0;
 /// A connection without a request for so long, ms, is not about to bring one: a client writes as it connects.
 const QUIET: Ms = 100.0;
 /// A request that has not come in whole for so long does not hold up the end, ms; after the longer time it
@@ -61,6 +67,26 @@
     Up(Ms, Watched<TcpStream>),
 }
 
+/// How an orderly end runs, in time from the order to end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ending {
+    /// Until then clients' connections are kept and served as ever: nobody else may be there to serve them
+    /// while coordinators are restarted in turn.
+    pub last_call: Ms,
+    /// By then every query that is taken meanwhile has its final answer.
+    pub last_answer: Ms,
+}
+
+impl Ending {
+    /// A query that comes before the last call still has its whole wanted time before the kill.
+    pub fn of(classes: &[Class]) -> Ending {
+        let longest = |time: fn(&Class) -> Ms| classes.iter().map(time).fold(0.0, f64::max);
+        let last_answer = longest(|class| class.deadline).min(KILL_DEADLINE) + KILL_SLACK - KILL_SPARE;
+        let last_call = (last_answer - longest(|class| class.aim)).max(LINGER_IDLE);
+        Ending { last_call, last_answer }
+    }
+}
+
 /// How many descriptors a server may hold.
 #[derive(Debug, Clone, Copy)]
 pub struct Sockets {
@@ -98,6 +124,7 @@
     stream: Stream,
     inputs: Vec<Input<D::Value>>,
     next_key: u64,
+    ending: Ending,
     ending_since: Option<Ms>,
 }
 
@@ -126,6 +153,7 @@
             number,
             handle,
             dialect,
+            ending: Ending::of(&core.settings().classes),
             core,
             limits,
             sockets,
@@ -154,6 +182,11 @@
         self.listener.socket.local_addr()
     }
 
+    /// Whether an orderly end has come to the point where clients' connections are let go.
+    fn is_closing(&self, now: Ms) -> bool {
+        self.ending_since.is_some_and(|since| now - since >= self.ending.last_call)
+    }
+
     fn retire_after(&self) -> Ms {
         self.limits.idle_close * RETIRE_SHARE
     }
@@ -173,7 +206,7 @@
                 self.inputs.push(Input::Probed(node.replica, Outcome::TooSlow, Report::default()));
             }
         }
-        if self.ending_since.is_some_and(|since| now - since >= LINGER_IDLE) {
+        if self.is_closing(now) {
             self.clients.retain(|_, client| !client.conn.is_quiet(now - QUIET));
         }
         let lingers = |client: &Client| match client.conn.state() {
@@ -263,7 +296,8 @@
     fn has_ended(&self, now: Ms) -> bool {
         let fresh = |client: &Client| client.conn.is_idle() && !client.conn.is_quiet(now - QUIET);
         let settled = |client: &Client| client.conn.may_go(now - STALE_REQUEST) && !fresh(client);
-        self.ending_since.is_some_and(|since| now - since >= LINGER) && self.clients.values().all(settled)
+        let over = self.clients.is_empty() || self.is_closing(now) && self.clients.values().all(settled);
+        over && self.ending_since.is_some_and(|since| now - since >= LINGER)
     }
 
     fn next_due(&self, now: Ms) -> Option<Ms> {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -334,8 +334,13 @@
     site.program.signal("USR1");
     let line = site.program.line("platform: queries");
     assert!(line.contains("queries: 1") && line.contains("failed: 0"), "{line}");
-    // New connections are served while there is something to answer; idle ones are closed between requests.
     site.program.signal("TERM");
+    // Whoever is connected is served on: the other coordinators may be on their way down or up themselves.
+    // Also if none of them asks anything when the program might go.
+    std::thread::sleep(std::time::Duration::from_millis(900));
+    let (status, head, _) = idle.ask("GET", "/ready", "", "");
+    assert!(status == 503 && !head.contains("Connection: close"), "not ready for new ones: {head}");
+    // After the last call idle connections are closed between requests; new ones are still answered.
     assert!(idle.is_ended());
     let (status, head, _) = Client::new(address).ask("GET", "/nowhere", "", "");
     assert!(status == 404 && head.contains("Connection: close"), "{head}");
@@ -347,6 +352,17 @@
     assert!(line.contains("queries: 1") && line.contains("broken: 0"), "{line}");
 }
 
+#[test]
+fn what_comes_before_the_last_call_has_its_wanted_time_before_the_kill() {
+    let class =
+        |aim, deadline| steppick::Class { aim, deadline, ..support::class(steppick::Effect::Safe, 0) };
+    let ending = steppick::net::Ending::of(&[class(400.0, 900.0), class(500.0, 1500.0)]);
+    assert_eq!((ending.last_call, ending.last_answer), (1600.0, 2100.0));
+    // Where a wanted time is longer than what is left, connections go once no new ones come.
+    let ending = steppick::net::Ending::of(&[class(5000.0, 10_000.0)]);
+    assert_eq!((ending.last_call, ending.last_answer), (500.0, 3600.0));
+}
+
 #[test]
 fn a_bad_configuration_gives_one_line() {
     let folder = Folder::new("config");
