Replace node connections that fall silent while their node is well

The doubled rate is ruled out (few queries open, no refusal for being full), and so are leaving clients. At fault: node_for in src/net/server/nodes.rs judged a connection by state and load only, so a silent one got each further call, probe and trial; its probes kept it from ever counting as idle. Now a connection knows how long it has carried something without a byte coming. Past four usual answers' times, and no less than the dial time-out, new calls go to another; once the node is heard there and the silent one still says nothing, it is closed and its calls end as reset. Not where a connection carries one call at a time. Tests: a_connection_that_falls_silent_is_replaced_while_its_node_is_well (fails without), a_connection_that_carries_something_and_brings_nothing_is_silent, the models as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -121,6 +121,8 @@
 
 /// Kept back from the grace of a drain, ms: the first byte of a send must leave inside it.
 const DRAIN_SPARE: Ms = 100.0;
+/// Weight of a new sample in the mean time of an answer.
+const LEARN: f64 = 0.05;
 /// Slack when shares of weight are summed.
 const WEIGHT_SLACK: f64 = 1e-4;
 
@@ -168,6 +170,8 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     replicas: BTreeMap<ReplicaId, Known>,
     wake_at: Option<Ms>,
+    /// Mean time of the attempts that were served lately.
+    answer_time: Ms,
     /// Events for the next step: outcomes of this one's own doing, parts of a second step.
     pending: Vec<Event>,
     /// What is counted.
@@ -188,6 +192,7 @@
             attempts: BTreeMap::new(),
             replicas: BTreeMap::new(),
             wake_at: None,
+            answer_time: limits.dial_timeout,
             pending: Vec::new(),
             counters: Counters::default(),
         }
@@ -209,6 +214,11 @@
         self.replicas.values().any(|known| known.off.is_none())
     }
 
+    /// How long a node usually takes to serve an attempt.
+    pub fn answer_time(&self) -> Ms {
+        self.answer_time
+    }
+
     /// Queries without a final answer yet.
     pub fn open_queries(&self) -> usize {
         self.queries.len()
@@ -368,6 +378,9 @@
             }
         }
         let elapsed = self.now - attempt.sent_at;
+        if outcome == Outcome::Pass {
+            self.answer_time += LEARN * (elapsed - self.answer_time);
+        }
         let (part, number) = (id.part, id.number);
         Some(Event::Done { part, attempt: number, replica: attempt.replica, outcome, elapsed })
     }
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -57,6 +57,12 @@
     pub input: Vec<u8>,
     /// When bytes last went either way.
     pub active_at: Ms,
+    /// How long it has carried something since the node was last heard on it: up to the last time that it
+    /// carried nothing, and since when it carries something again.
+    waited: Ms,
+    waits_since: Option<Ms>,
+    /// The node answered on another connection then, while this one was silent.
+    pub overtaken: Option<Ms>,
 }
 
 impl NodeConn {
@@ -69,6 +75,9 @@
             out: VecDeque::new(),
             input: Vec::new(),
             active_at: now,
+            waited: 0.0,
+            waits_since: None,
+            overtaken: None,
         }
     }
 
@@ -81,9 +90,33 @@
     pub fn connected(&mut self, now: Ms) {
         if let NodeState::Connecting(_) = self.state {
             (self.state, self.active_at) = (NodeState::Open, now);
+            self.waits(now);
         }
     }
 
+    /// Keeps account of whether something is carried.
+    fn waits(&mut self, now: Ms) {
+        if self.is_idle() {
+            self.waited += self.waits_since.take().map_or(0.0, |since| now - since);
+        } else if !matches!(self.state, NodeState::Connecting(_)) {
+            self.waits_since.get_or_insert(now);
+        }
+    }
+
+    /// How long nothing was heard of the node while something was carried. A connection may fall silent alone,
+    /// with the node well: calls that are sent after one that is lost in it are lost too. What was called off
+    /// meanwhile makes it no better.
+    pub fn silent_for(&self, now: Ms) -> Ms {
+        self.waited + self.waits_since.map_or(0.0, |since| now - since)
+    }
+
+    /// Takes bytes in.
+    pub fn received(&mut self, bytes: &[u8], now: Ms) {
+        self.input.extend_from_slice(bytes);
+        (self.active_at, self.waited, self.overtaken) = (now, 0.0, None);
+        self.waits_since = self.waits_since.map(|_| now);
+    }
+
     /// It takes nothing new from now on.
     pub fn retire(&mut self) {
         self.state = NodeState::Retired;
@@ -108,8 +141,9 @@
     }
 
     /// Queues a frame.
-    pub fn push(&mut self, purpose: Purpose, bytes: Vec<u8>) {
+    pub fn push(&mut self, purpose: Purpose, bytes: Vec<u8>, now: Ms) {
         self.queue.push_back(Frame { purpose, bytes });
+        self.waits(now);
     }
 
     /// What is to be written next.
@@ -126,23 +160,28 @@
             let purpose = self.queue.pop_front().map(|frame| frame.purpose);
             self.out.extend(purpose.filter(|purpose| *purpose != Purpose::Other));
         }
+        self.waits(now);
     }
 
     /// Takes off what a reply of this name answers; `None` names the oldest that is out.
-    pub fn answered(&mut self, name: Option<&str>) -> Option<Purpose> {
+    pub fn answered(&mut self, name: Option<&str>, now: Ms) -> Option<Purpose> {
         let fits = |purpose: &Purpose| match (purpose, name) {
             (_, None) => true,
             (Purpose::Part(_, known), Some(name)) => known == name,
             _ => false,
         };
         let place = self.out.iter().position(fits)?;
-        self.out.remove(place)
+        let purpose = self.out.remove(place);
+        self.waits(now);
+        purpose
     }
 
     /// Takes off the oldest probe that is out.
-    pub fn probe_answered(&mut self) -> bool {
+    pub fn probe_answered(&mut self, now: Ms) -> bool {
         let place = self.out.iter().position(|purpose| matches!(purpose, Purpose::Probe(_)));
-        place.and_then(|place| self.out.remove(place)).is_some()
+        let found = place.and_then(|place| self.out.remove(place)).is_some();
+        self.waits(now);
+        found
     }
 
     /// When the oldest probe that is out was asked for.
@@ -151,15 +190,16 @@
     }
 
     /// Takes off the probes asked for before then; tells how many.
-    pub fn expire_probes(&mut self, before: Ms) -> usize {
+    pub fn expire_probes(&mut self, before: Ms, now: Ms) -> usize {
         let held = self.out.len();
         self.out.retain(|purpose| !matches!(purpose, Purpose::Probe(at) if *at <= before));
+        self.waits(now);
         held - self.out.len()
     }
 
     /// Calls an attempt off: a frame not begun is taken out; one partly written is finished first, since the
     /// node could not tell where the next frame begins, and the notice that `notice` makes follows it.
-    pub fn cancel(&mut self, id: AttemptId, notice: impl Fn(&str) -> Option<Vec<u8>>) -> Called {
+    pub fn cancel(&mut self, id: AttemptId, notice: impl Fn(&str) -> Option<Vec<u8>>, now: Ms) -> Called {
         let told = |purpose: &Purpose| match purpose {
             Purpose::Part(_, name) => notice(name),
             _ => None,
@@ -168,6 +208,7 @@
         if let Some(place) = self.queue.iter().position(|frame| is(&frame.purpose)) {
             if place > 0 || self.written == 0 {
                 self.queue.remove(place);
+                self.waits(now);
                 return Called::Removed;
             }
             let Some(bytes) = told(&self.queue[0].purpose) else { return Called::MustClose };
@@ -178,16 +219,17 @@
         let Some(place) = self.out.iter().position(is) else { return Called::Removed };
         let Some(bytes) = told(&self.out[place]) else { return Called::MustClose };
         self.out.remove(place);
-        self.push(Purpose::Other, bytes);
+        self.push(Purpose::Other, bytes, now);
         Called::Told
     }
 
     /// Takes out all parts and probes whose first byte has not left.
-    pub fn drop_unsent(&mut self) -> Vec<Purpose> {
+    pub fn drop_unsent(&mut self, now: Ms) -> Vec<Purpose> {
         let begun = usize::from(self.written > 0).min(self.queue.len());
         let rest = self.queue.split_off(begun);
         let (keep, dropped) = rest.into_iter().partition::<VecDeque<_>, _>(|f| f.purpose == Purpose::Other);
         self.queue.extend(keep);
+        self.waits(now);
         dropped.into_iter().map(|frame| frame.purpose).collect()
     }
 
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -44,6 +44,13 @@
 const LINGER_CLOSE: Ms = 1000.0;
 /// Time for the answer to a probe, ms: one that a hung node never answers must not keep its connection in use.
 const PROBE_TIME: Ms = 1000.0;
+/// Usual answers' times after which a connection that carries something is held for silent. The connections to
+/// one node beyond which its silent ones are used again.
+const SILENCE: f64 = 4.0;
+const MOST_SILENT: usize = 3;
+/// Share of that time which an overtaken connection has left to speak: after a pause of the node, the answers
+/// on all its connections come at about the same time.
+const OVERTAKEN: f64 = 0.25;
 /// Bytes taken from a node's connection at a time.
 const NODE_READ: usize = 64 * 1024;
 
@@ -171,6 +178,8 @@
             ending_since: None,
         };
         known.into_iter().for_each(|news| server.take_news(news));
+        // Whoever connects first finds a server that knows its nodes.
+        server.step(0.0);
         Ok(server)
     }
 
@@ -193,6 +202,10 @@
 
     fn watch_time(&mut self, now: Ms) {
         let (dial, retire) = (self.limits.dial_timeout, self.retire_after());
+        let spared = OVERTAKEN * self.silence_limit();
+        let lost = |node: &Node| node.conn.overtaken.is_some_and(|at| now - at >= spared);
+        let lost: Vec<u64> = self.nodes.iter().filter(|(_, node)| lost(node)).map(|(key, _)| *key).collect();
+        lost.into_iter().for_each(|key| self.close_node(key, "silent while the node answers elsewhere"));
         let due = |node: &Node| match node.conn.state() {
             NodeState::Connecting(since) => now - since >= dial,
             state => {
@@ -202,7 +215,7 @@
         let due: Vec<u64> = self.nodes.iter().filter(|(_, node)| due(node)).map(|(key, _)| *key).collect();
         due.into_iter().for_each(|key| self.close_node(key, "its time is over"));
         for node in self.nodes.values_mut() {
-            for _ in 0..node.conn.expire_probes(now - PROBE_TIME) {
+            for _ in 0..node.conn.expire_probes(now - PROBE_TIME, now) {
                 self.inputs.push(Input::Probed(node.replica, Outcome::TooSlow, Report::default()));
             }
         }
@@ -232,6 +245,20 @@
         self.inputs.push(Input::List(news.kind, news.entries));
     }
 
+    /// Lets the core make one step with all that was gathered, and carries out what it says.
+    fn step(&mut self, now: Ms) {
+        let mut effects = Vec::new();
+        let inputs = std::mem::take(&mut self.inputs);
+        self.core.step(now, inputs, &mut effects);
+        let mut touched = BTreeSet::new();
+        for effect in effects {
+            self.carry_out(effect, now, &mut touched);
+        }
+        for key in touched {
+            self.write_node(key, now);
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect<D::Value>, now: Ms, touched: &mut BTreeSet<u64>) {
         match effect {
             Effect::Send(send) => {
@@ -247,7 +274,7 @@
             Effect::Cancel(id, _) => {
                 let Some(key) = self.placed.remove(&id) else { return };
                 let Some(node) = self.nodes.get_mut(&key) else { return };
-                match node.conn.cancel(id, |name| self.dialect.cancel(name)) {
+                match node.conn.cancel(id, |name| self.dialect.cancel(name), now) {
                     Called::MustClose => self.close_node(key, "an attempt was called off"),
                     Called::Told | Called::Removed => {
                         touched.insert(key);
@@ -257,7 +284,7 @@
             Effect::DropUnsent(replica) => {
                 let mut dropped = Vec::new();
                 for node in self.nodes.values_mut().filter(|node| node.replica == replica) {
-                    dropped.extend(node.conn.drop_unsent());
+                    dropped.extend(node.conn.drop_unsent(now));
                 }
                 for purpose in dropped {
                     self.end_call(replica, purpose, Outcome::NotSent);
@@ -314,6 +341,9 @@
             _ if node.conn.is_idle() => Some(node.conn.active_at + self.retire_after()),
             _ => node.conn.oldest_probe().map(|sent| sent + PROBE_TIME),
         });
+        let overtaken = self.nodes.values().filter_map(|node| node.conn.overtaken);
+        let overtaken = overtaken.map(|at| at + OVERTAKEN * self.silence_limit());
+        let nodes = nodes.chain(overtaken);
         let ending = self.ending_since.map(|_| now + 50.0);
         let lingering = self.clients.values().filter_map(|client| match client.conn.state() {
             ClientState::Lingering(since) => Some(since + LINGER_CLOSE),
@@ -336,16 +366,7 @@
             self.accept(now);
         }
         self.watch_time(now);
-        let mut effects = Vec::new();
-        let inputs = std::mem::take(&mut self.inputs);
-        self.core.step(now, inputs, &mut effects);
-        let mut touched = BTreeSet::new();
-        for effect in effects {
-            self.carry_out(effect, now, &mut touched);
-        }
-        for key in touched {
-            self.write_node(key, now);
-        }
+        self.step(now);
     }
 
     fn counters(&self) -> &Counters {
--- a/src/net/server/nodes.rs
+++ b/src/net/server/nodes.rs
@@ -1,6 +1,6 @@
 //! The pool of connections to book nodes.
 
-use super::{Node, Server, NODE_READ};
+use super::{Node, Server, MOST_SILENT, NODE_READ, SILENCE};
 use crate::core::Input;
 use crate::interface::*;
 use crate::net::node::{NodeConn, NodeState, Purpose};
@@ -13,16 +13,26 @@
     pub(super) fn node_for(&mut self, replica: ReplicaId, now: Ms) -> Option<u64> {
         let addr = *self.addrs.get(&replica)?;
         let (streams, retire) = (self.limits.streams, self.retire_after());
+        let limit = self.silence_limit();
         let fits = |node: &Node| {
             node.replica == replica && node.addr == addr && node.conn.has_room(streams, retire, now)
         };
         let fit = self.nodes.iter().filter(|(_, node)| fits(node));
-        let best = fit.min_by_key(|(_, node)| (node.conn.state() != NodeState::Open, node.conn.load()));
-        if let Some((key, _)) = best {
-            return Some(*key);
+        let best = fit.min_by_key(|(_, node)| {
+            (node.conn.silent_for(now) > limit, node.conn.state() != NodeState::Open, node.conn.load())
+        });
+        let best = best.map(|(key, node)| (*key, node.conn.silent_for(now) > limit));
+        if let Some((key, false)) = best {
+            return Some(key);
+        }
+        // All are silent, or there is none. A node that hangs whole must not eat up the descriptors.
+        let held = self.nodes.values().filter(|node| node.replica == replica).count();
+        if best.is_some() && held >= MOST_SILENT {
+            return best.map(|(key, _)| key);
         }
         if self.nodes.len() >= self.sockets.nodes {
-            let idle = self.nodes.iter().find(|(_, node)| node.conn.is_idle()).map(|(key, _)| *key)?;
+            let idle = self.nodes.iter().find(|(_, node)| node.conn.is_idle()).map(|(key, _)| *key);
+            let Some(idle) = idle else { return best.map(|(key, _)| key) };
             self.close_node(idle, "making room");
         }
         let key = self.new_key();
@@ -32,6 +42,27 @@
         Some(key)
     }
 
+    /// How long a connection may be silent before it is held for lost: some usual answers' time, and no less
+    /// than a connection may take to come up. Where it carries one call at a time, that call may just be slow.
+    pub(super) fn silence_limit(&self) -> Ms {
+        if self.limits.streams == 1 {
+            return f64::INFINITY;
+        }
+        (SILENCE * self.core.answer_time()).max(self.limits.dial_timeout)
+    }
+
+    /// A node was heard on one connection: those of its others that are silent by now are overtaken.
+    fn overtake(&mut self, key: u64, now: Ms) {
+        let limit = self.silence_limit();
+        let Some(heard) = self.nodes.get(&key).map(|node| (node.replica, node.addr)) else { return };
+        for (other, node) in &mut self.nodes {
+            let silent = node.conn.silent_for(now) > limit && (node.replica, node.addr) == heard;
+            if *other != key && silent {
+                node.conn.overtaken.get_or_insert(now);
+            }
+        }
+    }
+
     pub(super) fn serve_node(&mut self, key: u64, now: Ms) {
         let Some(node) = self.nodes.get_mut(&key) else { return };
         if let NodeState::Connecting(_) = node.conn.state() {
@@ -47,10 +78,10 @@
             let mut bytes = Vec::new();
             let ended = read_all(&node.link.socket, NODE_READ, &mut bytes);
             if !bytes.is_empty() {
-                node.conn.active_at = now;
-                node.conn.input.extend_from_slice(&bytes);
+                node.conn.received(&bytes, now);
+                self.overtake(key, now);
             }
-            if let Err(why) = self.take_replies(key) {
+            if let Err(why) = self.take_replies(key, now) {
                 self.core.counters.bad_frames += 1;
                 return self.close_node(key, &why);
             }
@@ -65,12 +96,12 @@
     }
 
     /// Takes the whole replies off a connection's input.
-    fn take_replies(&mut self, key: u64) -> Result<(), String> {
+    fn take_replies(&mut self, key: u64, now: Ms) -> Result<(), String> {
         while let Some(node) = self.nodes.get_mut(&key) {
             match self.dialect.reply(&mut node.conn.input)? {
                 None => break,
                 Some(NodeReply::Load(outcome, report)) => {
-                    if node.conn.probe_answered() {
+                    if node.conn.probe_answered(now) {
                         self.inputs.push(Input::Probed(node.replica, outcome, report));
                     }
                 }
@@ -78,7 +109,9 @@
                     if last {
                         node.conn.retire();
                     }
-                    let Some(Purpose::Part(id, _)) = node.conn.answered(name.as_deref()) else { continue };
+                    let Some(Purpose::Part(id, _)) = node.conn.answered(name.as_deref(), now) else {
+                        continue;
+                    };
                     self.placed.remove(&id);
                     self.inputs.push(match end {
                         Ok((score, value)) => Input::Served(id, score, value),
@@ -94,7 +127,7 @@
         let Some(node) = self.nodes.get_mut(&key) else { return };
         if !self.core.may_send_to(node.replica) {
             // The loop may have slept past the end of a grace: its effect is then still to come.
-            let (replica, dropped) = (node.replica, node.conn.drop_unsent());
+            let (replica, dropped) = (node.replica, node.conn.drop_unsent(now));
             dropped.into_iter().for_each(|purpose| self.end_call(replica, purpose, Outcome::NotSent));
         }
         let Some(node) = self.nodes.get_mut(&key) else { return };
@@ -146,7 +179,7 @@
             self.placed.insert(*id, key);
         }
         if let Some(node) = self.nodes.get_mut(&key) {
-            node.conn.push(purpose, bytes);
+            node.conn.push(purpose, bytes, now);
             touched.insert(key);
         }
     }
--- a/tests/node_conn.rs
+++ b/tests/node_conn.rs
@@ -71,7 +71,7 @@
             0 | 1 if next < 100 => {
                 let mut bytes = vec![next, a % 9 + 3];
                 bytes.resize(bytes[1] as usize, b);
-                conn.push(Purpose::Part(attempt(next), next.to_string()), bytes);
+                conn.push(Purpose::Part(attempt(next), next.to_string()), bytes, 0.0);
                 ends.insert(next, None);
                 next += 1;
             }
@@ -86,7 +86,7 @@
                 let Some(id) = whole.get(a as usize % whole.len().max(1)).filter(|id| **id < NOTICE) else {
                     continue;
                 };
-                if let Some(purpose) = conn.answered(Some(&id.to_string())) {
+                if let Some(purpose) = conn.answered(Some(&id.to_string()), 0.0) {
                     assert_eq!(id_of(&purpose), *id);
                     end(&mut ends, *id, End::Answered);
                 }
@@ -94,7 +94,7 @@
             6 if next > 0 => {
                 let id = a % next;
                 // A dialect without notices must close for what the node has seen any of.
-                let called = conn.cancel(attempt(id), |_| (b % 4 > 0).then(|| vec![id | NOTICE, 2]));
+                let called = conn.cancel(attempt(id), |_| (b % 4 > 0).then(|| vec![id | NOTICE, 2]), 0.0);
                 if ends[&id].is_some() {
                     assert_eq!(called, Called::Removed, "an ended part costs nothing");
                     continue;
@@ -110,7 +110,7 @@
                 }
             }
             7 if a % 4 == 0 => {
-                for purpose in conn.drop_unsent() {
+                for purpose in conn.drop_unsent(0.0) {
                     let id = id_of(&purpose);
                     assert!(!seen.began(id), "part {id} had begun");
                     end(&mut ends, id, End::Dropped);
@@ -143,12 +143,31 @@
 fn a_probe_without_an_answer_does_not_keep_its_connection_in_use() {
     let mut conn = NodeConn::new(0.0);
     conn.connected(0.0);
-    conn.push(Purpose::Probe(0.0), vec![1]);
+    conn.push(Purpose::Probe(0.0), vec![1], 0.0);
     conn.wrote(1, 0.0);
     assert!(!conn.is_idle());
-    assert_eq!((conn.oldest_probe(), conn.expire_probes(-1.0)), (Some(0.0), 0));
-    assert_eq!(conn.expire_probes(0.0), 1);
+    assert_eq!((conn.oldest_probe(), conn.expire_probes(-1.0, 0.0)), (Some(0.0), 0));
+    assert_eq!(conn.expire_probes(0.0, 0.0), 1);
     assert!(conn.is_idle());
     // Near the end of its idle time it is not used again.
     assert!(conn.has_room(1, 100.0, 99.0) && !conn.has_room(1, 100.0, 100.0));
 }
+
+#[test]
+fn a_connection_that_carries_something_and_brings_nothing_is_silent() {
+    let mut conn = NodeConn::new(0.0);
+    conn.push(Purpose::Part(attempt(1), "1".into()), vec![1], 0.0);
+    assert_eq!(conn.silent_for(50.0), 0.0, "it is not up");
+    conn.connected(50.0);
+    conn.wrote(1, 60.0);
+    assert_eq!(conn.silent_for(150.0), 100.0);
+    // Calling the part off proves nothing, and neither does a pause in which nothing is asked.
+    conn.cancel(attempt(1), |_| Some(vec![2]), 150.0);
+    conn.wrote(1, 150.0);
+    conn.push(Purpose::Probe(500.0), vec![1], 500.0);
+    conn.wrote(1, 500.0);
+    assert_eq!(conn.silent_for(520.0), 120.0);
+    conn.overtaken = Some(510.0);
+    conn.received(b"half", 530.0);
+    assert_eq!((conn.silent_for(540.0), conn.overtaken), (10.0, None));
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use support::{stand_in, Client, Folder, Notes, Program};
@@ -16,12 +17,15 @@
     Serves,
     Nonsense,
     Silent,
+    /// Silent on the connections that it has by now, of which there are so many.
+    SilentUpTo(usize),
 }
 
 struct Node {
     address: SocketAddr,
     asked: Notes,
     mood: Arc<Mutex<Mood>>,
+    connections: Arc<AtomicUsize>,
 }
 
 fn frame(stream: &mut TcpStream) -> Option<(u8, String)> {
@@ -32,14 +36,15 @@
     Some((body[0], String::from_utf8(body[1..].to_vec()).expect("UTF-8")))
 }
 
-fn serve(mut stream: TcpStream, asked: &Notes, mood: &Mutex<Mood>) {
+fn serve(mut stream: TcpStream, number: usize, asked: &Notes, mood: &Mutex<Mood>) {
     while let Some((letter, text)) = frame(&mut stream) {
         let now = *mood.lock().expect("no panic");
         asked.lock().expect("no panic").push(format!("{}{text}", letter as char));
         let id = text.split(' ').next().expect("an id");
         let shard = text.split(' ').nth(1).unwrap_or_default();
         let reply = match (letter, now) {
-            (b'Q', Mood::Serves) => format!("A{id} ok 10{shard} -\nvalue \"{shard}\""),
+            (_, Mood::SilentUpTo(count)) if number < count => continue,
+            (b'Q', Mood::Serves | Mood::SilentUpTo(_)) => format!("A{id} ok 10{shard} -\nvalue \"{shard}\""),
             (b'Q', Mood::Nonsense) => "what?".to_string(),
             (b'L', _) => "Linflight=0,queue=0".to_string(),
             _ => continue,
@@ -55,8 +60,10 @@
 
 fn node() -> Node {
     let (asked, mood) = (Notes::default(), Arc::new(Mutex::new(Mood::Serves)));
-    let (notes, state) = (asked.clone(), mood.clone());
-    Node { address: stand_in(move |stream| serve(stream, &notes, &state)), asked, mood }
+    let (notes, state, count) = (asked.clone(), mood.clone(), Arc::new(AtomicUsize::new(0)));
+    let connections = count.clone();
+    let address = stand_in(move |stream| serve(stream, count.fetch_add(1, Ordering::SeqCst), &notes, &state));
+    Node { address, asked, mood, connections }
 }
 
 impl Node {
@@ -267,6 +274,20 @@
     assert!(head.contains("Retry-After: 0."), "{head}");
 }
 
+#[test]
+fn a_connection_that_falls_silent_is_replaced_while_its_node_is_well() {
+    let site = Site::new("silent");
+    for id in 0..10 {
+        assert_eq!(site.ask("view", id, &[0]).0, 200);
+    }
+    for node in &site.nodes {
+        node.mood(Mood::SilentUpTo(node.connections.load(Ordering::SeqCst)));
+    }
+    // What is on the silent connections may be lost; what is asked some time later must not be.
+    let statuses: Vec<u16> = (10..20).map(|id| site.ask("view", id, &[0]).0).collect();
+    assert_eq!(statuses[5..], [200; 5], "{statuses:?}");
+}
+
 #[test]
 fn a_draining_node_gets_nothing_new_and_the_watch_goes_on_where_it_broke() {
     let site = Site::new("drain");
