Let clients go that crowd out others: silent, half-asked, and idle ones by the hundred

Checked with a probe that logged clients and queries every 500 ms: each node holds 196 to 240 client connections with one to five queries open, new connections come as fast as queries, and the queries that reach it halve while that lasts. Clients hold at most a third of the descriptors (128 here) for requests, so the refusals come from the front, which may open no more. The core, the module and the book nodes are ruled out: all that came was answered in time. At fault: src/net/server kept each client's connection for good unless the cap of 240 was reached, and then let the longest idle one go, whether it had ever asked or not. A request that stopped half way was kept as well. Now a connection that has asked nothing for 2 s is closed; what is not whole after 2.5 s gets 408; and while those without a request are over a quarter of the clients' descriptors, each is let go after its answer or 2 s. At the cap, those that never asked go first. Tests: silent_clients_and_half_requests_are_let_go_and_idle_ones_only_in_a_crowd, a_request_is_incomplete_since_its_first_byte_or_the_answer_before_it.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -29,6 +29,10 @@
     output: Vec<u8>,
     /// The request being answered asked to close after it.
     close: bool,
+    /// Since when it has been between requests or inside one.
+    reading_since: Ms,
+    /// Whether a whole request has ever come.
+    has_asked: bool,
     /// When bytes last came or an answer last left.
     pub active_at: Ms,
     /// When the last byte of the request in hand came.
@@ -45,6 +49,8 @@
             input: Vec::new(),
             output: Vec::new(),
             close: false,
+            reading_since: now,
+            has_asked: false,
             active_at: now,
             request_at: now,
             marks: VecDeque::new(),
@@ -89,6 +95,7 @@
                 self.marks.retain(|mark| mark.0 > used);
                 self.marks.iter_mut().for_each(|mark| mark.0 -= used);
                 self.close = request.close;
+                self.has_asked = true;
                 Some(Ok(request))
             }
             Err(bad) => {
@@ -107,7 +114,7 @@
     pub fn answer(&mut self, response: &http::Response, close: bool, now: Ms) {
         let close = close || self.close;
         self.output.extend(response.bytes(close));
-        self.active_at = now;
+        (self.active_at, self.reading_since) = (now, now);
         self.state = if close { ClientState::Closing } else { ClientState::Reading };
     }
 
@@ -132,6 +139,24 @@
         self.is_idle() && self.active_at < before
     }
 
+    /// Whether it has ever brought a whole request.
+    pub fn has_asked(&self) -> bool {
+        self.has_asked
+    }
+
+    /// Since when a request has been coming that is not whole yet.
+    pub fn incomplete_since(&self) -> Option<Ms> {
+        let first = self.marks.front().filter(|_| self.state == ClientState::Reading);
+        first.map(|mark| mark.1.max(self.reading_since))
+    }
+
+    /// Gives up waiting for the rest of a request.
+    pub fn give_up(&mut self, response: &http::Response, now: Ms) {
+        self.input.clear();
+        self.marks.clear();
+        self.answer(response, true, now);
+    }
+
     /// Whether nothing that was taken is lost if it is closed now: nothing was asked and nothing has come
     /// since `before`, or its last answer has left.
     pub fn may_go(&self, before: Ms) -> bool {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -16,6 +16,8 @@
     Malformed,
     /// The body is longer than is taken.
     TooLarge,
+    /// The rest of the message did not come.
+    TooSlow,
 }
 
 /// Header lines in order; names are compared without case.
@@ -266,6 +268,7 @@
             403 => "Forbidden",
             404 => "Not Found",
             405 => "Method Not Allowed",
+            408 => "Request Timeout",
             413 => "Content Too Large",
             429 => "Too Many Requests",
             503 => "Service Unavailable",
--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -1,10 +1,11 @@
 //! Clients: accepting, reading requests, writing answers.
 
-use super::{Client, Server, STALE_CLIENT};
+use super::{Client, Server, IDLE_SHARE, QUIET, STALE_CLIENT};
 use crate::core::Input;
 use crate::interface::*;
 use crate::net::client::{ClientConn, ClientState};
 use crate::net::{http, read_all, Dialect, Key, Take, Watched};
+use std::cmp::Ordering;
 use std::io::{self, Write};
 use std::net::Shutdown;
 
@@ -44,10 +45,38 @@
         }
     }
 
-    /// The client that nothing is lost by closing, the longest idle one first.
+    /// The client that nothing is lost by closing: first those that have not asked though they had the time,
+    /// then the longest idle one.
     fn spare_client(&self, now: Ms) -> Option<u64> {
         let idle = self.clients.iter().filter(|(_, client)| client.conn.may_go(now - STALE_CLIENT));
-        idle.min_by(|a, b| a.1.conn.active_at.total_cmp(&b.1.conn.active_at)).map(|(key, _)| *key)
+        let keyed = idle.map(|(key, client)| {
+            let asks = client.conn.has_asked() || !client.conn.is_quiet(now - QUIET);
+            ((asks, client.conn.active_at), *key)
+        });
+        keyed.min_by(|a, b| a.partial_cmp(b).unwrap_or(Ordering::Equal)).map(|(_, key)| key)
+    }
+
+    /// Whether connections without a request take up too much: then each is let go after its answer.
+    pub(super) fn is_crowded(&self) -> bool {
+        (self.clients.len() - self.asked.len().min(self.clients.len())) as f64
+            > IDLE_SHARE * self.sockets.clients as f64
+    }
+
+    /// Lets go of clients that have stood without a request, and gives up requests that do not come in whole.
+    pub(super) fn watch_clients(&mut self, now: Ms) {
+        let crowded = self.is_crowded();
+        let over = |client: &Client| client.time_limit(crowded).is_some_and(|at| at <= now);
+        let over: Vec<u64> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| *key).collect();
+        for key in over {
+            let Some(client) = self.clients.get_mut(&key) else { continue };
+            if client.conn.is_idle() {
+                self.clients.remove(&key);
+            } else if client.conn.state() == ClientState::Reading {
+                self.core.counters.bad_requests += 1;
+                client.conn.give_up(&self.dialect.bad(http::Bad::TooSlow), now);
+                self.write_client(key, false, now);
+            }
+        }
     }
 
     pub(super) fn new_key(&mut self) -> u64 {
@@ -135,7 +164,7 @@
 
     pub(super) fn final_answer(&mut self, id: RequestId, response: http::Response, now: Ms) {
         let Some(key) = self.asked.remove(&id) else { return };
-        let closing = self.is_closing(now);
+        let closing = self.is_closing(now) || self.is_crowded();
         let Some(client) = self.clients.get_mut(&key) else { return };
         client.conn.answer(&response, closing, now);
         self.write_client(key, false, now);
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -40,6 +40,13 @@
 /// makes room for other clients.
 const STALE_REQUEST: Ms = 1000.0;
 const STALE_CLIENT: Ms = 10_000.0;
+/// A client's connection may be closed when it has stood so long without a request, ms; a request that is not
+/// whole after so long is given up: its client is owed an answer 3 s after it connected.
+const IDLE_CLIENT: Ms = 2000.0;
+const SLOW_REQUEST: Ms = 2500.0;
+/// Share of the clients' descriptors that connections without a request may take up. Clients that ask once and
+/// keep their connection would shut out all others.
+const IDLE_SHARE: f64 = 0.25;
 /// How long a connection lingers for the client to end it, ms.
 const LINGER_CLOSE: Ms = 1000.0;
 /// Time for the answer to a probe, ms: one that a hung node never answers must not keep its connection in use.
@@ -59,6 +66,15 @@
     conn: ClientConn,
 }
 
+impl Client {
+    /// When its connection has stood without a request, or with a part of one, for too long.
+    fn time_limit(&self, crowded: bool) -> Option<Ms> {
+        let idle = self.conn.is_idle() && (crowded || !self.conn.has_asked());
+        let idle = idle.then_some(self.conn.active_at + IDLE_CLIENT);
+        idle.or(self.conn.incomplete_since().map(|since| since + SLOW_REQUEST))
+    }
+}
+
 struct Node {
     link: Watched<TcpStream>,
     conn: NodeConn,
@@ -222,6 +238,7 @@
         if self.is_closing(now) {
             self.clients.retain(|_, client| !client.conn.is_quiet(now - QUIET));
         }
+        self.watch_clients(now);
         let lingers = |client: &Client| match client.conn.state() {
             ClientState::Lingering(since) => now - since < LINGER_CLOSE,
             _ => true,
@@ -345,8 +362,10 @@
         let overtaken = overtaken.map(|at| at + OVERTAKEN * self.silence_limit());
         let nodes = nodes.chain(overtaken);
         let ending = self.ending_since.map(|_| now + 50.0);
+        let crowded = self.is_crowded();
         let lingering = self.clients.values().filter_map(|client| match client.conn.state() {
             ClientState::Lingering(since) => Some(since + LINGER_CLOSE),
+            ClientState::Reading => client.time_limit(crowded),
             _ => None,
         });
         nodes.chain(lingering).chain(roster).chain(ending).chain(self.core.next_step()).min_by(f64::total_cmp)
--- a/src/opensearch/mod.rs
+++ b/src/opensearch/mod.rs
@@ -497,6 +497,7 @@
     fn bad(&self, bad: Bad) -> Response {
         match bad {
             Bad::Malformed => illegal("not HTTP as it should be"),
+            Bad::TooSlow => error(408, "request_timeout_exception", "the request did not come in whole"),
             Bad::TooLarge => error(413, "content_too_long_exception", "the body is over 64 KiB"),
         }
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -191,6 +191,7 @@
     fn bad(&self, bad: Bad) -> Response {
         match bad {
             Bad::Malformed => declined(400, "not HTTP as it should be"),
+            Bad::TooSlow => declined(408, "the request did not come in whole"),
             Bad::TooLarge => declined(413, "the body is over 64 KiB"),
         }
     }
--- a/tests/client_conn.rs
+++ b/tests/client_conn.rs
@@ -144,3 +144,20 @@
     conn.received(b"GET /a", 20.0);
     assert!(!conn.is_quiet(30.0), "a request has begun");
 }
+
+#[test]
+fn a_request_is_incomplete_since_its_first_byte_or_the_answer_before_it() {
+    let mut conn = ClientConn::new(0.0);
+    assert!(!conn.has_asked() && conn.incomplete_since().is_none());
+    conn.received(b"GET /a HTTP/1.1\r\n", 10.0);
+    conn.received(b"X: y\r\n", 20.0);
+    assert_eq!(conn.incomplete_since(), Some(10.0), "more bytes buy no more time");
+    conn.received(b"\r\nGET /b", 30.0);
+    assert!(conn.next_request().is_some() && conn.has_asked());
+    conn.asked(RequestId(1));
+    assert_eq!(conn.incomplete_since(), None, "it is our turn");
+    conn.answer(&Response::new(200, ""), false, 90.0);
+    assert_eq!(conn.incomplete_since(), Some(90.0));
+    conn.give_up(&Response::new(408, ""), 100.0);
+    assert_eq!((conn.state(), conn.incomplete_since()), (ClientState::Closing, None));
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -420,3 +420,24 @@
     assert_eq!(ask(&mut clients[56]), 200);
     assert_eq!(site.ask("view", 1, &[0, 1]).0, 200);
 }
+
+#[test]
+fn silent_clients_and_half_requests_are_let_go_and_idle_ones_only_in_a_crowd() {
+    let site = Site::new("crowd");
+    let ready = |client: &mut Client| client.ask("GET", "/ready", "", "").0;
+    let (mut silent, mut half) = (Client::new(site.address), Client::new(site.address));
+    half.write(b"POST /view HTTP/1.1\r\nX-Class: vi");
+    let mut idle = Client::new(site.address);
+    assert_eq!(ready(&mut idle), 200);
+    let (status, head, _) = site.ask("view", 1, &[0]);
+    assert!(status == 200 && !head.contains("Connection: close"), "{head}");
+    assert_eq!(half.read().0, 408);
+    assert!(silent.is_ended(), "it never asked");
+    assert_eq!(ready(&mut idle), 200, "there is room for who has asked");
+    // A quarter of the 144 descriptors for clients is taken up by those that stand by.
+    let mut crowd: Vec<Client> = (0..40).map(|_| Client::new(site.address)).collect();
+    crowd.iter_mut().for_each(|client| assert_eq!(ready(client), 200));
+    let (status, head, _) = site.ask("view", 2, &[0]);
+    assert!(status == 200 && head.contains("Connection: close"), "{head}");
+    assert!(idle.is_ended() && crowd[0].is_ended());
+}
