Blame no replica for a time in which none was heard of

No frame of an ended query is written: the core counts none (broken 0), and a cancel takes out what is queued. At fault: judge_replicas, try_again and time_out in src/choice.rs took silence of all replicas for the fault of each. Now silence counts only up to the last news of any replica, at most 200 ms back; after a gap that is long against the usual one, what was not answered meanwhile starts anew.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -73,6 +73,10 @@
 const LOOK_GAP: Ms = 10.0;
 /// A step later than asked for by this, ms, tells that this aggregator slept: far more than a step takes.
 const SLEPT: Ms = 150.0;
+/// A time without news of any replica blames none: what it hides counts as over after so many usual gaps
+/// between news and this many ms at least; what it shows is believed after the last of these, ms.
+const GAP: (f64, Ms) = (8.0, 50.0);
+const GAP_LONGEST: Ms = 200.0;
 /// Mean pause before subscribing again, ms, spread by chance: the list service is shared.
 const RESUBSCRIBE: Ms = 400.0;
 /// Slack when shares of weight are summed: they come rounded.
@@ -226,6 +230,9 @@
     wake_at: Option<Ms>,
     judged_at: Ms,
     awake_at: Ms,
+    /// When any replica was last heard of, and the mean gap between such news while something was out.
+    heard_at: Ms,
+    gap: Ms,
     started_at: Option<Ms>,
 }
 
@@ -253,6 +260,8 @@
             wake_at: None,
             judged_at: 0.0,
             awake_at: f64::NEG_INFINITY,
+            heard_at: f64::NEG_INFINITY,
+            gap: GAP_LONGEST / GAP.0,
             started_at: None,
             set: settings,
         }
@@ -372,6 +381,20 @@
 
     // ---- Outcomes and health ----------------------------------------------------------------------------
 
+    /// A replica was heard of. After a gap without news of any, what was not answered meanwhile blames none.
+    fn heard(&mut self) {
+        let gap = self.now - std::mem::replace(&mut self.heard_at, self.now);
+        if gap > GAP.1.max(GAP.0 * self.gap) {
+            self.awake_at = self.now;
+        }
+        self.gap += LEARN * (gap.min(GAP_LONGEST) - self.gap);
+    }
+
+    /// Until when silence tells of the replica that is silent: while all are, the cause is not there.
+    fn seen_until(&self) -> Ms {
+        self.heard_at.max(self.now - GAP_LONGEST)
+    }
+
     fn service_of(&self, class: usize) -> Ms {
         self.learned[class].service
     }
@@ -395,7 +418,8 @@
                 replica.calls.remove(&flight.call);
             }
         }
-        if matches!(outcome, Outcome::Pass | Outcome::Fault | Outcome::NoRoom) {
+        let answers = matches!(outcome, Outcome::Pass | Outcome::Fault | Outcome::NoRoom);
+        if answers {
             replica.progress_at = self.now;
             replica.answered = replica.answered.max(self.now - elapsed);
         }
@@ -416,6 +440,9 @@
             Outcome::Fault | Outcome::Cut => replica.pace += LEARN * (ERROR_PACE - replica.pace),
             _ => {}
         }
+        if answers {
+            self.heard();
+        }
         let Some(&(query, index)) = self.owners.get(&id) else { return };
         let Some(query) = self.queries.get_mut(&query) else { return };
         let part = &mut query.parts[index];
@@ -481,7 +508,7 @@
         let age = PACE_AGE.max(AGE_VISITS * per_call * self.replicas.len() as f64);
         let passed = self.now - std::mem::replace(&mut self.judged_at, self.now);
         let aged = 1.0 - (-passed / age).exp();
-        let (grain, awake) = (self.grain(), self.awake_at);
+        let (grain, awake, seen) = (self.grain(), self.awake_at, self.seen_until());
         for replica in self.replicas.values_mut() {
             if replica.out == 0 && replica.pace > 0.0 {
                 // What was seen in a jam that may be over must not keep a replica idle for ever.
@@ -490,8 +517,7 @@
             Self::earn_credit(&self.set, grain, replica, self.now, passed);
             // An attempt overtaken by later ones is lost; only one that nothing overtook tells of silence.
             let answered = replica.answered;
-            let quiet =
-                |call: &&Call| self.now - call.sent_at.max(replica.progress_at).max(awake) > call.stall;
+            let quiet = |call: &&Call| seen - call.sent_at.max(replica.progress_at).max(awake) > call.stall;
             if replica.calls.values().find(|call| call.sent_at > answered).filter(quiet).is_some() {
                 Self::shun(replica, self.now, actions);
             }
@@ -653,7 +679,7 @@
             let out = part.out();
             if out > 0 {
                 let silent = |a: &Attempt| {
-                    let lost = |r: &Replica| a.sent_at <= r.answered && a.due_at < self.now;
+                    let lost = |r: &Replica| a.sent_at <= r.answered && self.overdue(a) > 1.0;
                     self.replicas.get(&a.replica).is_none_or(|r| r.shunned.is_some() || lost(r))
                 };
                 let stuck = part.attempts.iter().filter(|a| a.ended.is_none()).all(silent);
@@ -680,13 +706,18 @@
         }
     }
 
+    /// How long an attempt has been silent while others were heard, over the time in which it was due.
+    fn overdue(&self, a: &Attempt) -> f64 {
+        (self.seen_until() - a.sent_at.max(self.awake_at)) / (a.due_at - a.sent_at)
+    }
+
     /// Calls off what a part has out where no copy may be sent, so that the next step sends it again. Only
     /// what later calls have overtaken and is twice overdue: it was lost. What is merely late may yet come.
     fn time_out(&mut self, query: &Query, index: usize, actions: &mut Vec<Action>) {
         let part = &query.parts[index];
         let lost = |a: &Attempt| {
             let overtaken = self.replicas.get(&a.replica).is_none_or(|r| a.sent_at <= r.answered);
-            a.ended.is_some() || overtaken && self.now > 2.0 * a.due_at - a.sent_at
+            a.ended.is_some() || overtaken && self.overdue(a) > 2.0
         };
         if part.attempts.iter().all(lost) && self.may_resend(query.class, part) {
             let to = self.choose_again(part).and_then(|to| self.replicas.get(&to));
