Remember ended request ids for as long as a client may wait

Need: `Platform::names` forgot an id with its final answer, while bad clients send the id of another client's open request. Such a copy that came just after the answer was taken for a new query, and its parts were sent on for a request that was over.

Change: ids of ended requests are kept until nobody can be waiting for them (the request's own deadline or the longest of the classes), at most 16,384 of them at 32 bytes; the oldest goes first. A second request under such an id gets 400. A request that was never read may still come once more under its id, as the protocol has it.

Result: a new test on the real program, which fails without the change.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,7 +9,7 @@
 use crate::net::http::{Bad, Request, Response};
 use crate::net::{Dialect, NodeReply, Take};
 use miniserde::json;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 /// Most of a request's time that its way here can have taken, ms: kept back from `X-Deadline`, which runs
 /// from the client's send.
@@ -46,6 +46,8 @@
     name: String,
     text: String,
     key: Option<String>,
+    /// When nobody can be waiting for it any more.
+    until: Ms,
 }
 
 /// The platform's dialect.
@@ -57,6 +59,34 @@
     held: HashMap<RequestId, Held>,
     /// Names of the queries that are held: a part's name must stay unique.
     names: BTreeSet<String>,
+    ended: Ended,
+    longest: Ms,
+}
+
+/// Ended ids remembered at most: some 130 queries a second for the longest deadline, several times over; 32 bytes
+/// each.
+const ENDED: usize = 16_384;
+
+/// Ids of requests that have had their final answer, for as long as a client may wait: whoever sends one again is no
+/// client that was not read, and serving it would send on a request that is over.
+#[derive(Debug, Default)]
+struct Ended {
+    ids: HashSet<u64>,
+    until: VecDeque<(Ms, u64)>,
+}
+
+impl Ended {
+    fn forget_old(&mut self, now: Ms) {
+        while self.until.front().is_some_and(|(until, _)| *until <= now || self.until.len() > ENDED) {
+            self.until.pop_front().map(|(_, id)| self.ids.remove(&id));
+        }
+    }
+
+    fn add(&mut self, id: u64, until: Ms) {
+        if self.ids.insert(id) {
+            self.until.push_back((until, id));
+        }
+    }
 }
 
 /// Why a request is not taken.
@@ -70,6 +100,11 @@
     text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
 }
 
+/// An id as a number; it was checked to be one.
+fn number(id: &str) -> u64 {
+    u64::from_str_radix(id, 16).unwrap_or_default()
+}
+
 /// Reads a time of waiting: a number and `m` for milliseconds or `u` for microseconds.
 fn deadline(text: &str) -> Option<Ms> {
     let digits = text.get(..text.len().checked_sub(1)?)?;
@@ -86,7 +121,9 @@
 impl Platform {
     /// A dialect for these classes.
     pub fn new(classes: Vec<(String, bool)>, deadlines: Vec<Ms>, shards: usize) -> Self {
-        Platform { classes, deadlines, shards, held: HashMap::new(), names: BTreeSet::new() }
+        let longest = deadlines.iter().copied().fold(0.0, f64::max);
+        let (held, names, ended) = (HashMap::new(), BTreeSet::new(), Ended::default());
+        Platform { classes, deadlines, shards, held, names, ended, longest }
     }
 
     fn query(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<NewQuery, Declined> {
@@ -127,11 +164,16 @@
         {
             return Err(declined(400, "shards are distinct and their weights sum to 1"));
         }
+        self.ended.forget_old(at);
+        if self.ended.ids.contains(&number(name)) {
+            return Err(declined(400, "a request with this X-Request-Id has been answered"));
+        }
         if !self.names.insert(name.to_string()) {
             return Err(declined(400, "a request with this X-Request-Id is being answered"));
         }
         let key = key.filter(|_| self.classes[class].1).map(str::to_string);
-        self.held.insert(id, Held { name: name.to_string(), text: ask.q, key });
+        let until = at + waits.max(self.longest).min(2.0 * self.longest);
+        self.held.insert(id, Held { name: name.to_string(), text: ask.q, key, until });
         Ok(NewQuery {
             class,
             expires_at: at + (waits - CLIENT_TRIP).max(0.0),
@@ -143,6 +185,7 @@
     fn forget(&mut self, query: RequestId) {
         if let Some(held) = self.held.remove(&query) {
             self.names.remove(&held.name);
+            self.ended.add(number(&held.name), held.until);
         }
     }
 }
@@ -184,6 +227,10 @@
         response.after(after)
     }
 
+    fn name(&self, query: RequestId) -> String {
+        self.held.get(&query).map(|held| held.name.clone()).unwrap_or_default()
+    }
+
     fn gone(&mut self, query: RequestId) {
         self.forget(query);
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -240,6 +240,18 @@
     assert_eq!(site.nodes.iter().map(Node::count).sum::<usize>(), 0);
 }
 
+#[test]
+fn an_id_that_was_answered_is_not_served_again() {
+    let site = Site::new("ended-id");
+    assert_eq!(site.ask("view", 7, &[0]).0, 200);
+    let frames = |site: &Site| site.nodes.iter().map(Node::count).sum::<usize>();
+    let before = frames(&site);
+    let (status, _, answer) = site.ask("view", 7, &[0]);
+    assert_eq!(status, 400, "{answer}");
+    assert!(answer.contains("has been answered"), "{answer}");
+    assert_eq!(frames(&site), before, "nothing is sent on for it");
+}
+
 #[test]
 fn pipelined_and_split_requests_are_answered_in_order() {
     let site = Site::new("pipe");
