Keep a trail of close calls by request id, and spare copies whose answer has come

The core sends nothing for an ended query, so whoever looks for the cause has to see which frames and answers of which request came close.

A copy of what went out in an earlier step looks once more at the connections of the earlier attempts before it is written; where the part has come in meanwhile, the copy is not sent (`copies_spared`).

Tried and taken back: a guard that held a served answer until 5 ms after the last frame of its query.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -30,6 +30,8 @@
     pub bad_requests: u64,
     pub bad_frames: u64,
     pub connections: u64,
+    /// Copies not sent since the answer had come meanwhile.
+    pub copies_spared: u64,
     /// Things that must hold and did not.
     pub broken: u64,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -87,6 +87,8 @@
     pub stop_at: Ms,
     /// Present in a second step.
     pub second: Option<Second>,
+    /// A copy of what went out in an earlier step and may have been answered since.
+    pub late: bool,
 }
 
 /// How a query ends without an answer.
@@ -516,6 +518,8 @@
             self.pending.push(Event::Done { part: id, attempt: number, replica, outcome, elapsed: 0.0 });
             return;
         }
+        let earlier = part.out.iter().filter_map(|n| self.attempts.get(&AttemptId { part: id, number: *n }));
+        let late = earlier.into_iter().any(|earlier| earlier.sent_at < now);
         part.out.push(number);
         self.counters.sent += 1;
         self.counters.repeats += u64::from(number > 0);
@@ -525,7 +529,7 @@
         let second = if part.step == 1 { held.second.clone() } else { None };
         let shard = part.shard;
         self.attempts.insert(attempt, Attempt { replica, sent_at: now, stop_at });
-        effects.push(Effect::Send(Send { attempt, query, shard, replica, stop_at, second }));
+        effects.push(Effect::Send(Send { attempt, query, shard, replica, stop_at, second, late }));
     }
 
     fn answer(&mut self, id: RequestId, whole: bool, effects: &mut Vec<Effect<V>>) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod http;
 pub mod node;
 mod server;
+pub mod trail;
 
 pub use server::{Ending, Server, Sockets};
 
@@ -56,6 +57,10 @@
     fn refuse(&mut self, query: RequestId, after: Option<Ms>) -> http::Response;
     /// The final answer of a failed query.
     fn fail(&mut self, query: RequestId, why: Failure, after: Option<Ms>) -> http::Response;
+    /// What the client calls a query that is open, for whoever reads the log.
+    fn name(&self, query: RequestId) -> String {
+        query.0.to_string()
+    }
     /// Nobody waits for the query any more.
     fn gone(&mut self, query: RequestId);
     /// The answer to a request that can't be read.
@@ -159,6 +164,10 @@
     fn next_due(&self, now: Ms) -> Option<Ms>;
     /// One turn: reads what is ready, lets the core make one step and carries out what it says.
     fn turn(&mut self, now: Ms, ready: &[(usize, Key)]);
+    /// A turn has ended: what was written in it had left by then.
+    fn turned(&mut self, now: Ms);
+    /// Lines about what happened lately, for whoever looks for a cause.
+    fn trail(&self) -> Vec<String>;
     /// Takes in a new text of its file, while it goes on serving.
     ///
     /// # Errors
@@ -226,11 +235,15 @@
                 front.served.end(now);
             }
             front.served.turn(now, &gathered.ready);
+            front.served.turned(clock.now());
         }
         gathered.ready.clear();
         let ended = fronts.iter().all(|front| front.served.has_ended(now));
         if ended || signals.contains(&Signal::SIGUSR1) {
-            fronts.iter().for_each(|front| tracing::info!("{}: {}", front.name, front.served.counters()));
+            for front in &fronts {
+                tracing::info!("{}: {}", front.name, front.served.counters());
+                front.served.trail().iter().for_each(|line| tracing::info!("{}: trail: {line}", front.name));
+            }
         }
         if ended {
             return Ok(());
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -151,16 +151,21 @@
         self.queue.front().map_or(&[], |frame| &frame.bytes[self.written..])
     }
 
-    /// So many bytes of the output were written.
-    pub fn wrote(&mut self, count: usize, now: Ms) {
+    /// So many bytes of the output were written; tells the attempt whose last byte that was.
+    pub fn wrote(&mut self, count: usize, now: Ms) -> Option<AttemptId> {
         self.active_at = now;
         self.written += count;
+        let mut whole = None;
         if self.queue.front().is_some_and(|frame| self.written >= frame.bytes.len()) {
             self.written = 0;
             let purpose = self.queue.pop_front().map(|frame| frame.purpose);
+            if let Some(Purpose::Part(id, _)) = &purpose {
+                whole = Some(*id);
+            }
             self.out.extend(purpose.filter(|purpose| *purpose != Purpose::Other));
         }
         self.waits(now);
+        whole
     }
 
     /// Takes off what a reply of this name answers; `None` names the oldest that is out.
--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -124,6 +124,7 @@
                     query.expires_at = query.expires_at.min(end);
                     client.conn.asked(id);
                     self.asked.insert(id, key);
+                    self.trail.opened(id, self.dialect.name(id));
                     self.inputs.push(Input::Query(id, query));
                 }
                 Take::Answer(response) => {
@@ -156,6 +157,7 @@
             if let ClientState::Asked(id) = client.conn.state() {
                 self.asked.remove(&id);
                 self.dialect.gone(id);
+                self.trail.ended(id, now);
                 self.inputs.push(Input::Gone(id));
             }
             self.clients.remove(&key);
@@ -163,6 +165,7 @@
     }
 
     pub(super) fn final_answer(&mut self, id: RequestId, response: http::Response, now: Ms) {
+        self.trail.ended(id, now);
         let Some(key) = self.asked.remove(&id) else { return };
         let closing = self.is_closing(now) || self.is_crowded();
         let Some(client) = self.clients.get_mut(&key) else { return };
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -6,6 +6,7 @@
 
 use super::client::{ClientConn, ClientState};
 use super::node::{Called, NodeConn, NodeState, Purpose};
+use super::trail::Trail;
 use super::{Dialect, Gathered, Key, Loop, News, Roster, Served, Watched};
 use crate::core::{AttemptId, Core, Counters, Effect, Input};
 use crate::interface::*;
@@ -142,7 +143,9 @@
     asked: HashMap<RequestId, u64>,
     nodes: BTreeMap<u64, Node>,
     addrs: HashMap<ReplicaId, SocketAddr>,
-    placed: HashMap<AttemptId, u64>,
+    /// On which connection an attempt is, and of which query.
+    placed: HashMap<AttemptId, (u64, RequestId)>,
+    trail: Trail,
     roster: Option<Box<dyn Roster>>,
     stream: Stream,
     inputs: Vec<Input<D::Value>>,
@@ -187,6 +190,7 @@
             nodes: BTreeMap::new(),
             addrs: HashMap::new(),
             placed: HashMap::new(),
+            trail: Trail::default(),
             roster,
             stream: Stream::Down(0.0),
             inputs: Vec::new(),
@@ -280,8 +284,14 @@
         match effect {
             Effect::Send(send) => {
                 let (id, replica) = (send.attempt, send.replica);
+                if send.late && self.is_late(id, now) {
+                    self.core.counters.copies_spared += 1;
+                    return self.inputs.push(Input::Ended(id, Outcome::NotSent));
+                }
                 let (name, bytes) = self.dialect.frame(&send, now);
-                self.push(replica, Purpose::Part(id, name), bytes, now, touched);
+                if let Some(key) = self.push(replica, Purpose::Part(id, name), bytes, now, touched) {
+                    self.placed.insert(id, (key, send.query));
+                }
             }
             Effect::Probe(replica) => {
                 if let Some(bytes) = self.dialect.probe() {
@@ -289,7 +299,7 @@
                 }
             }
             Effect::Cancel(id, _) => {
-                let Some(key) = self.placed.remove(&id) else { return };
+                let Some((key, _)) = self.placed.remove(&id) else { return };
                 let Some(node) = self.nodes.get_mut(&key) else { return };
                 match node.conn.cancel(id, |name| self.dialect.cancel(name), now) {
                     Called::MustClose => self.close_node(key, "an attempt was called off"),
@@ -388,6 +398,14 @@
         self.step(now);
     }
 
+    fn turned(&mut self, now: Ms) {
+        self.trail.turned(now);
+    }
+
+    fn trail(&self) -> Vec<String> {
+        self.trail.near().map(ToString::to_string).collect()
+    }
+
     fn counters(&self) -> &Counters {
         &self.core.counters
     }
--- a/src/net/server/nodes.rs
+++ b/src/net/server/nodes.rs
@@ -1,7 +1,7 @@
 //! The pool of connections to book nodes.
 
 use super::{Node, Server, MOST_SILENT, NODE_READ, SILENCE};
-use crate::core::Input;
+use crate::core::{AttemptId, Input};
 use crate::interface::*;
 use crate::net::node::{NodeConn, NodeState, Purpose};
 use crate::net::{connect, read_all, Dialect, Key, NodeReply, Watched};
@@ -133,7 +133,12 @@
         let Some(node) = self.nodes.get_mut(&key) else { return };
         while !matches!(node.conn.state(), NodeState::Connecting(_)) && !node.conn.output().is_empty() {
             match (&*node.link.socket).write(node.conn.output()) {
-                Ok(count) if count > 0 => node.conn.wrote(count, now),
+                Ok(count) if count > 0 => {
+                    let whole = node.conn.wrote(count, now);
+                    if let Some((id, query)) = whole.and_then(|id| Some((id, self.placed.get(&id)?.1))) {
+                        self.trail.wrote(query, id.number, now);
+                    }
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 _ => return self.close_node(key, "broke while writing"),
@@ -171,16 +176,25 @@
         bytes: Vec<u8>,
         now: Ms,
         touched: &mut BTreeSet<u64>,
-    ) {
+    ) -> Option<u64> {
         let Some(key) = self.node_for(replica, now) else {
-            return self.end_call(replica, purpose, Outcome::NoRoute);
+            self.end_call(replica, purpose, Outcome::NoRoute);
+            return None;
         };
-        if let Purpose::Part(id, _) = &purpose {
-            self.placed.insert(*id, key);
-        }
         if let Some(node) = self.nodes.get_mut(&key) {
             node.conn.push(purpose, bytes, now);
             touched.insert(key);
         }
+        Some(key)
+    }
+
+    /// Reads what has come in from where the earlier attempts of a late copy are out; tells whether the part is in
+    /// by now. Its answer may have come since the loop gathered, and the copy would cross it.
+    pub(super) fn is_late(&mut self, copy: AttemptId, now: Ms) -> bool {
+        for number in 0..copy.number {
+            let earlier = self.placed.get(&AttemptId { number, ..copy }).map(|placed| placed.0);
+            earlier.into_iter().for_each(|key| self.serve_node(key, now));
+        }
+        self.inputs.iter().any(|input| matches!(input, Input::Served(id, ..) if id.part == copy.part))
     }
 }
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -193,6 +193,14 @@
         self.server.turn(now, ready);
     }
 
+    fn turned(&mut self, now: Ms) {
+        self.server.turned(now);
+    }
+
+    fn trail(&self) -> Vec<String> {
+        self.server.trail()
+    }
+
     fn end(&mut self, now: Ms) {
         self.server.end(now);
     }
