Follow placements in the coordinator, and `steppick place` on the command line

Change: `--placement FILE` (read at the start and on SIGHUP; a bad file changes nothing) gives the module weights that break ties of first sends, and names connections that are kept warm, opened one each 200 ms and to a node that refuses once in 5 s. Nodes that the list does not have, or that the placement does not name, are logged; what still fits is used. `steppick place solve|check|explain|diff` with tables, JSON, progress and exit codes, on clap, which also reads the arguments of serving. The platform's `run` does not use it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 const STALL: f64 = 4.0;
 /// Slower than its peers by this factor weighs in the choice; less is taken for chance.
 const SLOW_WEIGHED: f64 = 1.7;
+/// Weight among ties of a replica that the placement leaves out: next to none, while others are equal.
+const UNPLACED: f64 = 1e-3;
 /// Time in which the pace of an idle replica is forgotten, ms: longer than most pauses and jams of one query,
 /// and at least so many of this aggregator's mean gaps between calls to one replica.
 const PACE_AGE: Ms = 4000.0;
@@ -234,6 +236,8 @@
     heard_at: Ms,
     gap: Ms,
     started_at: Option<Ms>,
+    /// Weights of a placement, by shard and replica: they break ties of first sends.
+    favours: BTreeMap<(usize, ReplicaId), f64>,
 }
 
 impl Aggregator {
@@ -263,10 +267,16 @@
             heard_at: f64::NEG_INFINITY,
             gap: GAP_LONGEST / GAP.0,
             started_at: None,
+            favours: BTreeMap::new(),
             set: settings,
         }
     }
 
+    /// Takes in a placement that was worked out ahead, in place of an earlier one.
+    pub fn favour(&mut self, weights: BTreeMap<(usize, ReplicaId), f64>) {
+        self.favours = weights;
+    }
+
     /// Takes in all events of one tick and appends what to do, in order.
     pub fn step(&mut self, now: Ms, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
@@ -560,18 +570,27 @@
     }
 
     /// The replica for parts of one shard group: well before ill, then fewest calls out (slow ones
-    /// weigh more), then the own zone where crossing costs, then by chance.
+    /// weigh more), then the own zone where crossing costs, then by chance: weighted by a placement for first
+    /// sends.
     fn choose(&mut self, shard: usize, not: &[ReplicaId]) -> Option<ReplicaId> {
         let mut rng = self.rng.clone();
         let paces = self.holders(shard).map(|(_, r)| r.pace).filter(|pace| *pace > 0.0);
         let usual = paces.fold(self.pace, f64::min);
         let told = self.holders(shard).filter_map(|(_, r)| self.hint(r)).fold(f64::INFINITY, f64::min) + 1.0;
         let fit = self.holders(shard).filter(|(id, r)| !not.contains(id) && r.has_room());
+        let favoured = |id| self.favours.contains_key(&(shard, id));
+        let placed = not.is_empty() && self.holders(shard).any(|(id, _)| favoured(id));
         let keyed = fit.map(|(id, replica)| {
             let slow = (replica.pace / usual).max(self.hint(replica).map_or(1.0, |held| (held + 1.0) / told));
             let load = if slow > SLOW_WEIGHED { slow } else { 1.0 } * (replica.calls.len() as f64 + 1.0);
             let far = self.set.cross_zone_fee > 0.0 && replica.listed.zone != self.set.zone;
-            ((self.rank(replica), load, far, rng.random::<u64>()), id)
+            let mut tie = rng.random::<u64>() as f64;
+            if placed {
+                // The least of these is drawn in proportion to the weights (Efraimidis and Spirakis, 2006).
+                let weight = self.favours.get(&(shard, id)).copied().unwrap_or(UNPLACED);
+                tie = -(1.0 - tie / (u64::MAX as f64 + 1.0)).max(f64::MIN_POSITIVE).ln() / weight;
+            }
+            ((self.rank(replica), load, far, tie), id)
         });
         let best = keyed.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal));
         self.rng = rng;
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -32,6 +32,8 @@
     pub connections: u64,
     /// Copies not sent since the answer had come meanwhile.
     pub copies_spared: u64,
+    /// Connections opened to be kept warm.
+    pub warmed: u64,
     /// Things that must hold and did not.
     pub broken: u64,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// Takes in a placement: weights by shard and replica that break ties of first sends.
+    pub fn favour(&mut self, weights: BTreeMap<(usize, ReplicaId), f64>) {
+        self.module.favour(weights);
+    }
+
     /// An id that was never given out.
     pub fn new_id(&mut self) -> RequestId {
         self.next_id += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,7 +43,9 @@
 #![warn(missing_docs)]
 
 mod choice;
+pub mod cli;
 pub mod core;
+pub mod favours;
 mod interface;
 pub mod net;
 pub mod opensearch;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,9 +13,11 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use placement::{Favour, Placement};
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsFd;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -88,6 +90,8 @@
     pub entries: Vec<Listed>,
     /// Where the replicas listen.
     pub addrs: Vec<(ReplicaId, SocketAddr)>,
+    /// What they are called where placements are made.
+    pub names: Vec<(ReplicaId, String)>,
 }
 
 /// Where news comes from: a stream that is asked once for each connection.
@@ -173,6 +177,8 @@
     /// # Errors
     /// Tells what makes no sense; then nothing has changed.
     fn reload(&mut self, text: &str, now: Ms) -> Result<(), String>;
+    /// Takes in what a placement says of this coordinator, or that there is none any more.
+    fn favour(&mut self, favour: Option<Favour>);
     /// Begins an orderly end: what was taken is answered, and new connections are still served for a while.
     fn end(&mut self, now: Ms);
     /// Whether the orderly end is complete.
@@ -187,6 +193,10 @@
     pub name: &'static str,
     /// The file that configures it.
     pub path: String,
+    /// What this coordinator is called in placements.
+    pub coordinator: String,
+    /// The placement that it follows, if any.
+    pub placement: Option<PathBuf>,
     /// What the loop drives.
     pub served: Box<dyn Served>,
 }
@@ -200,6 +210,25 @@
             Ok(()) => tracing::info!("{}: {} taken in", self.name, self.path),
             Err(why) => tracing::warn!("{}: {} is left as it was: {why}", self.name, self.path),
         }
+        if let Err(why) = self.place() {
+            tracing::warn!("{}: the placement is left as it was: {why}", self.name);
+        }
+    }
+
+    /// Reads the placement, where there is one, and follows it.
+    ///
+    /// # Errors
+    /// Names the file and what is wrong with it; then nothing has changed.
+    pub fn place(&mut self) -> Result<(), String> {
+        let Some(path) = &self.placement else { return Ok(()) };
+        let named = |why: String| format!("{}: {why}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|error| named(error.to_string()))?;
+        let mut placement = Placement::read(&text).map_err(|fault| named(fault.to_string()))?;
+        let favour = placement.coordinators.remove(&self.coordinator);
+        let found = if favour.is_some() { "placed" } else { "not named" };
+        tracing::info!("{}: placement {}: {} is {found}", self.name, placement.version, self.coordinator);
+        self.served.favour(favour);
+        Ok(())
     }
 }
 
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -9,9 +9,11 @@
 use super::trail::Trail;
 use super::{Dialect, Gathered, Key, Loop, News, Roster, Served, Watched};
 use crate::core::{AttemptId, Core, Counters, Effect, Input};
+use crate::favours::Favours;
 use crate::interface::*;
 use crate::settings::Transport;
 use calloop::LoopHandle;
+use placement::Favour;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -146,6 +148,7 @@
     /// On which connection an attempt is, and of which query.
     placed: HashMap<AttemptId, (u64, RequestId)>,
     trail: Trail,
+    favours: Favours,
     roster: Option<Box<dyn Roster>>,
     stream: Stream,
     inputs: Vec<Input<D::Value>>,
@@ -191,6 +194,7 @@
             addrs: HashMap::new(),
             placed: HashMap::new(),
             trail: Trail::default(),
+            favours: Favours::default(),
             roster,
             stream: Stream::Down(0.0),
             inputs: Vec::new(),
@@ -263,9 +267,29 @@
         let on = news.entries.iter().filter(|entry| entry.lifecycle == Lifecycle::On).count();
         tracing::info!("{:?} list: {} replicas, {on} in service", news.kind, news.entries.len());
         self.addrs.extend(news.addrs);
+        if self.favours.listed(&news.names) && self.favours.is_placed() {
+            self.follow();
+        }
         self.inputs.push(Input::List(news.kind, news.entries));
     }
 
+    /// Puts the placement in the terms of the list as it is now.
+    fn follow(&mut self) {
+        let (weights, fit) = self.favours.resolve();
+        let (count, unlisted, unplaced) = (weights.len(), fit.unlisted.join(" "), fit.unplaced.join(" "));
+        tracing::info!(count, unlisted, unplaced, "placement followed");
+        self.core.favour(weights);
+    }
+
+    /// Opens one connection that the placement wants warm, where a node in service has none.
+    fn warm_up(&mut self, now: Ms) {
+        let (nodes, core) = (&self.nodes, &self.core);
+        let lacks = |id: ReplicaId| core.may_send_to(id) && !nodes.values().any(|node| node.replica == id);
+        if let Some(replica) = self.favours.next_warm(now, lacks) {
+            self.core.counters.warmed += u64::from(self.node_for(replica, now).is_some());
+        }
+    }
+
     /// Lets the core make one step with all that was gathered, and carries out what it says.
     fn step(&mut self, now: Ms) {
         let mut effects = Vec::new();
@@ -343,6 +367,11 @@
         Ok(())
     }
 
+    fn favour(&mut self, favour: Option<Favour>) {
+        self.favours.placed(favour);
+        self.follow();
+    }
+
     fn end(&mut self, now: Ms) {
         self.ending_since.get_or_insert(now);
     }
@@ -378,7 +407,14 @@
             ClientState::Reading => client.time_limit(crowded),
             _ => None,
         });
-        nodes.chain(lingering).chain(roster).chain(ending).chain(self.core.next_step()).min_by(f64::total_cmp)
+        let warm = self.favours.next_due();
+        nodes
+            .chain(warm)
+            .chain(lingering)
+            .chain(roster)
+            .chain(ending)
+            .chain(self.core.next_step())
+            .min_by(f64::total_cmp)
     }
 
     fn turn(&mut self, now: Ms, ready: &[(usize, Key)]) {
@@ -395,6 +431,9 @@
             self.accept(now);
         }
         self.watch_time(now);
+        if self.ending_since.is_none() {
+            self.warm_up(now);
+        }
         self.step(now);
     }
 
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -15,6 +15,7 @@
 
 #[derive(Deserialize, Debug)]
 struct File {
+    name: Option<String>,
     listen: String,
     index: String,
     service: String,
@@ -37,6 +38,7 @@
 /// The file's contents, once they make sense.
 #[derive(Debug)]
 pub struct Config {
+    name: String,
     listen: SocketAddr,
     index: String,
     service: String,
@@ -91,6 +93,7 @@
             ));
         }
         Ok(Config {
+            name: file.name.unwrap_or_else(|| "steppick".into()),
             listen: file
                 .listen
                 .parse()
@@ -107,6 +110,11 @@
         })
     }
 
+    /// What this coordinator is called in placements.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// The front that this file describes, one of so many of the process.
     ///
     /// # Errors
@@ -201,6 +209,10 @@
         self.server.trail()
     }
 
+    fn favour(&mut self, favour: Option<placement::Favour>) {
+        self.server.favour(favour);
+    }
+
     fn end(&mut self, now: Ms) {
         self.server.end(now);
     }
--- a/src/opensearch/records.rs
+++ b/src/opensearch/records.rs
@@ -130,7 +130,7 @@
             let owner = owner.to_string();
             records.iter().filter(move |(name, _)| *name == owner).map(|(_, data)| data)
         };
-        let (mut entries, mut addrs) = (Vec::new(), Vec::new());
+        let (mut entries, mut addrs, mut names) = (Vec::new(), Vec::new(), Vec::new());
         for data in of(&name(service)) {
             let Data::Ptr(instance) = data else { continue };
             let srv = of(instance).filter_map(|data| match data {
@@ -154,6 +154,7 @@
             let next = ReplicaId(self.numbers.len() as u32 + 1);
             let id = *self.numbers.entry(instance.clone()).or_insert(next);
             addrs.push((id, SocketAddr::new(ip, port)));
+            names.push((id, instance.split('.').next().unwrap_or_default().to_string()));
             entries.push(Listed {
                 id,
                 cell: cell.ok_or_else(|| format!("{instance}: TXT gives no `cell`"))?,
@@ -164,6 +165,6 @@
                 lifecycle,
             });
         }
-        Ok(News { kind: ListKind::Replace, entries, addrs })
+        Ok(News { kind: ListKind::Replace, entries, addrs, names })
     }
 }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -69,6 +69,11 @@
         })
     }
 
+    /// What this coordinator is called.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Where discovery is.
     pub fn discovery(&self) -> SocketAddr {
         self.discovery
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -46,7 +46,7 @@
 
     /// The entries of a list. One entry that can't be read hides no other: it is left out, with a warning.
     pub fn news(&mut self, kind: ListKind, list: &List) -> News {
-        let (mut entries, mut addrs) = (Vec::new(), Vec::new());
+        let (mut entries, mut addrs, mut names) = (Vec::new(), Vec::new(), Vec::new());
         for entry in &list.servers {
             let next = ReplicaId(self.names.len() as u32 + 1);
             let id = *self.names.entry(entry.id.clone()).or_insert(next);
@@ -65,6 +65,7 @@
                 continue;
             };
             addrs.push((id, addr));
+            names.push((id, entry.id.clone()));
             let started = entry.started_ms.filter(|started| *started > 0.0);
             entries.push(Listed {
                 id,
@@ -76,7 +77,7 @@
                 lifecycle,
             });
         }
-        News { kind, entries, addrs }
+        News { kind, entries, addrs, names }
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -352,6 +352,45 @@
     site.program.line("Update list: 1 replicas, 0 in service");
 }
 
+#[test]
+fn a_placement_keeps_connections_warm_and_is_read_anew_while_a_bad_one_changes_nothing() {
+    let folder = Folder::new("placed");
+    let nodes = [node(), node()];
+    let (discovery, _tell, _asked) = discovery();
+    let servers = format!("{},{}", entry(&nodes, 0, "in_service"), entry(&nodes, 1, "in_service"));
+    let config = folder.write("config.json", &config("127.0.0.1:0", discovery, &servers));
+    let placement = |version: u64, warm: &str| {
+        format!(
+            "{{\"format\":1,\"version\":{version},\"coordinators\":{{\"n0\":{{\"warm\":[{warm}],\
+             \"books\":{{\"0\":{{\"s-0\":0.5,\"s-9\":0.5}}}}}}}}}}"
+        )
+    };
+    let file = folder.write("placement.json", &placement(1, "\"s-1\""));
+    let program = Program::start(&["--placement", file.to_str().expect("UTF-8")], Some(&config));
+    assert!(program.line("placement 1").contains("n0 is placed"));
+    assert!(program.line("placement followed").contains("unlisted=\"s-9\""));
+    let connections = |n: usize| nodes[n].connections.load(Ordering::SeqCst);
+    let wait = |n: usize| {
+        while connections(n) == 0 {
+            std::thread::sleep(std::time::Duration::from_millis(10));
+        }
+    };
+    wait(1);
+    assert_eq!(connections(0), 0, "only what the placement names is kept warm");
+    folder.write("placement.json", "{\"format\":1,\"version\":2,");
+    program.signal("HUP");
+    assert!(program.line("the placement is left as it was").contains("placement.json: line 1"));
+    folder.write("placement.json", &placement(3, "\"s-0\",\"s-1\""));
+    program.signal("HUP");
+    program.line("placement 3");
+    wait(0);
+    // At the start there is nothing that could go on.
+    folder.write("placement.json", &placement(4, "7"));
+    let mut other = Program::start(&["--placement", file.to_str().expect("UTF-8")], Some(&config));
+    assert!(other.line("steppick: ").contains("placement.json"));
+    assert_eq!(other.ends(), Some(1));
+}
+
 #[test]
 fn an_orderly_end_answers_what_was_taken() {
     let mut site = Site::new("end");
