After a short gap without news, count silence up to its beginning for 5 ms

Cause: the floor of `GAP` at 12 ms also reset the time since which silence counts, several times a second in busy traffic, so parts that a replica had lost were found late.

Change: `GAP` is back at 50 ms. The clock of silence is not reset. Beside it, what a placement breaks is told by names in place of indexes.

--- a/crates/placement/src/conflict.rs
+++ b/crates/placement/src/conflict.rs
@@ -118,14 +118,7 @@
     let named: Vec<String> = books.iter().map(|book| instance.books[*book].number.to_string()).collect();
     let which = format!("{} {}", if books.len() == 1 { "book" } else { "books" }, list(&named));
     let (has, need) = if books.len() == 1 { ("has", "needs") } else { ("have", "need") };
-    let when: Vec<String> = cases
-        .iter()
-        .map(|case| match case {
-            Case::Normal => "with nothing lost".to_string(),
-            Case::SiteLost(site) => format!("when {} is lost", instance.sites[*site].name),
-            Case::NodeLost(node) => format!("when {} is lost", instance.nodes[*node].name),
-        })
-        .collect();
+    let when: Vec<String> = cases.iter().map(|case| case.words(instance)).collect();
     let when = list(&when);
     let rule = cases.first().and_then(|case| model.cases.iter().find(|rule| rule.case == *case));
     let Some(rule) = rule else { return format!("{which} can't be placed") };
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -30,10 +30,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Stuck {
     /// The placement in force breaks a constraint by itself.
-    #[error("the placement in force does not keep the constraints: {0}")]
+    #[error("the placement in force does not fit {0}")]
     Before(String),
     /// So does the new one.
-    #[error("the new placement does not keep the constraints: {0}")]
+    #[error("the new placement does not fit {0}")]
     After(String),
     /// Room for these is only made by closing what is still needed.
     #[error("no room for {0} connections without closing one that is still needed")]
@@ -55,10 +55,10 @@
     let model = Model::new(instance);
     let mut order = Vec::new();
     if let Some(case) = model.failing(&from.0, &mut order) {
-        return Err(Stuck::Before(format!("{case:?}")));
+        return Err(Stuck::Before(case.words(instance)));
     }
     if let Some(case) = model.failing(&to.0, &mut order) {
-        return Err(Stuck::After(format!("{case:?}")));
+        return Err(Stuck::After(case.words(instance)));
     }
     let mut now = from.clone();
     let mut steps = Vec::new();
--- a/crates/placement/src/rules.rs
+++ b/crates/placement/src/rules.rs
@@ -40,6 +40,17 @@
     NodeLost(usize),
 }
 
+impl Case {
+    /// The same for an operator.
+    pub fn words(&self, instance: &Instance) -> String {
+        match self {
+            Case::Normal => "with nothing lost".into(),
+            Case::SiteLost(site) => format!("when {} is lost", instance.sites[*site].name),
+            Case::NodeLost(node) => format!("when {} is lost", instance.nodes[*node].name),
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(crate) struct CaseRule {
     pub case: Case,
--- a/crates/placement/src/solve.rs
+++ b/crates/placement/src/solve.rs
@@ -399,60 +399,58 @@
     Solution { links: Links(links), weights, load, cost, proof, looks }
 }
 
-/// What a placement breaks.
-#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+/// What a placement breaks; indexes are those of the instance.
+#[derive(Debug, Clone, PartialEq)]
 pub enum Broken {
-    /// A weight where the book is not held, or no connection is kept.
-    #[error("coordinator {coordinator}, book {book}: node {node} does not hold it or is not connected")]
-    Elsewhere {
-        /// Index of the coordinator.
-        coordinator: usize,
-        /// Index of the book.
-        book: usize,
-        /// Index of the node.
-        node: usize,
-    },
-    /// The weights of a book do not sum to 1.
-    #[error("coordinator {coordinator}, book {book}: the weights sum to {sum}")]
-    Sum {
-        /// Index of the coordinator.
-        coordinator: usize,
-        /// Index of the book.
-        book: usize,
-        /// What they sum to.
-        sum: f64,
-    },
-    /// More work than a node may be planned for.
-    #[error("node {node}: {load:.1} ms/s, {room:.1} may be planned")]
-    Overload {
-        /// Index of the node.
-        node: usize,
-        /// Its work.
-        load: f64,
-        /// What may be planned.
-        room: f64,
-    },
-    /// More coordinators than a node bears.
-    #[error("node {node}: {count} connections")]
-    Connections {
-        /// Index of the node.
-        node: usize,
-        /// How many.
-        count: usize,
-    },
-    /// More nodes than a coordinator has descriptors for.
-    #[error("coordinator {coordinator}: {count} descriptors")]
-    Descriptors {
-        /// Index of the coordinator.
-        coordinator: usize,
-        /// How many.
-        count: usize,
-    },
-    /// What is left does not do when something is lost.
-    #[error("{0:?}: what is left can't take the demand over the connections that are kept")]
+    /// A weight where the book is not held, or no connection is kept: coordinator, book and node.
+    Elsewhere(usize, usize, usize),
+    /// The weights of a coordinator on a book sum to this in place of 1.
+    Sum(usize, usize, f64),
+    /// Work of a node, and what may be planned for it, ms a second.
+    Overload(usize, f64, f64),
+    /// More coordinators than a node bears, so many.
+    Connections(usize, usize),
+    /// More nodes than a coordinator has descriptors for, so many.
+    Descriptors(usize, usize),
+    /// What is left does not do in this case.
     Lost(Case),
 }
 
+impl Broken {
+    /// The same for an operator, by names.
+    pub fn words(&self, instance: &Instance) -> String {
+        let coordinator = |c: &usize| &instance.coordinators[*c].name;
+        let node = |n: &usize| &instance.nodes[*n].name;
+        let book = |b: &usize| instance.books[*b].number;
+        match self {
+            Broken::Elsewhere(c, b, n) => {
+                let (c, b, n) = (coordinator(c), book(b), node(n));
+                format!("{c}, book {b}: {n} does not hold it, or {c} keeps no connection to {n}")
+            }
+            Broken::Sum(c, b, sum) => {
+                format!("{}, book {}: the weights sum to {sum:.3}", coordinator(c), book(b))
+            }
+            Broken::Overload(n, load, room) => {
+                format!("{}: {load:.0} ms/s, of which {room:.0} may be planned", node(n))
+            }
+            Broken::Connections(n, count) => {
+                let most = instance.nodes[*n].connections;
+                format!("{}: {count} coordinators connect, it takes {most}", node(n))
+            }
+            Broken::Descriptors(c, count) => {
+                let most = instance.coordinators[*c].descriptors;
+                format!("{}: {count} connections, it has descriptors for {most}", coordinator(c))
+            }
+            Broken::Lost(case) => {
+                format!(
+                    "{}, the demand does not fit over the connections that are kept",
+                    case.words(instance)
+                )
+            }
+        }
+    }
+}
+
 /// Checks a placement against all constraints, whoever made it.
 pub fn check(instance: &Instance, links: &Links, weights: &[Vec<Vec<Weight>>]) -> Vec<Broken> {
     let model = Model::new(instance);
@@ -465,28 +463,28 @@
             for Weight { node, share } in each {
                 load[*node] += asked * share;
                 if *share > 0.0 && (model.replicas[book] & links.0[coordinator]) >> node & 1 == 0 {
-                    broken.push(Broken::Elsewhere { coordinator, book, node: *node });
+                    broken.push(Broken::Elsewhere(coordinator, book, *node));
                 }
             }
             let sum: f64 = each.iter().map(|weight| weight.share).sum();
             if asked > 0.0 && (sum - 1.0).abs() > 1e-6 {
-                broken.push(Broken::Sum { coordinator, book, sum });
+                broken.push(Broken::Sum(coordinator, book, sum));
             }
         }
     }
     for (node, (load, room)) in load.iter().zip(&model.room).enumerate() {
         if *load > room * (1.0 + 1e-6) + 1e-6 {
-            broken.push(Broken::Overload { node, load: *load, room: *room });
+            broken.push(Broken::Overload(node, *load, *room));
         }
         let count = links.at(node);
         if count > model.at_node[node] {
-            broken.push(Broken::Connections { node, count });
+            broken.push(Broken::Connections(node, count));
         }
     }
     for (coordinator, set) in links.0.iter().enumerate() {
         let count = set.count_ones() as usize;
         if count > model.at_coordinator[coordinator] {
-            broken.push(Broken::Descriptors { coordinator, count });
+            broken.push(Broken::Descriptors(coordinator, count));
         }
     }
     for rule in &model.cases {
--- a/crates/placement/tests/hard_cases.rs
+++ b/crates/placement/tests/hard_cases.rs
@@ -64,6 +64,8 @@
     assert!(thin.cost.connections < found.cost.connections, "survival costs connections");
     let broken = check(&instance, &thin.links, &thin.weights);
     assert!(broken.iter().any(|broken| matches!(broken, Broken::Lost(_))), "{broken:?}");
+    let words: Vec<String> = broken.iter().map(|broken| broken.words(&instance)).collect();
+    assert!(words.iter().any(|words| words.contains("is lost, the demand does not fit")), "{words:?}");
 }
 
 #[test]
@@ -174,7 +176,7 @@
         };
         plans += usize::from(!steps.is_empty());
         for step in &steps {
-            let lost = |broken: &Broken| !matches!(broken, Broken::Elsewhere { .. } | Broken::Sum { .. });
+            let lost = |broken: &Broken| !matches!(broken, Broken::Elsewhere(..) | Broken::Sum(..));
             assert!(!check(&instance, &step.links, &[]).iter().any(lost), "seed {seed}: {step:?}");
             for n in 0..instance.nodes.len() {
                 let opened = step.open.iter().filter(|change| change.node == n).count();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,7 +77,10 @@
 const SLEPT: Ms = 150.0;
 /// A time without news of any replica blames none: what it hides counts as over after so many usual gaps
 /// between news and this many ms at least; what it shows is believed after the last of these, ms.
-const GAP: (f64, Ms) = (8.0, 12.0);
+const GAP: (f64, Ms) = (8.0, 50.0);
+/// After a shorter gap, of this many ms and as many usual gaps, what it held up is on its way for so long:
+/// until then silence counts up to the gap's beginning only.
+const SHORT_GAP: (Ms, Ms) = (12.0, 5.0);
 const GAP_LONGEST: Ms = 200.0;
 /// Mean pause before subscribing again, ms, spread by chance: the list service is shared.
 const RESUBSCRIBE: Ms = 400.0;
@@ -235,6 +238,8 @@
     /// When any replica was last heard of, and the mean gap between such news while something was out.
     heard_at: Ms,
     gap: Ms,
+    /// The last short gap: when it began, and until when its answers are on their way.
+    settling: (Ms, Ms),
     started_at: Option<Ms>,
     /// Weights of a placement, by shard and replica: they break ties of first sends.
     favours: BTreeMap<(usize, ReplicaId), f64>,
@@ -266,6 +271,7 @@
             awake_at: f64::NEG_INFINITY,
             heard_at: f64::NEG_INFINITY,
             gap: GAP_LONGEST / GAP.0,
+            settling: (0.0, f64::NEG_INFINITY),
             started_at: None,
             favours: BTreeMap::new(),
             set: settings,
@@ -396,13 +402,20 @@
         let gap = self.now - std::mem::replace(&mut self.heard_at, self.now);
         if gap > GAP.1.max(GAP.0 * self.gap) {
             self.awake_at = self.now;
+        } else if gap > SHORT_GAP.0.max(GAP.0 * self.gap) {
+            self.settling = (self.now - gap, self.now + SHORT_GAP.1);
         }
         self.gap += LEARN * (gap.min(GAP_LONGEST) - self.gap);
     }
 
     /// Until when silence tells of the replica that is silent: while all are, the cause is not there.
     fn seen_until(&self) -> Ms {
-        self.heard_at.max(self.now - GAP_LONGEST)
+        let (before, until) = self.settling;
+        if self.now < until {
+            before
+        } else {
+            self.heard_at.max(self.now - GAP_LONGEST)
+        }
     }
 
     fn service_of(&self, class: usize) -> Ms {
--- a/src/cli/place.rs
+++ b/src/cli/place.rs
@@ -95,7 +95,7 @@
                 .indexed(&instance)
                 .map_err(|fault| Failed(exit::FILE, format!("{}: {fault}", placement.display())))?;
             let broken = check(&instance, &links, &weights);
-            let lines: Vec<String> = broken.iter().map(ToString::to_string).collect();
+            let lines: Vec<String> = broken.iter().map(|broken| broken.words(&instance)).collect();
             match (lines.is_empty(), place.json) {
                 (true, false) => Ok("all constraints are kept".into()),
                 (true, true) => Ok("[]".into()),
