--- a/examples/placement_effect.rs
+++ b/examples/placement_effect.rs
@@ -100,6 +100,7 @@
         fall_multiple: 2.5,
         overload_time: 1000.0,
         cross_zone_fee: 1.0,
+        probe_fee: 0.0,
         budget: None,
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -59,9 +59,10 @@
 const THIN: (f64, f64) = (0.15, 0.4);
 /// Share of the way from the floor to a whole answer that is always asked for: room for parts that fail.
 const THIN_MARGIN: f64 = 0.4;
-/// Probes per part at most, and how many may be saved up: their price stays near nothing.
+/// Probes per part at most, how many may be saved up, and what all of them may cost, in worth: near nothing.
 const PROBE_SHARE: f64 = 1.0;
 const PROBE_BURST: f64 = 64.0;
+const PROBE_COST: f64 = 0.0075;
 /// Pace of a replica with nothing to do.
 const UNLOADED: f64 = 0.5;
 /// Time that a query waits for the answers to its probes, ms: a round trip and some steps.
@@ -211,6 +212,11 @@
     try_time: Ms,
 }
 
+/// The share of the usual probes that their price leaves.
+fn probe_share(set: &Settings) -> f64 {
+    PROBE_COST / set.probe_fee.max(PROBE_COST)
+}
+
 /// The decisions of one aggregator.
 pub struct Aggregator {
     set: Settings,
@@ -260,7 +266,7 @@
             learned: settings.classes.iter().map(learned).collect(),
             pace: 1.0,
             twins_left: 0.0,
-            probes_left: PROBE_BURST,
+            probes_left: PROBE_BURST * probe_share(&settings),
             copies_left: 0.0,
             taken: VecDeque::new(),
             extra: VecDeque::new(),
@@ -320,7 +326,8 @@
                     query.parts.push(Part { id, shard, weight, step, ..Part::default() });
                 }
                 self.taken.push_back(self.now);
-                self.probes_left = (self.probes_left + PROBE_SHARE).min(PROBE_BURST);
+                let share = probe_share(&self.set);
+                self.probes_left = (self.probes_left + PROBE_SHARE * share).min(PROBE_BURST * share);
             }
             Event::Probed { replica, outcome, report } => self.take_report(*replica, *outcome, report),
             Event::Woken => {}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,6 +105,8 @@
     pub overload_time: Ms,
     /// Price of crossing zones, in worth per part.
     pub cross_zone_fee: f64,
+    /// Price of probes, in worth for one probe a part.
+    pub probe_fee: f64,
     /// The told budget of further attempts, where there is one.
     pub budget: Option<Budget>,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -103,6 +103,7 @@
     /// # Errors
     /// Names the field that makes no sense.
     pub fn settings(&self) -> Result<Settings, String> {
+        let fee = |name: &str| self.fees.as_ref().and_then(|fees| fees.get(name)).copied().unwrap_or(0.0);
         let mut classes = Vec::new();
         for (n, class) in self.classes.iter().enumerate() {
             let short = |field: &str| format!("field `domain.{field}` has no value for class {n}");
@@ -155,12 +156,8 @@
             cold_time: rules.cold_ms,
             fall_multiple: rules.fall_multiple,
             overload_time: rules.overload_for_ms,
-            cross_zone_fee: self
-                .fees
-                .as_ref()
-                .and_then(|fees| fees.get("cross_zone"))
-                .copied()
-                .unwrap_or(0.0),
+            cross_zone_fee: fee("cross_zone"),
+            probe_fee: fee("probe"),
             budget,
         })
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
         fall_multiple: 3.0,
         overload_time: 1500.0,
         cross_zone_fee: 0.0,
+        probe_fee: 0.0,
         budget: None,
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -351,6 +351,24 @@
     assert!(!actions.contains(&Action::Probe { replica: ReplicaId(1) }) || sends(&actions).is_empty());
 }
 
+#[test]
+fn dear_probes_are_few() {
+    // A hundred coordinators that each meet a replica seldom hold every report for stale: at a price ten times the
+    // usual one they paid seven points in a hundred for one probe a part.
+    for (probe_fee, most) in [(0.0075, 200), (0.075, 26)] {
+        let (mut world, _) = World::new(Settings { probe_fee, ..probing() }, two());
+        let mut asked = 0;
+        for _ in 0..100 {
+            world.now += 5000.0;
+            let (_, part, actions) = world.ask();
+            asked += actions.iter().filter(|action| matches!(action, Action::Probe { .. })).count();
+            world.pass_time(20.0);
+            world.done(part, 0, Outcome::Pass, 20.0);
+        }
+        assert!(asked * 2 > most && asked <= most, "{asked} probes at a price of {probe_fee}");
+    }
+}
+
 #[test]
 fn probes_without_an_answer_hold_no_query_up() {
     let (mut world, _) = World::new(probing(), two());
