A debug line for each final answer and STEPPICK_LOG, to count a fleet's logs

Change: STEPPICK_LOG picks the log level (info by default; a bad value stops the start with one line). At debug the core writes one line for each final answer: query, class, how it ended (whole, partial, refused, refused_full, failed, overdue), step, time taken and left, parts, arrived, unsent, out, attempts sent and how they ended; and one line when a first step is done. At trace, each attempt (replica, outcome, time) and each list entry. The settings as told are a debug line at start. Test: a report query at debug has its line; STEPPICK_LOG=loud exits 1.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -127,13 +127,18 @@
 const LEARN: f64 = 0.05;
 /// Slack when shares of weight are summed.
 const WEIGHT_SLACK: f64 = 1e-4;
+/// Kinds of [`Outcome`].
+const OUTCOMES: usize = 8;
 
 struct Query {
     number: u64,
     class: usize,
+    taken_at: Ms,
     expires_at: Ms,
     parts: Vec<RequestId>,
     second: Option<Second>,
+    /// How its attempts ended, by [`Outcome`]: for the trace of its final answer.
+    outcomes: [u16; OUTCOMES],
 }
 
 struct Part<V> {
@@ -183,6 +188,7 @@
 impl<V: Clone> Core<V> {
     /// A fresh core; all chance comes from `seed`.
     pub fn new(set: Settings, limits: Transport, seed: u64) -> Self {
+        tracing::debug!(?set, ?limits, "settings");
         Core {
             module: Aggregator::new(set.clone(), seed),
             set,
@@ -305,6 +311,8 @@
             }
         }
         for entry in entries {
+            let (id, cell, born, lifecycle) = (entry.id.0, entry.cell, entry.born, entry.lifecycle);
+            tracing::trace!(id, cell, ?born, ?lifecycle, now, "listed");
             let known = self.replicas.entry(entry.id).or_insert(Known { cell: entry.cell, off: None });
             known.cell = entry.cell;
             if entry.lifecycle == Lifecycle::On {
@@ -327,6 +335,7 @@
         if self.queries.len() + self.parts.len() >= self.limits.max_open {
             self.counters.refused += 1;
             self.counters.refused_full += 1;
+            tracing::debug!(query = id.0, class = ask.class, how = "refused_full", "final answer");
             effects.push(Effect::Refuse(id, self.set.may_advise.then_some(self.set.advice_limit)));
             return;
         }
@@ -343,7 +352,9 @@
         for (shard, weight) in ask.parts {
             parts.push(self.add_part(id, number, shard, weight, 0, events));
         }
-        let query = Query { number, class: ask.class, expires_at: ask.expires_at, parts, second: None };
+        let (class, taken_at, expires_at) = (ask.class, self.now, ask.expires_at);
+        let query =
+            Query { number, class, taken_at, expires_at, parts, second: None, outcomes: [0; OUTCOMES] };
         self.queries.insert(id, query);
     }
 
@@ -383,8 +394,27 @@
                 let first = part.may_have_run.get_or_insert(attempt.sent_at);
                 *first = first.min(attempt.sent_at);
             }
+            if let Some(query) = self.queries.get_mut(&part.query) {
+                let count = &mut query.outcomes[outcome as usize];
+                *count = count.saturating_add(1);
+            }
         }
         let elapsed = self.now - attempt.sent_at;
+        if tracing::enabled!(tracing::Level::TRACE) {
+            let part = self.parts.get(&id.part);
+            let class = part.and_then(|part| self.queries.get(&part.query)).map(|query| query.class);
+            let (replica, step) = (attempt.replica.0, part.map(|part| part.step));
+            tracing::trace!(
+                part = id.part.0,
+                number = id.number,
+                replica,
+                ?class,
+                ?step,
+                ?outcome,
+                elapsed,
+                "attempt"
+            );
+        }
         if outcome == Outcome::Pass {
             self.answer_time += LEARN * (elapsed - self.answer_time);
         }
@@ -415,6 +445,7 @@
         let overdue: Vec<RequestId> =
             self.queries.iter().filter(|(_, q)| q.expires_at <= self.now).map(|(id, _)| *id).collect();
         for id in overdue {
+            self.trace_final(id, "overdue");
             self.close(id);
             self.pending.push(Event::Withdrawn { id });
             self.counters.failed += 1;
@@ -440,6 +471,7 @@
                 let safe = self.set.classes[held.class].effect == Repeats::Safe
                     || held.parts.iter().all(|part| !self.ran(*part));
                 let harmless = crate::must_hold!(self.counters, safe, "a refusal must be harmless");
+                self.trace_final(query, if harmless { "refused" } else { "failed" });
                 self.close(query);
                 if harmless {
                     self.counters.refused += 1;
@@ -451,6 +483,7 @@
                 }
             }
             Action::Fail { query, retry_after } => {
+                self.trace_final(query, "failed");
                 let Some(held) = self.close(query) else { return };
                 self.counters.failed += 1;
                 let late = held.expires_at - self.now < 50.0;
@@ -560,6 +593,7 @@
         let enough = !values.is_empty() && weight + WEIGHT_SLACK >= floor;
         let is_whole = first_whole && weight + WEIGHT_SLACK >= need;
         if !crate::must_hold!(self.counters, enough, "an answer needs its class's least share") {
+            self.trace_final(id, "failed");
             self.close(id);
             self.counters.failed += 1;
             self.pending.push(Event::Withdrawn { id });
@@ -572,12 +606,53 @@
             self.begin_second_step(id, whole, fetch, values);
             return;
         }
+        self.trace_final(id, if whole { "whole" } else { "partial" });
         self.close(id);
         self.counters.answered += 1;
         self.counters.whole += u64::from(whole);
         effects.push(Effect::Answer(id, whole, values.into_iter().map(|(shard, _, v)| (shard, v)).collect()));
     }
 
+    /// One debug line for each final answer, with what the query met on its way: the fleet's logs are
+    /// counted from these when a class is served less than it should be.
+    fn trace_final(&self, id: RequestId, how: &str) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let Some(query) = self.queries.get(&id) else { return };
+        let parts = query.parts.iter().filter_map(|part| self.parts.get(part));
+        let (mut sent, mut arrived, mut count, mut unsent, mut out) = (0, 0, 0, 0, 0);
+        for part in parts.filter(|part| part.step == usize::from(query.second.is_some())) {
+            (sent, count) = (sent + part.tries, count + 1);
+            arrived += usize::from(part.value.is_some());
+            unsent += usize::from(part.tries == 0);
+            out += usize::from(part.value.is_none() && !part.out.is_empty());
+        }
+        let [pass, fault, no_room, too_slow, no_route, cut, cancelled, not_sent] = query.outcomes;
+        tracing::debug!(
+            query = id.0,
+            class = query.class,
+            how,
+            step = usize::from(query.second.is_some()),
+            took = self.now - query.taken_at,
+            left = query.expires_at - self.now,
+            parts = count,
+            arrived,
+            unsent,
+            out,
+            sent,
+            pass,
+            fault,
+            no_room,
+            too_slow,
+            no_route,
+            cut,
+            cancelled,
+            not_sent,
+            "final answer"
+        );
+    }
+
     /// The parts of the second step go to the shards with the highest scores among those that are in.
     fn begin_second_step(&mut self, id: RequestId, whole: bool, fetch: usize, values: Vec<(usize, i64, V)>) {
         let mut from: Vec<usize> = values.iter().map(|value| value.0).collect();
@@ -594,6 +669,8 @@
         }
         self.pending.extend(events);
         if let Some(query) = self.queries.get_mut(&id) {
+            let (took, left) = (self.now - query.taken_at, query.expires_at - self.now);
+            tracing::debug!(query = id.0, class = query.class, took, left, whole, "first step done");
             query.parts.extend(parts);
             query.second = Some(Second { from, whole });
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -63,7 +63,17 @@
             }
         };
     }
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time().init();
+    // `STEPPICK_LOG=debug` adds a line for each final answer; the default is `info`.
+    let level = match std::env::var("STEPPICK_LOG").ok().map(|text| text.parse::<tracing::Level>()) {
+        None => tracing::Level::INFO,
+        Some(Ok(level)) => level,
+        Some(Err(_)) => {
+            eprintln!("steppick: STEPPICK_LOG: not a level (error, warn, info, debug or trace)");
+            return ExitCode::FAILURE;
+        }
+    };
+    let logs = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).without_time();
+    logs.with_max_level(level).init();
     match serve(cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -126,12 +126,16 @@
 
 impl Site {
     fn new(name: &str) -> Site {
+        Site::logged(name, None)
+    }
+
+    fn logged(name: &str, level: Option<&str>) -> Site {
         let folder = Folder::new(name);
         let nodes = [node(), node()];
         let (discovery, tell, asked) = discovery();
         let servers = format!("{},{}", entry(&nodes, 0, "in_service"), entry(&nodes, 1, "in_service"));
         let path = folder.write("config.json", &config("127.0.0.1:0", discovery, &servers));
-        let program = Program::start(&[], Some(&path));
+        let program = Program::start_with(&[], Some(&path), level);
         let address = program.address();
         Site { folder, nodes, program, address, tell, asked }
     }
@@ -180,6 +184,22 @@
     );
 }
 
+#[test]
+fn at_debug_level_each_final_answer_has_a_line_with_what_its_query_met() {
+    let site = Site::logged("debug", Some("debug"));
+    assert_eq!(site.ask("report", 1, &[0, 1, 2]).0, 200);
+    let line = site.program.line("final answer");
+    for field in ["query=", "class=2", "how=\"whole\"", "step=1", "parts=2", "arrived=2", "pass="] {
+        assert!(line.contains(field), "{field} in {line}");
+    }
+    let folder = Folder::new("level");
+    let path =
+        folder.write("config.json", &config("127.0.0.1:0", "127.0.0.1:1".parse().expect("an address"), ""));
+    let mut program = Program::start_with(&[], Some(&path), Some("loud"));
+    assert!(program.line("steppick: ").contains("STEPPICK_LOG"));
+    assert_eq!(program.ends(), Some(1));
+}
+
 #[test]
 fn bad_input_gets_its_status_and_no_node_hears_of_it() {
     let site = Site::new("bad");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -99,8 +99,16 @@
 
 impl Program {
     pub fn start(arguments: &[&str], config: Option<&PathBuf>) -> Program {
+        Program::start_with(arguments, config, None)
+    }
+
+    /// The same with `STEPPICK_LOG` set to `level`.
+    pub fn start_with(arguments: &[&str], config: Option<&PathBuf>, level: Option<&str>) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_steppick"));
-        command.args(arguments).env_remove("LB_CONFIG").stderr(Stdio::piped());
+        command.args(arguments).env_remove("LB_CONFIG").env_remove("STEPPICK_LOG").stderr(Stdio::piped());
+        if let Some(level) = level {
+            command.env("STEPPICK_LOG", level);
+        }
         if let Some(path) = config {
             command.env("LB_CONFIG", path);
         }
