Charge a cold node's credit by each part's stated work, not by a lone answer's time

The credit was charged `learned.service` a part (src/choice.rs, send): the time of an answer when this coordinator had nothing else out, which at 300 coordinators holds everybody else's queue. Measured: eod-report learned 69 to 135 ms (median 103), while its answers' 5th percentile was 45 ms and the requests' own cost hints said 20 to 80 ms. So each cold node was given about half of what the rule lets all coordinators send.

Change: the platform's `cost` (µs) and the wire's `effort_ms` reach the module as `Event::Part { work }`; a part takes its stated work from the credit, the learned time only where none is stated. The fronts pass it, the OpenSearch front has none.

--- a/examples/placement_effect.rs
+++ b/examples/placement_effect.rs
@@ -183,7 +183,8 @@
             let id = cores[c].new_id();
             let from = rng.random_range(0..NODES);
             let parts = (0..PARTS).map(|p| ((from + p) % NODES, 1.0 / PARTS as f64)).collect();
-            let query = NewQuery { class: 0, expires_at: now + 7500.0, retry: false, parts };
+            let query =
+                NewQuery { class: 0, expires_at: now + 7500.0, retry: false, parts, work: Vec::new() };
             inputs[c].push(Input::Query(id, query));
             asked.insert((c, id), now);
             next += -(1.0 - rng.random::<f64>()).ln() / RATE * 1000.0;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -112,6 +112,8 @@
     /// Held back: the answer is whole without it.
     spare: bool,
     not_before: Ms,
+    /// Its work as the request states it: what it takes of a cold replica's credit.
+    work: Option<Ms>,
 }
 
 impl Part {
@@ -320,11 +322,11 @@
             Event::Query { id, class, number, parts, expires_in, .. } => {
                 self.take_query(*id, *class, *number, *parts, *expires_in)
             }
-            Event::Part { id, number, shard, weight } => {
+            Event::Part { id, number, shard, weight, work } => {
                 if let Some(query) = self.queries.get_mut(number) {
                     self.owners.insert(*id, (*number, query.parts.len()));
-                    let (id, shard, weight, step) = (*id, *shard, *weight, query.step);
-                    query.parts.push(Part { id, shard, weight, step, ..Part::default() });
+                    let (id, shard, weight, step, work) = (*id, *shard, *weight, query.step, *work);
+                    query.parts.push(Part { id, shard, weight, step, work, ..Part::default() });
                 }
                 self.further.earn(self.now);
                 let share = self.set.probe_share(PROBES.1);
@@ -405,10 +407,6 @@
 
     // ---- Outcomes and health ----------------------------------------------------------------------------
 
-    fn service_of(&self, class: usize) -> Ms {
-        self.learned[class].service
-    }
-
     fn ended(&mut self, of: (RequestId, usize), outcome: Outcome, elapsed: Ms, actions: &mut Vec<Action>) {
         let (id, number) = of;
         let Some(flight) = self.flights.remove(&of) else { return };
@@ -419,7 +417,7 @@
             let learn = if elapsed < *known { SERVICE_LEARN.0 } else { SERVICE_LEARN.1 };
             *known += learn * (elapsed - *known);
         }
-        let service = self.service_of(flight.class);
+        let service = self.learned[flight.class].service;
         match outcome {
             Outcome::Pass => self.strain.learn((elapsed / service).min(2.0 * FULL_PACE)),
             Outcome::NoRoom => self.strain.learn(FULL_PACE),
@@ -565,7 +563,7 @@
 
     /// The most that one part alone can cost a replica.
     fn grain(&self) -> Ms {
-        let most = (0..self.learned.len()).map(|class| self.service_of(class)).fold(0.0, f64::max);
+        let most = (0..self.learned.len()).map(|class| self.learned[class].service).fold(0.0, f64::max);
         most + self.set.call_cost
     }
 
@@ -636,11 +634,11 @@
         let pace = if replica.pace.mean > 0.0 { replica.pace.mean } else { self.pace };
         let told = UNLOADED * (self.hint(replica).unwrap_or(0.0) + (parts + 1) as f64);
         let wait = (replica.full.0 - self.now).max(0.0);
-        wait + self.service_of(class) * told.max(pace * (replica.out + parts + 1) as f64)
+        wait + self.learned[class].service * told.max(pace * (replica.out + parts + 1) as f64)
     }
 
     fn send(&mut self, query: &mut Query, index: usize, to: ReplicaId, actions: &mut Vec<Action>) {
-        let (service, now) = (self.service_of(query.class), self.now);
+        let (service, now) = (self.learned[query.class].service, self.now);
         let of_use = self.set.classes[query.class].late_share > 0.0;
         let stop_at = if of_use { query.expires_at } else { query.expires_at.min(query.aim_at) };
         let part = &mut query.parts[index];
@@ -657,7 +655,8 @@
             self.next_call += 1;
             replica.calls.insert(replica.joined.0, Call { sent_at: now, stall: STALL * usual, left: 1 });
         }
-        replica.credit -= service;
+        // Its own work where the request tells it: the learned time of a lone part holds others' queues too.
+        replica.credit -= part.work.unwrap_or(service);
         replica.trial_at = replica.trial_at.max(now + self.trial_gap * self.rng.random_range(0.5..1.5));
         let number = part.attempts.len();
         if number > 0 {
@@ -773,7 +772,7 @@
                 groups.entry((cell, if shared { 0 } else { index })).or_default().push(index);
             }
         }
-        let enough = (self.set.call_cost / (CALL_SHARE * self.service_of(query.class))).ceil() as usize;
+        let enough = (self.set.call_cost / (CALL_SHARE * self.learned[query.class].service)).ceil() as usize;
         let most = enough.min(self.set.parts_a_call).max(1);
         groups.into_values().flat_map(|g| g.chunks(most).map(<[usize]>::to_vec).collect::<Vec<_>>()).collect()
     }
@@ -823,8 +822,8 @@
     /// Worth of a class for each unit of its work, over that of the best class.
     fn merit(&self, class: usize) -> f64 {
         let each = |c: usize| {
-            let work =
-                if self.set.worth_by_work { 1.0 } else { self.learned[c].size.max(1.0) * self.service_of(c) };
+            let learned = &self.learned[c];
+            let work = if self.set.worth_by_work { 1.0 } else { learned.size.max(1.0) * learned.service };
             self.set.classes[c].worth / work
         };
         let best =
@@ -836,7 +835,7 @@
     fn second_step(&self, class: usize) -> Ms {
         match (self.set.classes[class].fetch, self.learned[class].second) {
             (0, _) => 0.0,
-            (_, None) => 2.0 * self.service_of(class),
+            (_, None) => 2.0 * self.learned[class].service,
             (_, Some(mean)) => (1.5 * mean).min(self.set.classes[class].aim / 3.0),
         }
     }
@@ -860,7 +859,7 @@
             || self.rng.random::<f64>() * self.set.siblings as f64 * IDLE_TRIALS < 1.0;
         let idle = self.flights.is_empty() && few;
         // By chance: not all open and shut at once. The last of many parts takes longer by their logarithm.
-        let strained = self.strain() * self.service_of(query.class) * (1.0 + (groups.len() as f64).ln());
+        let strained = self.strain() * self.learned[query.class].service * (1.0 + (groups.len() as f64).ln());
         if !idle && self.rng.random::<f64>() * limit.abs() > 2.0 * limit - strained {
             return Err((strained - limit).max(0.0));
         }
@@ -944,7 +943,7 @@
     /// Ends a query without an answer: refused where a retry is surely harmless, else failed.
     fn give_up(&self, held: &Query, jam: Option<Ms>, actions: &mut Vec<Action>) {
         let (effect, query) = (self.set.classes[held.class].effect, held.id);
-        let wait = jam.unwrap_or(0.0).max(self.service_of(held.class)).min(self.set.advice_limit);
+        let wait = jam.unwrap_or(0.0).max(self.learned[held.class].service).min(self.set.advice_limit);
         let harmless = effect == Effect::Safe || !held.parts.iter().any(|p| p.unproved().is_some());
         let retry_after = (self.set.may_advise && (harmless || effect != Effect::Unsafe)).then_some(wait);
         let fail = Action::Fail { query, retry_after };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -44,6 +44,8 @@
     pub retry: bool,
     /// Shard and weight of each part.
     pub parts: Vec<(usize, f64)>,
+    /// The work of each part in ms, as the request states it, in the order of `parts`; empty where it states none.
+    pub work: Vec<Option<Ms>>,
 }
 
 /// What the core is told; `V` is the value of a part.
@@ -311,8 +313,9 @@
             }
         }
         for entry in entries {
-            let (id, cell, born, lifecycle) = (entry.id.0, entry.cell, entry.born, entry.lifecycle);
-            tracing::trace!(id, cell, ?born, ?lifecycle, now, "listed");
+            let (id, cell, size, born, lifecycle) =
+                (entry.id.0, entry.cell, entry.size, entry.born, entry.lifecycle);
+            tracing::trace!(id, cell, size, ?born, ?lifecycle, now, "listed");
             let known = self.replicas.entry(entry.id).or_insert(Known { cell: entry.cell, off: None });
             known.cell = entry.cell;
             if entry.lifecycle == Lifecycle::On {
@@ -349,8 +352,9 @@
             retry: ask.retry,
         });
         let mut parts = Vec::new();
-        for (shard, weight) in ask.parts {
-            parts.push(self.add_part(id, number, shard, weight, 0, events));
+        for (n, (shard, weight)) in ask.parts.into_iter().enumerate() {
+            let work = ask.work.get(n).copied().flatten();
+            parts.push(self.add_part(id, number, (shard, weight, work), 0, events));
         }
         let (class, taken_at, expires_at) = (ask.class, self.now, ask.expires_at);
         let query =
@@ -362,13 +366,12 @@
         &mut self,
         query: RequestId,
         number: u64,
-        shard: usize,
-        weight: f64,
+        (shard, weight, work): (usize, f64, Option<Ms>),
         step: usize,
         events: &mut Vec<Event>,
     ) -> RequestId {
         let id = self.new_id();
-        events.push(Event::Part { id, number, shard, weight });
+        events.push(Event::Part { id, number, shard, weight, work });
         let part =
             Part { query, shard, weight, step, tries: 0, may_have_run: None, out: Vec::new(), value: None };
         self.parts.insert(id, part);
@@ -665,7 +668,7 @@
         let number = self.queries[&id].number;
         let mut parts = Vec::new();
         for (_, shard) in best {
-            parts.push(self.add_part(id, number, shard, weight, 1, &mut events));
+            parts.push(self.add_part(id, number, (shard, weight, None), 1, &mut events));
         }
         self.pending.extend(events);
         if let Some(query) = self.queries.get_mut(&id) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -260,6 +260,8 @@
         shard: usize,
         /// Its share of its step's weight.
         weight: f64,
+        /// The work that the request says the part takes, where it says so: rough.
+        work: Option<Ms>,
     },
     /// A time asked for by [`Action::Wake`] has come.
     Woken,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,7 @@
 //! aggregator.step(0.0, &[
 //!     Event::List { kind: ListKind::Replace, entries: vec![replica] },
 //!     Event::Query { id: query, class: 0, number: 0, parts: 1, expires_in: 2000.0, retry: false },
-//!     Event::Part { id: part, number: 0, shard: 0, weight: 1.0 },
+//!     Event::Part { id: part, number: 0, shard: 0, weight: 1.0, work: None },
 //! ], &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { part: p, .. } if *p == part)));
 //!
--- a/src/opensearch/mod.rs
+++ b/src/opensearch/mod.rs
@@ -336,7 +336,7 @@
         let parts = shards.iter().map(|shard| (*shard, 1.0 / count as f64)).collect();
         let held = Held { search, body, shards, began_at: at, expires_at, scroll, first_page, allow_partial };
         self.held.insert(id, held);
-        Take::Query(NewQuery { class, expires_at, retry: false, parts })
+        Take::Query(NewQuery { class, expires_at, retry: false, parts, work: Vec::new() })
     }
 
     fn next_page(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<Take, Response> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -27,6 +27,8 @@
 struct AskPart {
     shard: usize,
     weight: f64,
+    /// A guess at the part's work, µs.
+    cost: Option<f64>,
 }
 
 #[derive(miniserde::Serialize)]
@@ -179,6 +181,11 @@
             expires_at: at + (waits - CLIENT_TRIP).max(0.0),
             retry: header("X-Retry") == Some("1"),
             parts: ask.shards.iter().map(|part| (part.shard, part.weight)).collect(),
+            work: ask
+                .shards
+                .iter()
+                .map(|part| part.cost.filter(|c| c.is_finite() && *c > 0.0).map(|c| c / 1e3))
+                .collect(),
         })
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -47,6 +47,8 @@
     pub segment_no: f64,
     pub size_or_weight: f64,
     #[serde(default)]
+    pub effort_ms: Option<f64>,
+    #[serde(default)]
     pub retry: Option<bool>,
 }
 
@@ -131,7 +133,8 @@
         let number = self.whole_no as u64;
         if self.segment_no >= 0.0 {
             let (shard, weight) = (self.segment_no as usize, self.size_or_weight);
-            return Ok(Event::Part { id, number, shard, weight });
+            let work = self.effort_ms.filter(|work| work.is_finite() && *work > 0.0);
+            return Ok(Event::Part { id, number, shard, weight, work });
         }
         let class = names.iter().position(|name| *name == self.profile);
         Ok(Event::Query {
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -108,7 +108,9 @@
 fn the_sound_inputs_are_taken() {
     let (request, _) = http::request(message(QUERY_HEAD, QUERY).as_bytes()).expect("sound").expect("whole");
     let mut platform = Platform::new(vec![("view".into(), true)], vec![1000.0], 24);
-    assert!(matches!(platform.take(RequestId(1), &request, 0.0, true), Take::Query(_)));
+    // The cost of a part is its work in µs: the query carries it in ms.
+    let Take::Query(query) = platform.take(RequestId(1), &request, 0.0, true) else { panic!("a query") };
+    assert_eq!(query.work, vec![Some(9.0)]);
     let mut reply = message("HTTP/1.1 200 OK\r\n", REPLY).into_bytes();
     assert!(matches!(
         opensearch().reply(&mut reply),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -109,7 +109,7 @@
         let mut ids = Vec::new();
         for (n, (shard, weight)) in parts.iter().enumerate() {
             let part = RequestId(self.next + 1 + n as u64);
-            events.push(Event::Part { id: part, number, shard: *shard, weight: *weight });
+            events.push(Event::Part { id: part, number, shard: *shard, weight: *weight, work: None });
             ids.push(part);
         }
         self.next += 1 + parts.len() as u64;
@@ -125,7 +125,7 @@
         for (shard, weight) in parts {
             let id = RequestId(self.next);
             self.next += 1;
-            events.push(Event::Part { id, number, shard: *shard, weight: *weight });
+            events.push(Event::Part { id, number, shard: *shard, weight: *weight, work: None });
             ids.push(id);
         }
         (ids, events)
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -149,7 +149,7 @@
                 world.asked.insert(id, Asked { class, expires_at, parts, finals: 0, gone: false });
                 world.step(vec![Input::Query(
                     id,
-                    NewQuery { class, expires_at, retry: false, parts: shards },
+                    NewQuery { class, expires_at, retry: false, parts: shards, work: Vec::new() },
                 )]);
             }
             80..=179 => {
@@ -224,7 +224,13 @@
 fn a_full_coordinator_refuses_at_once_with_advice() {
     let mut core = core();
     let mut effects = Vec::new();
-    let ask = NewQuery { class: 0, expires_at: 2000.0, retry: false, parts: vec![(0, 0.5), (1, 0.5)] };
+    let ask = NewQuery {
+        class: 0,
+        expires_at: 2000.0,
+        retry: false,
+        parts: vec![(0, 0.5), (1, 0.5)],
+        work: Vec::new(),
+    };
     let inputs = (0..20).map(|_| Input::Query(core.new_id(), ask.clone())).collect();
     core.step(0.0, inputs, &mut effects);
     // 40 may be held: a query of two parts counts three, so 14 fit.
@@ -239,7 +245,8 @@
     for (class, advised) in [(1, true), (2, false)] {
         let (mut core, mut effects) = (core(), Vec::new());
         let list = Input::List(ListKind::Replace, (0..4).map(|id| listed(id, Lifecycle::On)).collect());
-        let ask = NewQuery { class, expires_at: 300.0, retry: false, parts: vec![(0, 1.0)] };
+        let ask =
+            NewQuery { class, expires_at: 300.0, retry: false, parts: vec![(0, 1.0)], work: Vec::new() };
         let id = core.new_id();
         core.step(0.0, vec![list, Input::Query(id, ask)], &mut effects);
         while let Some(at) = core.next_step().filter(|at| *at <= 400.0) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -265,8 +265,9 @@
     assert!(sends(&actions).iter().any(|(sent, _)| *sent == part));
 }
 
-/// Work sent to one cold replica by `siblings` aggregators that all want it, as (time, work).
-fn cold_sends(siblings: usize) -> Vec<(f64, f64)> {
+/// Work sent to one cold replica by `siblings` aggregators that all want it, as (time, work). Each part takes
+/// `work`, which the requests state where `stated`, and is answered after `elapsed`: others' parts queue there too.
+fn cold_sends(siblings: usize, (work, stated): (f64, bool), elapsed: f64) -> Vec<(f64, f64)> {
     let set = Settings { siblings, ..settings() };
     let entry = Listed { born: Some(1000.0), ..listed(1, 0) };
     let mut all: Vec<Aggregator> = (0..siblings).map(|n| Aggregator::new(set.clone(), n as u64)).collect();
@@ -286,22 +287,23 @@
                 next += 1;
                 let (class, parts, expires_in, retry) = (0, 1, 2000.0, false);
                 events.push(Event::Query { id, class, number, parts, expires_in, retry });
-                events.push(Event::Part { id: part, number, shard: 0, weight: 1.0 });
+                let told = stated.then_some(work);
+                events.push(Event::Part { id: part, number, shard: 0, weight: 1.0, work: told });
             }
             due.retain(|(at, to, part, attempt)| {
                 let ended = *at <= now && *to == n;
                 if ended {
                     let (part, attempt, replica) = (*part, *attempt, ReplicaId(1));
                     let outcome = Outcome::Pass;
-                    events.push(Event::Done { part, attempt, replica, outcome, elapsed: 50.0 });
+                    events.push(Event::Done { part, attempt, replica, outcome, elapsed });
                 }
                 !ended
             });
             let mut actions = Vec::new();
             aggregator.step(now, &events, &mut actions);
             for (part, _) in sends(&actions) {
-                sent.push((now, 50.0));
-                due.push((now + 50.0, n, part, 0));
+                sent.push((now, work));
+                due.push((now + elapsed, n, part, 0));
             }
         }
     }
@@ -312,7 +314,7 @@
 fn a_cold_replica_is_not_pushed_over_nor_shut_out_by_few_or_many_siblings() {
     let set = settings();
     for siblings in [2, 12, 90] {
-        let sent = cold_sends(siblings);
+        let sent = cold_sends(siblings, (50.0, false), 50.0);
         for (end, _) in &sent {
             let window = sent.iter().filter(|(at, _)| at <= end && *at > end - set.overload_time);
             let work: f64 = window.map(|(_, work)| work).sum();
@@ -325,6 +327,29 @@
     }
 }
 
+#[test]
+fn a_cold_replica_is_given_what_it_bears_by_the_work_that_requests_state() {
+    let set = settings();
+    let early =
+        |sent: &[(f64, f64)]| sent.iter().filter(|(at, _)| *at < 1000.0 + set.cold_time / 2.0).count();
+    for siblings in [12, 90] {
+        // Answers take four times the work, since others' parts queue: the time of a lone answer overstates it.
+        let told = cold_sends(siblings, (25.0, true), 100.0);
+        let guessed = cold_sends(siblings, (25.0, false), 100.0);
+        for (end, _) in &told {
+            let window = told.iter().filter(|(at, _)| at <= end && *at > end - set.overload_time);
+            let work: f64 = window.map(|(_, work)| work).sum();
+            let share = set.cold_from + (1.0 - set.cold_from) * (end - 1000.0) / set.cold_time;
+            assert!(work <= set.fall_multiple * share * set.overload_time, "{siblings}: {work} at {end}");
+        }
+        let (told, guessed) = (early(&told), early(&guessed));
+        assert!(
+            told >= 3 * guessed / 2,
+            "{siblings} siblings: {told} parts by stated work, {guessed} without"
+        );
+    }
+}
+
 fn probing() -> Settings {
     Settings { may_probe: true, probe_reports: true, ..settings() }
 }
@@ -605,7 +630,7 @@
     let (mut world, _) = World::new(settings(), two());
     world.done(RequestId(999), 7, Outcome::Pass, 1.0);
     world.step(&[Event::Withdrawn { id: RequestId(998) }]);
-    world.step(&[Event::Part { id: RequestId(997), number: 55, shard: 3, weight: 0.5 }]);
+    world.step(&[Event::Part { id: RequestId(997), number: 55, shard: 3, weight: 0.5, work: None }]);
     world.step(&[list(ListKind::Update, vec![with(77, 0, Lifecycle::Off), listed(78, 9)])]);
     let (query, part, _) = world.ask();
     world.now += 10.0;
@@ -701,7 +726,7 @@
         let retry = n % 2 == 1;
         let actions = world.step(&[
             Event::Query { id: query, class: 0, number, parts: 1, expires_in, retry },
-            Event::Part { id: part, number, shard: 0, weight: 1.0 },
+            Event::Part { id: part, number, shard: 0, weight: 1.0, work: None },
         ]);
         assert!(finals(&actions, query).is_empty());
         world.now += 20.0;
@@ -848,7 +873,7 @@
         let (query, part) = (RequestId(5000 + 2 * number), RequestId(5001 + 2 * number));
         let actions = world.step(&[
             Event::Query { id: query, class: 0, number, parts: 1, expires_in, retry: false },
-            Event::Part { id: part, number, shard: 0, weight: 1.0 },
+            Event::Part { id: part, number, shard: 0, weight: 1.0, work: None },
         ]);
         world.now += 20.0;
         world.done(part, 0, Outcome::Pass, 20.0);
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -35,7 +35,13 @@
         let mut effects = Vec::new();
         let ask = |core: &mut steppick::core::Core<u32>, at: f64, effects: &mut Vec<Effect<u32>>| {
             let id = core.new_id();
-            let query = NewQuery { class: 0, expires_at: at + 1000.0, retry: false, parts: vec![(1, 1.0)] };
+            let query = NewQuery {
+                class: 0,
+                expires_at: at + 1000.0,
+                retry: false,
+                parts: vec![(1, 1.0)],
+                work: Vec::new(),
+            };
             core.step(at, vec![Input::Query(id, query)], effects);
         };
         ask(&mut core, now, &mut effects);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -91,7 +91,7 @@
                 next += 1;
                 let shard = parts[&held.parts[0]].shard;
                 let weight = 1.0 / count as f64;
-                events.push(Event::Part { id, number: numbers[&query], shard, weight });
+                events.push(Event::Part { id, number: numbers[&query], shard, weight, work: None });
                 taken.push(now);
                 held.parts.push(id);
                 let asked = Asked { query, shard, weight, second: true, attempts: vec![], passed: false };
@@ -117,7 +117,7 @@
                 let id = RequestId(next);
                 next += 1;
                 let weight = 1.0 / count as f64;
-                events.push(Event::Part { id, number, shard: n, weight });
+                events.push(Event::Part { id, number, shard: n, weight, work: None });
                 taken.push(now);
                 held.parts.push(id);
                 let asked = Asked { query, shard: n, weight, second: false, attempts: vec![], passed: false };
