--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,7 +8,7 @@
 use crate::choice::Aggregator;
 use crate::interface::{Effect as Repeats, *};
 use crate::settings::Transport;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What must hold: asserted in debug builds, counted in release builds. Tells whether it held.
 #[macro_export]
@@ -117,14 +117,12 @@
     Fail(RequestId, Failure, Option<Ms>),
     /// Ask a replica for its load.
     Probe(ReplicaId),
-    /// The grace of a draining replica is over: what is not begun must not go out.
+    /// A replica drains or is gone: what is not begun does not go out.
     DropUnsent(ReplicaId),
     /// A line for on-call staff.
     Log(String),
 }
 
-/// Kept back from the grace of a drain, ms: the first byte of a send must leave inside it.
-const DRAIN_SPARE: Ms = 100.0;
 /// Weight of a new sample in the mean time of an answer.
 const LEARN: f64 = 0.05;
 /// Slack when shares of weight are summed.
@@ -163,8 +161,9 @@
 
 struct Known {
     cell: usize,
-    /// When this process was told that the replica drains or is gone, and whether its grace has ended.
-    off: Option<(Ms, bool)>,
+    /// It drains or is gone. When that was told is never known exactly (the agent may have had it before a watch was
+    /// open), so nothing new goes out from the news on, and what had not begun is taken back: the grace is not used.
+    off: bool,
 }
 
 /// The coordinator without its wires.
@@ -226,7 +225,7 @@
 
     /// Whether any replica in service is known.
     pub fn can_serve(&self) -> bool {
-        self.replicas.values().any(|known| known.off.is_none())
+        self.replicas.values().any(|known| !known.off)
     }
 
     /// How long a node usually takes to serve an attempt.
@@ -246,13 +245,7 @@
         }
         let stops = self.attempts.values().map(|a| a.stop_at);
         let ends = self.queries.values().map(|q| q.expires_at);
-        let graces = self.replicas.values().filter_map(|r| r.off.filter(|off| !off.1).map(|off| off.0));
-        let graces = graces.map(|told| self.grace_end(told));
-        stops.chain(ends).chain(graces).chain(self.wake_at).min_by(f64::total_cmp)
-    }
-
-    fn grace_end(&self, told: Ms) -> Ms {
-        told + (self.limits.drain_grace - DRAIN_SPARE).max(0.0)
+        stops.chain(ends).chain(self.wake_at).min_by(f64::total_cmp)
     }
 
     /// Takes in all that is ready, lets the module decide once and appends what is to be done.
@@ -278,7 +271,7 @@
         match input {
             Input::List(kind, entries) => {
                 self.counters.lists += 1;
-                self.take_list(kind, &entries);
+                self.take_list(kind, &entries, effects);
                 events.push(Event::List { kind, entries });
             }
             Input::Query(id, ask) => self.take_query(id, ask, events, effects),
@@ -303,25 +296,29 @@
         }
     }
 
-    fn take_list(&mut self, kind: ListKind, entries: &[Listed]) {
+    fn take_list(&mut self, kind: ListKind, entries: &[Listed], effects: &mut Vec<Effect<V>>) {
         let now = self.now;
+        let mut off = |id: ReplicaId, known: &mut Known| {
+            if !std::mem::replace(&mut known.off, true) {
+                effects.push(Effect::DropUnsent(id));
+            }
+        };
         if matches!(kind, ListKind::Replace | ListKind::Restored) {
-            for (id, known) in &mut self.replicas {
-                if !entries.iter().any(|entry| entry.id == *id) {
-                    known.off.get_or_insert((now, false));
-                }
+            let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id).collect();
+            for (id, known) in self.replicas.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                off(*id, known);
             }
         }
         for entry in entries {
             let (id, cell, size, born, lifecycle) =
                 (entry.id.0, entry.cell, entry.size, entry.born, entry.lifecycle);
             tracing::trace!(id, cell, size, ?born, ?lifecycle, now, "listed");
-            let known = self.replicas.entry(entry.id).or_insert(Known { cell: entry.cell, off: None });
+            let known = self.replicas.entry(entry.id).or_insert(Known { cell: entry.cell, off: false });
             known.cell = entry.cell;
             if entry.lifecycle == Lifecycle::On {
-                known.off = None;
+                known.off = false;
             } else {
-                known.off.get_or_insert((now, false));
+                off(entry.id, known);
             }
         }
     }
@@ -432,15 +429,6 @@
             effects.push(Effect::Cancel(id, self.attempts[&id].replica));
             events.extend(self.end_attempt(id, Outcome::TooSlow));
         }
-        let (now, grace) = (self.now, (self.limits.drain_grace - DRAIN_SPARE).max(0.0));
-        for (id, known) in &mut self.replicas {
-            if let Some((told, over)) = &mut known.off {
-                if !*over && *told + grace <= now {
-                    *over = true;
-                    effects.push(Effect::DropUnsent(*id));
-                }
-            }
-        }
     }
 
     /// The module ends each query before its time. Should it not, the client still gets one final answer.
@@ -517,8 +505,7 @@
 
     /// Whether anything new may still go to a replica.
     pub fn may_send_to(&self, replica: ReplicaId) -> bool {
-        let known = self.replicas.get(&replica);
-        known.is_some_and(|known| known.off.is_none_or(|(told, _)| self.now < self.grace_end(told)))
+        self.replicas.get(&replica).is_some_and(|known| !known.off)
     }
 
     /// Why the rules forbid this send, if they do.
@@ -538,7 +525,7 @@
         let told = [
             (part.value.is_some(), "a part that is in is not sent again"),
             (!holds, "the replica does not hold the shard"),
-            (!self.may_send_to(replica), "nothing new goes to a draining replica past its grace"),
+            (!self.may_send_to(replica), "nothing new goes to a draining replica"),
             (part.tries >= self.set.try_limit, "a part has a limit on its attempts"),
             (repeat, "a repeat keeps to what the class allows"),
             (!part.out.is_empty() && !self.set.may_copy, "no second copies here"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod core;
 pub mod favours;
 mod interface;
+pub mod members;
 pub mod net;
 pub mod opensearch;
 pub mod platform;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,15 +1,18 @@
 //! Sockets: the loop gathers what is ready, makes one step of the core and carries out its effects.
 
 pub mod client;
+mod fault;
 pub mod http;
 pub mod node;
 mod server;
 pub mod trail;
 
+pub use fault::{PeerError, ServeError};
 pub use server::{Ending, Server, Sockets};
 
 use crate::core::{Counters, Failure, NewQuery, Send};
 use crate::interface::*;
+use crate::settings::ConfigError;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -78,7 +81,7 @@
     ///
     /// # Errors
     /// Tells why the connection can't go on.
-    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<Self::Value>>, String>;
+    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<Self::Value>>, PeerError>;
 }
 
 /// News of the list of replicas.
@@ -104,12 +107,12 @@
     ///
     /// # Errors
     /// Tells why the connection can't go on.
-    fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), String>;
+    fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), PeerError>;
     /// Takes in a new text of the front's file; tells whether it names another address.
     ///
     /// # Errors
     /// Tells what makes no sense; then nothing has changed.
-    fn reload(&mut self, text: &str) -> Result<bool, String>;
+    fn reload(&mut self, text: &str) -> Result<bool, ConfigError>;
 }
 
 /// The clock of the core: monotonic, from the start of the program.
@@ -176,7 +179,7 @@
     ///
     /// # Errors
     /// Tells what makes no sense; then nothing has changed.
-    fn reload(&mut self, text: &str, now: Ms) -> Result<(), String>;
+    fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError>;
     /// Takes in what a placement says of this coordinator, or that there is none any more.
     fn favour(&mut self, favour: Option<Favour>);
     /// Begins an orderly end: what was taken is answered, and new connections are still served for a while.
@@ -192,7 +195,7 @@
     /// Its name in log lines.
     pub name: &'static str,
     /// The file that configures it.
-    pub path: String,
+    pub path: PathBuf,
     /// What this coordinator is called in placements.
     pub coordinator: String,
     /// The placement that it follows, if any.
@@ -205,13 +208,18 @@
     /// Reads the file anew. A file that can't be read or makes no sense must not end a program that serves:
     /// what held before goes on.
     fn reload(&mut self, now: Ms) {
-        let text = std::fs::read_to_string(&self.path).map_err(|error| error.to_string());
-        match text.and_then(|text| self.served.reload(&text, now)) {
-            Ok(()) => tracing::info!("{}: {} taken in", self.name, self.path),
-            Err(why) => tracing::warn!("{}: {} is left as it was: {why}", self.name, self.path),
+        let read = std::fs::read_to_string(&self.path)
+            .map_err(|why| ServeError::File { path: self.path.clone(), why })
+            .and_then(|text| {
+                let named = |why| ServeError::Config { path: self.path.clone(), why };
+                self.served.reload(&text, now).map_err(named)
+            });
+        match read {
+            Ok(()) => tracing::info!("{}: {} taken in", self.name, self.path.display()),
+            Err(why) => tracing::warn!("{}: {why}; what was read before is served on", self.name),
         }
         if let Err(why) = self.place() {
-            tracing::warn!("{}: the placement is left as it was: {why}", self.name);
+            tracing::warn!("{}: {why}; the placement read before is followed on", self.name);
         }
     }
 
@@ -219,11 +227,12 @@
     ///
     /// # Errors
     /// Names the file and what is wrong with it; then nothing has changed.
-    pub fn place(&mut self) -> Result<(), String> {
+    pub fn place(&mut self) -> Result<(), ServeError> {
         let Some(path) = &self.placement else { return Ok(()) };
-        let named = |why: String| format!("{}: {why}", path.display());
-        let text = std::fs::read_to_string(path).map_err(|error| named(error.to_string()))?;
-        let mut placement = Placement::read(&text).map_err(|fault| named(fault.to_string()))?;
+        let text =
+            std::fs::read_to_string(path).map_err(|why| ServeError::File { path: path.clone(), why })?;
+        let mut placement =
+            Placement::read(&text).map_err(|why| ServeError::Placement { path: path.clone(), why })?;
         let favour = placement.coordinators.remove(&self.coordinator);
         let found = if favour.is_some() { "placed" } else { "not named" };
         tracing::info!("{}: placement {}: {} is {found}", self.name, placement.version, self.coordinator);
@@ -240,20 +249,21 @@
 ///
 /// # Errors
 /// Tells what the system refused.
-pub fn run(mut event_loop: Loop, clock: Clock, mut fronts: Vec<Front>) -> Result<(), String> {
+pub fn run(mut event_loop: Loop, clock: Clock, mut fronts: Vec<Front>) -> Result<(), ServeError> {
+    let system = |what| move |error: calloop::Error| ServeError::System { what, why: error.to_string() };
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
-        .map_err(|error| format!("no signals: {error}"))?;
+        .map_err(|error| ServeError::System { what: "signals", why: error.to_string() })?;
     event_loop
         .handle()
         .insert_source(signals, |event, _, gathered: &mut Gathered| gathered.signals.push(event.signal()))
-        .map_err(|error| format!("no signals: {error}"))?;
+        .map_err(|error| ServeError::System { what: "signals", why: error.to_string() })?;
     let mut gathered = Gathered::default();
     loop {
         let now = clock.now();
         let due = fronts.iter().filter_map(|front| front.served.next_due(now));
         let due = due.fold(now + LONGEST_SLEEP, f64::min);
         let sleep = Duration::from_micros(((due - now).max(0.0) * 1000.0).ceil() as u64);
-        event_loop.dispatch(sleep, &mut gathered).map_err(|error| format!("event loop: {error}"))?;
+        event_loop.dispatch(sleep, &mut gathered).map_err(system("the event loop"))?;
         let now = clock.now();
         let signals = std::mem::take(&mut gathered.signals);
         for front in &mut fronts {
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -11,7 +11,8 @@
 use crate::core::{AttemptId, Core, Counters, Effect, Input};
 use crate::favours::Favours;
 use crate::interface::*;
-use crate::settings::Transport;
+use crate::members::clock::Standing;
+use crate::settings::{ConfigError, Transport};
 use calloop::LoopHandle;
 use placement::Favour;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -22,11 +23,6 @@
 const RETIRE_SHARE: f64 = 0.8;
 /// Descriptors kept free for the loop itself, logs, signals and the roster.
 const RESERVE: usize = 64;
-/// Silence after which the roster's stream counts as broken, ms: its heartbeat comes every 2 s.
-const ROSTER_SILENCE: Ms = 3000.0;
-/// Time for the roster's connection to come up, and pause before the next one, ms.
-const ROSTER_DIAL: Ms = 1000.0;
-const ROSTER_PAUSE: Ms = 200.0;
 /// After the order to end: how long idle connections stay, and how long the program does, at least, ms.
 /// Clients may go on opening connections for 0.4 s.
 const LINGER_IDLE: Ms = 500.0;
@@ -85,13 +81,8 @@
     addr: SocketAddr,
 }
 
-enum Stream {
-    /// Not there; tried again then.
-    Down(Ms),
-    Connecting(Ms, Watched<TcpStream>),
-    /// Up, last heard of then.
-    Up(Ms, Watched<TcpStream>),
-}
+/// The roster's stream: how it stands, and its connection unless it is down.
+struct Stream(Standing, Option<Watched<TcpStream>>);
 
 /// How an orderly end runs, in time from the order to end.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -196,7 +187,7 @@
             trail: Trail::default(),
             favours: Favours::default(),
             roster,
-            stream: Stream::Down(0.0),
+            stream: Stream(Standing::Down(f64::NEG_INFINITY), None),
             inputs: Vec::new(),
             next_key: 1,
             ending_since: None,
@@ -252,12 +243,7 @@
             _ => true,
         };
         self.clients.retain(|_, client| lingers(client));
-        let lost = match &self.stream {
-            Stream::Down(at) => now >= *at,
-            Stream::Connecting(since, _) => now - since >= ROSTER_DIAL,
-            Stream::Up(heard, _) => now - heard >= ROSTER_SILENCE,
-        };
-        if lost && self.roster.is_some() {
+        if self.roster.is_some() && now >= self.stream.0.ask_again_at() {
             self.dial_roster(now);
         }
     }
@@ -359,7 +345,7 @@
 }
 
 impl<D: Dialect> Served for Server<D> {
-    fn reload(&mut self, text: &str, now: Ms) -> Result<(), String> {
+    fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError> {
         if self.roster.as_mut().map_or(Ok(false), |roster| roster.reload(text))? {
             // The old place may take connections no more and end this one: the new one is asked at once.
             self.dial_roster(now);
@@ -387,11 +373,7 @@
         if !self.inputs.is_empty() {
             return Some(now);
         }
-        let roster = self.roster.as_ref().map(|_| match &self.stream {
-            Stream::Down(at) => *at,
-            Stream::Connecting(since, _) => since + ROSTER_DIAL,
-            Stream::Up(heard, _) => heard + ROSTER_SILENCE,
-        });
+        let roster = self.roster.as_ref().map(|_| self.stream.0.ask_again_at());
         let nodes = self.nodes.values().filter_map(|node| match node.conn.state() {
             NodeState::Connecting(since) => Some(since + self.limits.dial_timeout),
             _ if node.conn.is_idle() => Some(node.conn.active_at + self.retire_after()),
--- a/src/net/server/nodes.rs
+++ b/src/net/server/nodes.rs
@@ -4,7 +4,7 @@
 use crate::core::{AttemptId, Input};
 use crate::interface::*;
 use crate::net::node::{NodeConn, NodeState, Purpose};
-use crate::net::{connect, read_all, Dialect, Key, NodeReply, Watched};
+use crate::net::{connect, read_all, Dialect, Key, NodeReply, PeerError, Watched};
 use std::collections::BTreeSet;
 use std::io::{self, Write};
 
@@ -83,7 +83,7 @@
             }
             if let Err(why) = self.take_replies(key, now) {
                 self.core.counters.bad_frames += 1;
-                return self.close_node(key, &why);
+                return self.close_node(key, &why.to_string());
             }
             if ended {
                 return self.close_node(key, "closed by the node");
@@ -96,7 +96,7 @@
     }
 
     /// Takes the whole replies off a connection's input.
-    fn take_replies(&mut self, key: u64, now: Ms) -> Result<(), String> {
+    fn take_replies(&mut self, key: u64, now: Ms) -> Result<(), PeerError> {
         while let Some(node) = self.nodes.get_mut(&key) {
             match self.dialect.reply(&mut node.conn.input)? {
                 None => break,
@@ -126,7 +126,7 @@
     pub(super) fn write_node(&mut self, key: u64, now: Ms) {
         let Some(node) = self.nodes.get_mut(&key) else { return };
         if !self.core.may_send_to(node.replica) {
-            // The loop may have slept past the end of a grace: its effect is then still to come.
+            // The news came in this turn: its effect is then still to come.
             let (replica, dropped) = (node.replica, node.conn.drop_unsent(now));
             dropped.into_iter().for_each(|purpose| self.end_call(replica, purpose, Outcome::NotSent));
         }
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -4,9 +4,9 @@
 use super::{Contract, OpenSearch};
 use crate::core::{Core, Counters};
 use crate::interface::*;
-use crate::net::{Clock, Key, Loop, Served, Server, Sockets};
-use crate::settings::{Profile, Transport};
-use miniserde::{json, Deserialize};
+use crate::net::{Clock, Key, Loop, ServeError, Served, Server, Sockets};
+use crate::settings::{ConfigError, Profile, Transport};
+use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -55,33 +55,37 @@
     /// Reads the file's text; names in it are relative to `folder`.
     ///
     /// # Errors
-    /// One line that tells what is wrong.
-    pub fn read(text: &str, folder: &Path) -> Result<Config, String> {
-        let file: File =
-            json::from_str(text).map_err(|_| "not a configuration in JSON, or a field is missing")?;
+    /// The field, what it holds and what it should.
+    pub fn read(text: &str, folder: &Path) -> Result<Config, ConfigError> {
+        let file: File = ConfigError::parse(text)?;
         let set = file.settings.settings()?;
         // The dialect has no idempotency key and no second step: what needs them can't be kept here.
-        if set.classes.iter().any(|class| matches!(class.effect, Effect::Keyed(_)) || class.fetch > 0) {
-            return Err("classes of this front are idempotent or at_most_once, without a second step".into());
+        let unfit = |class: &Class| matches!(class.effect, Effect::Keyed(_)) || class.fetch > 0;
+        if let Some(class) = set.classes.iter().position(unfit) {
+            let why = "classes of this front are idempotent or at_most_once, without a second step";
+            return Err(ConfigError::Unsupported { class, why });
         }
         let limits = Transport { streams: 1, ..file.settings.transport() };
-        if limits.shards == usize::MAX || limits.shards == 0 || set.cells == 0 || set.reach == 0 {
-            return Err("field `settings.domain` needs `slices`, `cells` and `reach`".into());
+        if limits.shards == usize::MAX || limits.shards == 0 {
+            return Err(ConfigError::Nothing("domain.slices"));
         }
         let classes: Vec<String> = file.settings.classes.iter().map(|class| class.name.clone()).collect();
         let mut contracts = Vec::new();
         for contract in &file.contracts {
             let known = |name: &String| {
                 let class = classes.iter().position(|known| known == name);
-                class.ok_or_else(|| format!("team `{}`: no class `{name}`", contract.team))
+                let (team, class_name) = (contract.team.clone(), name.clone());
+                class.ok_or(ConfigError::NoClass { team, class: class_name })
             };
             let of = contract.classes.iter().map(known).collect::<Result<Vec<_>, _>>()?;
-            let sound = |value: f64| value.is_finite() && value > 0.0;
-            if of.is_empty()
-                || !sound(contract.queries_per_s)
-                || !(sound(contract.burst) && contract.burst >= 1.0)
-            {
-                return Err(format!("team `{}`: a contract has classes, a rate and a burst", contract.team));
+            for (field, value, least) in [
+                ("classes", of.len() as f64, 1.0),
+                ("queries_per_s", contract.queries_per_s, f64::MIN_POSITIVE),
+                ("burst", contract.burst, 1.0),
+            ] {
+                if !(value.is_finite() && value >= least) {
+                    return Err(ConfigError::Contract { team: contract.team.clone(), field, value, least });
+                }
             }
             let longest = contract.deadline_ms.unwrap_or(f64::INFINITY);
             contracts.push(Contract::new(
@@ -94,10 +98,7 @@
         }
         Ok(Config {
             name: file.name.unwrap_or_else(|| "steppick".into()),
-            listen: file
-                .listen
-                .parse()
-                .map_err(|_| format!("field `listen` is no address: `{}`", file.listen))?,
+            listen: ConfigError::address("listen", &file.listen)?,
             index: file.index,
             service: file.service,
             records: folder.join(file.records),
@@ -118,18 +119,21 @@
     /// The front that this file describes, one of so many of the process.
     ///
     /// # Errors
-    /// One line that tells what is wrong.
+    /// What the system refused, or which record makes no sense.
     pub fn front(
         self,
         event_loop: &Loop,
         clock: Clock,
         number: usize,
         fronts: usize,
-    ) -> Result<Front, String> {
+    ) -> Result<Front, ServeError> {
         let mut records = Records::new(clock.unix_start());
         let path = self.records;
-        let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
-        let known = records.read(&text, &self.service).map_err(|why| format!("{}: {why}", path.display()))?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|why| ServeError::File { path: path.clone(), why })?;
+        let known = records
+            .read(&text, &self.service)
+            .map_err(|why| ServeError::Records { path: path.clone(), why })?;
         let deadlines = self.set.classes.iter().map(|class| class.deadline).collect();
         let (shards, advice) = (self.limits.shards, self.set.advice_limit);
         let dialect =
@@ -146,8 +150,9 @@
             Some(known),
             None,
         );
-        let server = server.map_err(|error| format!("can't listen on {}: {error}", self.listen))?;
-        let listen = server.local_addr().map_err(|error| error.to_string())?;
+        let refused = |why| ServeError::Listen { address: self.listen, why };
+        let server = server.map_err(refused)?;
+        let listen = server.local_addr().map_err(refused)?;
         tracing::info!("serves OpenSearch queries on {listen}");
         Ok(Front { server, records, path, text, service: self.service, looked_at: 0.0 })
     }
@@ -177,7 +182,7 @@
         };
         match self.records.read(&text, &self.service) {
             Ok(news) => self.server.take_news(news),
-            Err(why) => tracing::warn!("{}: {why}", self.path.display()),
+            Err(why) => tracing::warn!("{}: {why}; the list read before stands", self.path.display()),
         }
         self.text = text;
     }
@@ -185,7 +190,7 @@
 
 impl Served for Front {
     /// The records are read whenever they change; all else in the file needs a new start.
-    fn reload(&mut self, _: &str, now: Ms) -> Result<(), String> {
+    fn reload(&mut self, _: &str, now: Ms) -> Result<(), ConfigError> {
         self.looked_at = f64::NEG_INFINITY;
         self.look(now);
         Ok(())
--- a/src/opensearch/mod.rs
+++ b/src/opensearch/mod.rs
@@ -14,7 +14,7 @@
 use crate::core::{Failure, NewQuery, Send};
 use crate::interface::*;
 use crate::net::http::{self, Bad, Request, Response};
-use crate::net::{Dialect, NodeReply, Take};
+use crate::net::{Dialect, NodeReply, PeerError, Take};
 use merge::NodeBody;
 use miniserde::json::{self, Object, Value};
 use search::Search;
@@ -522,26 +522,28 @@
         None
     }
 
-    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<Found>>, String> {
+    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<Found>>, PeerError> {
         if input.is_empty() {
             return Ok(None);
         }
-        let head = http::response_head(input).map_err(|_| "not an HTTP answer")?;
+        let head = http::response_head(input).map_err(|_| PeerError::NotHttp)?;
         let Some(head) = head else { return Ok(None) };
-        let framing = head.framing.ok_or("an answer without an end")?;
-        let body = http::body(framing, &input[head.length..], NODE_BODY_LIMIT).map_err(|_| "a bad body")?;
+        let framing = head.framing.ok_or(PeerError::Body)?;
+        let body =
+            http::body(framing, &input[head.length..], NODE_BODY_LIMIT).map_err(|_| PeerError::Body)?;
         let Some((body, used)) = body else { return Ok(None) };
         input.drain(..head.length + used);
-        let text = String::from_utf8(body).map_err(|_| "a body that is not UTF-8")?;
+        let text = String::from_utf8(body).map_err(|_| PeerError::NotUtf8)?;
         Ok(Some(NodeReply::Part(None, found(head.status, &text)?, head.close)))
     }
 }
 
 /// What a node's answer says of its part.
-fn found(status: u16, text: &str) -> Result<Result<(i64, Found), Outcome>, String> {
+fn found(status: u16, text: &str) -> Result<Result<(i64, Found), Outcome>, PeerError> {
     Ok(match status {
         200 => {
-            let body: NodeBody = json::from_str(text).map_err(|_| "an answer that can't be read")?;
+            let body: NodeBody =
+                json::from_str(text).map_err(|_| PeerError::Answer(text.chars().take(60).collect()))?;
             // A 200 may hide a shard that failed or stopped early: that part has failed, whatever else came.
             let shards = &body._shards;
             let whole = shards.failed == 0 && shards.successful == shards.total && shards.total == 1;
--- a/src/opensearch/records.rs
+++ b/src/opensearch/records.rs
@@ -6,6 +6,41 @@
 use crate::net::News;
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
+use thiserror::Error;
+
+/// Why a file of records can't be used.
+#[derive(Debug, Error)]
+#[allow(missing_docs)]
+pub enum RecordError {
+    #[error("line {line}: {why}; mend or comment out that line")]
+    Line { line: usize, why: LineError },
+    #[error("{instance}: no {what}; add it, or take the instance's PTR record out")]
+    Missing { instance: String, what: &'static str },
+    #[error("{instance}: unknown state {state}; write in_service or terminating")]
+    State { instance: String, state: String },
+}
+
+/// What is wrong with one line.
+#[derive(Debug, Error)]
+#[allow(missing_docs)]
+pub enum LineError {
+    #[error("a backslash stands at the end")]
+    Backslash,
+    #[error("a bad \\DDD")]
+    Escape,
+    #[error("a quote that does not end")]
+    Quote,
+    #[error("not UTF-8")]
+    NotUtf8,
+    #[error("a record without a type")]
+    NoType,
+    #[error("`{0}` is no number below 65536")]
+    Number(String),
+    #[error("`{0}` is no address")]
+    Address(String),
+    #[error("a bad record of type {0}")]
+    Kind(String),
+}
 
 #[derive(Debug, Clone, PartialEq)]
 enum Data {
@@ -17,7 +52,7 @@
 
 /// Splits a line into words. Quotes hold words together; a backslash takes the next character, or three
 /// digits of a byte, as it is; a semicolon begins a comment.
-fn words(line: &str) -> Result<Vec<String>, String> {
+fn words(line: &str) -> Result<Vec<String>, LineError> {
     let mut words = Vec::new();
     let (mut word, mut quoted, mut begun) = (Vec::new(), false, false);
     let mut bytes = line.bytes().peekable();
@@ -25,14 +60,14 @@
         match byte {
             b'\\' => {
                 begun = true;
-                let next = bytes.next().ok_or("a backslash at the end of a line")?;
+                let next = bytes.next().ok_or(LineError::Backslash)?;
                 if next.is_ascii_digit() {
                     let mut code = u32::from(next - b'0');
                     for _ in 0..2 {
-                        let digit = bytes.next().filter(u8::is_ascii_digit).ok_or("a bad \\DDD")?;
+                        let digit = bytes.next().filter(u8::is_ascii_digit).ok_or(LineError::Escape)?;
                         code = code * 10 + u32::from(digit - b'0');
                     }
-                    word.push(u8::try_from(code).map_err(|_| "a bad \\DDD")?);
+                    word.push(u8::try_from(code).map_err(|_| LineError::Escape)?);
                 } else {
                     word.push(next);
                 }
@@ -51,12 +86,12 @@
         }
     }
     if quoted {
-        return Err("a quote that does not end".into());
+        return Err(LineError::Quote);
     }
     if begun {
         words.push(word);
     }
-    words.into_iter().map(|word| String::from_utf8(word).map_err(|_| "not UTF-8".into())).collect()
+    words.into_iter().map(|word| String::from_utf8(word).map_err(|_| LineError::NotUtf8)).collect()
 }
 
 /// Names are compared without case and without the final dot.
@@ -64,15 +99,14 @@
     text.trim_end_matches('.').to_ascii_lowercase()
 }
 
-fn record(line: &str) -> Result<Option<(String, Data)>, String> {
+fn record(line: &str) -> Result<Option<(String, Data)>, LineError> {
     let words = words(line)?;
     let Some((owner, rest)) = words.split_first() else { return Ok(None) };
     // A time to live and the class may stand before the type.
     let skip =
         rest.iter().take_while(|w| w.eq_ignore_ascii_case("IN") || w.bytes().all(|b| b.is_ascii_digit()));
-    let (kind, data) = rest[skip.count()..].split_first().ok_or("a record without a type")?;
-    let number =
-        |text: &String| text.parse::<u16>().map_err(|_| format!("`{text}` is no number below 65536"));
+    let (kind, data) = rest[skip.count()..].split_first().ok_or(LineError::NoType)?;
+    let number = |text: &String| text.parse::<u16>().map_err(|_| LineError::Number(text.clone()));
     let data = match (kind.to_ascii_uppercase().as_str(), data) {
         ("PTR", [target]) => Data::Ptr(name(target)),
         ("SRV", [priority, weight, port, host]) => Data::Srv {
@@ -83,9 +117,9 @@
         },
         ("TXT", texts) if !texts.is_empty() => Data::Txt(texts.to_vec()),
         ("A" | "AAAA", [address]) => {
-            Data::Address(address.parse().map_err(|_| format!("`{address}` is no address"))?)
+            Data::Address(address.parse().map_err(|_| LineError::Address(address.clone()))?)
         }
-        (kind, _) => return Err(format!("a bad record of type {kind}")),
+        (kind, _) => return Err(LineError::Kind(kind.into())),
     };
     Ok(Some((name(owner), data)))
 }
@@ -121,10 +155,10 @@
     ///
     /// # Errors
     /// Names the line or the instance that makes no sense.
-    pub fn read(&mut self, text: &str, service: &str) -> Result<News, String> {
+    pub fn read(&mut self, text: &str, service: &str) -> Result<News, RecordError> {
         let mut records = Vec::new();
         for (number, line) in text.lines().enumerate() {
-            records.extend(record(line).map_err(|why| format!("line {}: {why}", number + 1))?);
+            records.extend(record(line).map_err(|why| RecordError::Line { line: number + 1, why })?);
         }
         let of = |owner: &str| {
             let owner = owner.to_string();
@@ -133,14 +167,14 @@
         let (mut entries, mut addrs, mut names) = (Vec::new(), Vec::new(), Vec::new());
         for data in of(&name(service)) {
             let Data::Ptr(instance) = data else { continue };
+            let missing = |what| RecordError::Missing { instance: instance.clone(), what };
             let srv = of(instance).filter_map(|data| match data {
                 Data::Srv { priority, weight, port, host } => Some((*priority, *weight, *port, host)),
                 _ => None,
             });
-            let (_, weight, port, host) =
-                srv.min_by_key(|srv| srv.0).ok_or_else(|| format!("{instance}: no SRV record"))?;
+            let (_, weight, port, host) = srv.min_by_key(|srv| srv.0).ok_or_else(|| missing("SRV record"))?;
             let ip = of(host).find_map(|data| if let Data::Address(ip) = data { Some(*ip) } else { None });
-            let ip = ip.ok_or_else(|| format!("{instance}: no address for {host}"))?;
+            let ip = ip.ok_or_else(|| missing("address for the host of its SRV record"))?;
             let texts =
                 of(instance).find_map(|data| if let Data::Txt(texts) = data { Some(texts) } else { None });
             let told = attributes(texts.map_or(&[], Vec::as_slice));
@@ -148,7 +182,7 @@
             let lifecycle = match told.get("state").map_or("in_service", String::as_str) {
                 "in_service" => Lifecycle::On,
                 "terminating" => Lifecycle::Fading,
-                other => return Err(format!("{instance}: unknown state {other}")),
+                other => return Err(RecordError::State { instance: instance.clone(), state: other.into() }),
             };
             let started = told.get("started_ms").and_then(|ms| ms.parse::<f64>().ok());
             let next = ReplicaId(self.numbers.len() as u32 + 1);
@@ -157,7 +191,7 @@
             names.push((id, instance.split('.').next().unwrap_or_default().to_string()));
             entries.push(Listed {
                 id,
-                cell: cell.ok_or_else(|| format!("{instance}: TXT gives no `cell`"))?,
+                cell: cell.ok_or_else(|| missing("`cell` in its TXT record"))?,
                 zone: told.get("zone").cloned().unwrap_or_default(),
                 model: told.get("kind").cloned().unwrap_or_default(),
                 size: f64::from(weight.max(1)) / 10.0,
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -4,9 +4,9 @@
 use super::Platform;
 use crate::core::Core;
 use crate::interface::*;
-use crate::net::{Clock, Loop, Server, Sockets};
-use crate::settings::{Profile, Transport};
-use miniserde::{json, Deserialize};
+use crate::net::{Clock, Loop, ServeError, Server, Sockets};
+use crate::settings::{ConfigError, Profile, Transport};
+use serde::Deserialize;
 use std::net::SocketAddr;
 
 #[derive(Deserialize, Debug)]
@@ -43,23 +43,15 @@
     /// Reads a configuration.
     ///
     /// # Errors
-    /// One line that tells what is wrong.
-    pub fn read(text: &str) -> Result<Config, String> {
-        let file: File =
-            json::from_str(text).map_err(|_| "not a configuration in JSON, or a field is missing")?;
-        let address = |field: &str, value: &str| {
-            value.parse().map_err(|_| format!("field `{field}` is no address: `{value}`"))
-        };
+    /// The field, what it holds and what it should.
+    pub fn read(text: &str) -> Result<Config, ConfigError> {
+        let file: File = ConfigError::parse(text)?;
         let set = file.settings.settings()?;
-        if set.classes.is_empty() || set.cells == 0 || set.reach == 0 {
-            return Err("field `settings` names no classes, cells or reach".into());
-        }
         let keyed = set.classes.iter().map(|class| matches!(class.effect, Effect::Keyed(_)));
         Ok(Config {
-            listen: address("listen", &file.listen)?,
-            discovery: address("discovery", &file.discovery)?,
-            seed: u64::from_str_radix(&file.seed, 16)
-                .map_err(|_| format!("field `seed` is no hex number: `{}`", file.seed))?,
+            listen: ConfigError::address("listen", &file.listen)?,
+            discovery: ConfigError::address("discovery", &file.discovery)?,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
             sockets: file.limits.sockets,
             known: file.known,
             classes: file.settings.classes.iter().map(|class| class.name.clone()).zip(keyed).collect(),
@@ -82,14 +74,14 @@
     /// The server that this configuration describes, one of so many fronts of the process.
     ///
     /// # Errors
-    /// One line that tells what is wrong.
+    /// What the system refused.
     pub fn server(
         &self,
         event_loop: &Loop,
         clock: Clock,
         number: usize,
         fronts: usize,
-    ) -> Result<Server<Platform>, String> {
+    ) -> Result<Server<Platform>, ServeError> {
         let directory = Directory::new(clock.unix_start());
         let (watch, known) = Watch::new(self.discovery, directory, &self.known);
         let deadlines = self.set.classes.iter().map(|class| class.deadline).collect();
@@ -108,8 +100,9 @@
             Some(known),
             roster,
         );
-        let server = server.map_err(|error| format!("can't listen on {}: {error}", self.listen))?;
-        let listen = server.local_addr().map_err(|error| error.to_string())?;
+        let refused = |why| ServeError::Listen { address: self.listen, why };
+        let server = server.map_err(refused)?;
+        let listen = server.local_addr().map_err(refused)?;
         tracing::info!("{} serves the platform on {listen}", self.name);
         Ok(server)
     }
--- a/src/platform/frames.rs
+++ b/src/platform/frames.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Send;
 use crate::interface::*;
-use crate::net::NodeReply;
+use crate::net::{NodeReply, PeerError};
 use std::fmt::Write;
 
 /// Longest frame that is taken from a node, bytes.
@@ -38,21 +38,21 @@
 ///
 /// # Errors
 /// Tells why the connection can't go on.
-pub fn reply(input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, String> {
+pub fn reply(input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, PeerError> {
     let Some(length) = input.get(..4) else { return Ok(None) };
     let length = u32::from_le_bytes([length[0], length[1], length[2], length[3]]) as usize;
     if length == 0 || length > FRAME_LIMIT {
-        return Err(format!("a frame of {length} bytes"));
+        return Err(PeerError::FrameLength(length));
     }
     let Some(body) = input.get(4..4 + length) else { return Ok(None) };
     let (letter, rest) = (body[0], &body[1..]);
-    let text = std::str::from_utf8(rest).map_err(|_| "a frame that is not UTF-8")?;
+    let text = std::str::from_utf8(rest).map_err(|_| PeerError::NotUtf8)?;
     let read = match letter {
-        b'A' => answer(text).ok_or_else(|| format!("an answer that can't be read: {text:.60}"))?,
+        b'A' => answer(text).ok_or_else(|| PeerError::Answer(text.chars().take(60).collect()))?,
         b'L' => load(text),
         b'P' => NodeReply::Load(Outcome::Fault, Report::default()),
-        b'E' => return Err(format!("the node says: {text:.60}")),
-        other => return Err(format!("a frame of kind {other}")),
+        b'E' => return Err(PeerError::Refused(text.chars().take(60).collect())),
+        other => return Err(PeerError::FrameKind(other)),
     };
     input.drain(..4 + length);
     Ok(Some(read))
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,7 +7,7 @@
 use crate::core::{Failure, NewQuery, Send};
 use crate::interface::*;
 use crate::net::http::{Bad, Request, Response};
-use crate::net::{Dialect, NodeReply, Take};
+use crate::net::{Dialect, NodeReply, PeerError, Take};
 use miniserde::json;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
@@ -263,7 +263,7 @@
         Some(frames::frame(b'L', b""))
     }
 
-    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, String> {
+    fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, PeerError> {
         frames::reply(input)
     }
 }
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -3,13 +3,14 @@
 use super::config::Config;
 use crate::interface::*;
 use crate::net::http::{self, Chunks, Framing};
-use crate::net::{News, Roster};
-use miniserde::{json, Deserialize};
+use crate::net::{News, PeerError, Roster};
+use crate::settings::ConfigError;
+use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Longest line of the watch, bytes.
-const LINE_LIMIT: usize = 1 << 20;
+/// Longest list of the watch, bytes.
+const LIST_LIMIT: usize = 1 << 20;
 
 /// A list as discovery writes it.
 #[derive(Deserialize, Debug)]
@@ -87,14 +88,15 @@
     Body(Chunks),
 }
 
-/// The watch: one request, then a line for each change, in chunks split anywhere.
+/// The watch: one request, then a list for each change, indented or in one line, in chunks split anywhere.
 #[derive(Debug)]
 pub struct Watch {
     address: SocketAddr,
     directory: Directory,
     version: u64,
     state: State,
-    line: Vec<u8>,
+    /// What has come and makes no whole list yet.
+    text: Vec<u8>,
 }
 
 impl Watch {
@@ -102,27 +104,40 @@
     pub fn new(address: SocketAddr, mut directory: Directory, known: &List) -> (Self, News) {
         let news = directory.news(ListKind::Restored, known);
         let state = State::Head(Vec::new());
-        (Watch { address, directory, version: known.version, state, line: Vec::new() }, news)
+        (Watch { address, directory, version: known.version, state, text: Vec::new() }, news)
     }
 
-    fn take_line(&mut self, line: &[u8]) -> Result<Option<News>, String> {
-        let text = std::str::from_utf8(line).map_err(|_| "a line that is not UTF-8")?.trim();
-        if text.is_empty() {
-            return Ok(None);
-        }
-        let list: List = json::from_str(text).map_err(|_| format!("a line that is no list: {text:.60}"))?;
-        // A change that is known already says nothing new; a whole list is always what holds now.
-        if !list.full && list.version <= self.version {
-            return Ok(None);
+    /// Takes the whole lists off the front of what has come; where one ends is for the reader to say, since a list may
+    /// take many lines.
+    fn take_lists(&mut self, news: &mut Vec<News>) -> Result<(), PeerError> {
+        let text = std::mem::take(&mut self.text);
+        let mut lists = serde_json::Deserializer::from_slice(&text).into_iter::<List>();
+        let mut used = 0;
+        while let Some(list) = lists.next() {
+            match list {
+                Ok(list) => {
+                    used = lists.byte_offset();
+                    // A change that is known already says nothing new; a whole list is always what holds now.
+                    if list.full || list.version > self.version {
+                        let kind = if list.full { ListKind::Replace } else { ListKind::Update };
+                        self.version = list.version;
+                        news.push(self.directory.news(kind, &list));
+                    }
+                }
+                Err(error) if error.is_eof() => {
+                    self.text = text[used..].to_vec();
+                    let fits = self.text.len() <= LIST_LIMIT;
+                    return fits.then_some(()).ok_or(PeerError::LongList(LIST_LIMIT));
+                }
+                Err(error) => return Err(PeerError::List(error)),
+            }
         }
-        let kind = if list.full { ListKind::Replace } else { ListKind::Update };
-        self.version = list.version;
-        Ok(Some(self.directory.news(kind, &list)))
+        Ok(())
     }
 }
 
 impl Roster for Watch {
-    fn reload(&mut self, text: &str) -> Result<bool, String> {
+    fn reload(&mut self, text: &str) -> Result<bool, ConfigError> {
         let address = Config::read(text)?.discovery();
         // Versions are discovery's own, the same at each of its addresses: the watch goes on after this one.
         Ok(std::mem::replace(&mut self.address, address) != address)
@@ -134,41 +149,34 @@
 
     fn request(&mut self) -> Vec<u8> {
         self.state = State::Head(Vec::new());
-        self.line.clear();
+        self.text.clear();
         let (version, host) = (self.version, self.address);
         format!("GET /v1/endpoints?watch=1&after={version} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
     }
 
-    fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), String> {
+    fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), PeerError> {
         let mut data = Vec::new();
         match &mut self.state {
             State::Head(head) => {
                 head.extend_from_slice(bytes);
-                let Some(told) = http::response_head(head).map_err(|_| "not an HTTP answer")? else {
+                let Some(told) = http::response_head(head).map_err(|_| PeerError::NotHttp)? else {
                     return Ok(());
                 };
                 if told.status != 200 || told.framing != Some(Framing::Chunked) {
-                    return Err(format!("status {} instead of a watch", told.status));
+                    return Err(PeerError::Status(told.status));
                 }
                 let mut chunks = Chunks::default();
-                chunks.read(&head[told.length..], &mut data).map_err(|_| "bad chunks")?;
+                chunks.read(&head[told.length..], &mut data).map_err(|_| PeerError::Body)?;
                 self.state = State::Body(chunks);
             }
             State::Body(chunks) => {
-                chunks.read(bytes, &mut data).map_err(|_| "bad chunks")?;
-            }
-        }
-        for byte in data {
-            self.line.push(byte);
-            if byte == b'\n' {
-                let line = std::mem::take(&mut self.line);
-                news.extend(self.take_line(&line)?);
-            } else if self.line.len() > LINE_LIMIT {
-                return Err("a line without end".into());
+                chunks.read(bytes, &mut data).map_err(|_| PeerError::Body)?;
             }
         }
+        self.text.extend(data);
+        self.take_lists(news)?;
         if matches!(&self.state, State::Body(chunks) if chunks.is_done()) {
-            return Err("the watch ended".into());
+            return Err(PeerError::Ended);
         }
         Ok(())
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,59 @@
 
 use crate::interface::*;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Why a file of settings can't be used. Nothing of it is taken in then: a program that starts ends with exit code 1, one
+/// that serves goes on with what it had.
+#[derive(Debug, Error)]
+#[allow(missing_docs)]
+pub enum ConfigError {
+    #[error("not a configuration: field `{field}`: {why}; mend the file there")]
+    Json { field: String, why: serde_json::Error },
+    #[error("field `{field}` is no address: `{value}`; write IP:PORT, as 10.0.0.4:7070")]
+    Address { field: &'static str, value: String },
+    #[error("field `seed` is no hex number: `{0}`; write up to 16 hex digits")]
+    Seed(String),
+    #[error("field `settings.classes[{class}].effect` has unknown value `{value}`; write idempotent, deduplicated or at_most_once")]
+    Effect { class: usize, value: String },
+    #[error("field `settings.registry_mode` has unknown value `{0}`; write automatic or subscribe")]
+    Registry(String),
+    #[error("field `settings.domain.{field}` has {found} values for {wanted} classes; give one for each")]
+    TooFew { field: &'static str, found: usize, wanted: usize },
+    #[error("field `settings.{0}` is empty or 0; give at least 1")]
+    Nothing(&'static str),
+    #[error("field `settings.classes[{class}]`: {why}")]
+    Unsupported { class: usize, why: &'static str },
+    #[error("field `contracts`, team `{team}`: no class `{class}`; name classes of `settings.classes`")]
+    NoClass { team: String, class: String },
+    #[error("field `contracts`, team `{team}`: `{field}` is {value}; give {least} or more")]
+    Contract { team: String, field: &'static str, value: f64, least: f64 },
+}
+
+impl ConfigError {
+    /// Reads a whole file as JSON; a fault is told with its field, line and column.
+    ///
+    /// # Errors
+    /// What was found and what was expected there.
+    pub fn parse<'a, T: serde::Deserialize<'a>>(text: &'a str) -> Result<T, ConfigError> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let read = serde_path_to_error::deserialize(&mut reader).map_err(|error| ConfigError::Json {
+            field: error.path().to_string(),
+            why: error.into_inner(),
+        })?;
+        reader.end().map_err(|why| ConfigError::Json { field: ".".into(), why })?;
+        Ok(read)
+    }
+
+    /// Reads a field that holds an address.
+    ///
+    /// # Errors
+    /// The field and what it holds.
+    pub fn address(field: &'static str, value: &str) -> Result<SocketAddr, ConfigError> {
+        value.parse().map_err(|_| ConfigError::Address { field, value: value.to_string() })
+    }
+}
 
 /// The start-up parameters that the module uses.
 #[derive(Debug, Clone, serde::Deserialize, miniserde::Deserialize)]
@@ -76,7 +129,6 @@
     pub budget_span_ms: Option<f64>,
     pub extra_free: Option<f64>,
     pub resend_ratio: Option<f64>,
-    pub drain_grace_ms: Option<f64>,
     pub cold_from: f64,
     pub cold_ms: f64,
     pub fall_multiple: f64,
@@ -103,11 +155,20 @@
     ///
     /// # Errors
     /// Names the field that makes no sense.
-    pub fn settings(&self) -> Result<Settings, String> {
+    pub fn settings(&self) -> Result<Settings, ConfigError> {
         let fee = |name: &str| self.fees.as_ref().and_then(|fees| fees.get(name)).copied().unwrap_or(0.0);
+        if self.classes.is_empty() {
+            return Err(ConfigError::Nothing("classes"));
+        }
+        for (field, value) in [("domain.cells", self.domain.cells), ("domain.reach", self.domain.reach)] {
+            if value == 0 {
+                return Err(ConfigError::Nothing(field));
+            }
+        }
         let mut classes = Vec::new();
         for (n, class) in self.classes.iter().enumerate() {
-            let short = |field: &str| format!("field `domain.{field}` has no value for class {n}");
+            let wanted = self.classes.len();
+            let short = |field, found| ConfigError::TooFew { field, found, wanted };
             classes.push(Class {
                 aim: class.goal_time_ms,
                 deadline: class.deadline_ms,
@@ -117,12 +178,28 @@
                     "idempotent" => Effect::Safe,
                     "deduplicated" => Effect::Keyed(class.dedup_window_ms.unwrap_or(0.0)),
                     "at_most_once" => Effect::Unsafe,
-                    other => return Err(format!("field `effect` has unknown value `{other}`")),
+                    other => return Err(ConfigError::Effect { class: n, value: other.to_string() }),
                 },
-                whole_at: *self.domain.whole_at.get(n).ok_or_else(|| short("whole_at"))?,
-                floor: *self.domain.floor_by_class.get(n).ok_or_else(|| short("floor_by_class"))?,
-                partial_earns: *self.domain.partial_earns.get(n).ok_or_else(|| short("partial_earns"))?,
-                fetch: *self.domain.class_fetch.get(n).ok_or_else(|| short("class_fetch"))?,
+                whole_at: *self
+                    .domain
+                    .whole_at
+                    .get(n)
+                    .ok_or_else(|| short("whole_at", self.domain.whole_at.len()))?,
+                floor: *self
+                    .domain
+                    .floor_by_class
+                    .get(n)
+                    .ok_or_else(|| short("floor_by_class", self.domain.floor_by_class.len()))?,
+                partial_earns: *self
+                    .domain
+                    .partial_earns
+                    .get(n)
+                    .ok_or_else(|| short("partial_earns", self.domain.partial_earns.len()))?,
+                fetch: *self
+                    .domain
+                    .class_fetch
+                    .get(n)
+                    .ok_or_else(|| short("class_fetch", self.domain.class_fetch.len()))?,
             });
         }
         let (rules, limits) = (&self.invariants, &self.policy_limits);
@@ -142,7 +219,7 @@
             must_subscribe: match self.registry_mode.as_str() {
                 "subscribe" => true,
                 "automatic" => false,
-                other => return Err(format!("field `registry_mode` has unknown value `{other}`")),
+                other => return Err(ConfigError::Registry(other.to_string())),
             },
             ask_within: rules.ask_within_ms.unwrap_or(f64::INFINITY),
             period: self.period_ms,
@@ -173,7 +250,6 @@
             streams: limits.streams_per_conn.unwrap_or(1).max(1),
             max_open: limits.max_open.unwrap_or(usize::MAX),
             shards: self.domain.slices.unwrap_or(usize::MAX),
-            drain_grace: self.invariants.drain_grace_ms.unwrap_or(0.0),
         }
     }
 }
@@ -191,6 +267,4 @@
     pub max_open: usize,
     /// How many shards there are.
     pub shards: usize,
-    /// Sends to a draining replica end by then.
-    pub drain_grace: Ms,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use thiserror::Error;
 
 pub use crate::settings::{Profile, ReportNames};
 
@@ -80,15 +81,33 @@
     pub lifecycle: String,
 }
 
+/// Why a line of the simulator's wire can't be used; the adapter ends with exit code 1, since a reply would be wrong.
+#[derive(Debug, Error)]
+#[allow(missing_docs)]
+pub enum WireError {
+    #[error("field `{field}`: {why}")]
+    Json { field: String, why: serde_json::Error },
+    #[error("field `ticket` is not 16 hex digits: `{0}`")]
+    Ticket(String),
+    #[error("field `{field}` has unknown value `{value}`")]
+    Unknown { field: &'static str, value: String },
+    #[error("field `bank`: no sheet of that number came before")]
+    Bank,
+    #[error(transparent)]
+    Settings(#[from] crate::settings::ConfigError),
+    #[error("standard input or output: {0}")]
+    Io(#[from] std::io::Error),
+}
+
 /// Reads one line.
 ///
 /// # Errors
 /// Tells what is malformed and in which field.
-pub fn read_line(text: &str) -> Result<Line, String> {
+pub fn read_line(text: &str) -> Result<Line, WireError> {
     let mut reader = serde_json::Deserializer::from_str(text);
     let line = serde_path_to_error::deserialize(&mut reader)
-        .map_err(|error| format!("field `{}`: {}", error.path(), error.inner()))?;
-    reader.end().map_err(|error| error.to_string())?;
+        .map_err(|error| WireError::Json { field: error.path().to_string(), why: error.into_inner() })?;
+    reader.end().map_err(|why| WireError::Json { field: ".".into(), why })?;
     Ok(line)
 }
 
@@ -96,20 +115,16 @@
 ///
 /// # Errors
 /// Names the field when it is malformed.
-pub fn request_id(text: &str) -> Result<RequestId, String> {
-    if text.len() != 16 {
-        return Err(format!("field `ticket` is not 16 hex digits: `{text}`"));
-    }
-    u64::from_str_radix(text, 16)
-        .map(RequestId)
-        .map_err(|_| format!("field `ticket` is not 16 hex digits: `{text}`"))
+pub fn request_id(text: &str) -> Result<RequestId, WireError> {
+    let number = u64::from_str_radix(text, 16).ok().filter(|_| text.len() == 16);
+    number.map(RequestId).ok_or_else(|| WireError::Ticket(text.into()))
 }
 
 /// Reads a completion code.
 ///
 /// # Errors
 /// Names the field when the code is unknown.
-pub fn outcome(code: &str) -> Result<Outcome, String> {
+pub fn outcome(code: &str) -> Result<Outcome, WireError> {
     Ok(match code {
         "pass" => Outcome::Pass,
         "fault" => Outcome::Fault,
@@ -119,7 +134,7 @@
         "cut" => Outcome::Cut,
         "undone" => Outcome::Cancelled,
         "stale_send" => Outcome::NotSent,
-        other => return Err(format!("field `rc` has unknown value `{other}`")),
+        other => return Err(WireError::Unknown { field: "rc", value: other.into() }),
     })
 }
 
@@ -128,7 +143,7 @@
     ///
     /// # Errors
     /// Names the field that makes no sense.
-    pub fn event(&self, names: &[String]) -> Result<Event, String> {
+    pub fn event(&self, names: &[String]) -> Result<Event, WireError> {
         let id = request_id(&self.ticket)?;
         let number = self.whole_no as u64;
         if self.segment_no >= 0.0 {
@@ -140,7 +155,7 @@
         Ok(Event::Query {
             id,
             class: class
-                .ok_or_else(|| format!("field `profile` names no known class: `{}`", self.profile))?,
+                .ok_or_else(|| WireError::Unknown { field: "profile", value: self.profile.clone() })?,
             number,
             parts: self.size_or_weight as usize,
             expires_in: self.expires_in_ms,
@@ -154,7 +169,7 @@
     ///
     /// # Errors
     /// Names the field that makes no sense.
-    pub fn listed(&self) -> Result<Listed, String> {
+    pub fn listed(&self) -> Result<Listed, WireError> {
         Ok(Listed {
             id: ReplicaId(self.server),
             cell: self.cell,
@@ -166,7 +181,7 @@
                 "on" => Lifecycle::On,
                 "fading" => Lifecycle::Fading,
                 "off" => Lifecycle::Off,
-                other => return Err(format!("field `lifecycle` has unknown value `{other}`")),
+                other => return Err(WireError::Unknown { field: "lifecycle", value: other.into() }),
             },
         })
     }
