--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use miniserde::json;
 use std::path::Path;
 use steppick::net::http::{self, Chunks, Framing, Request};
 use steppick::net::{Dialect, Roster, Take};
