--- /dev/null
+++ b/tests/restarts.rs
@@ -0,0 +1,122 @@
+//! Planned restarts: three processes of the program, each restarted in turn under clients that keep sending on every
+//! connection that stays open. The clients count what is lost.
+
+mod support;
+
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use support::site::*;
+use support::{apart, Client, Folder, Program};
+
+const CLIENTS: u64 = 5;
+/// The platform kills this long after SIGTERM: the longest deadline, 2 s here, and 0.7 s.
+const KILL: Duration = Duration::from_millis(2700);
+
+#[derive(Default)]
+struct Count {
+    answered: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    lost: AtomicU64,
+    /// Sent once more since a connection was closed between requests as one crossed.
+    crossed: AtomicU64,
+}
+
+/// What the front layer knows of the processes.
+type Front = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// A client: one connection, kept for as long as it stays open, then another to whoever is there.
+fn client(front: &Front, stop: &AtomicBool, count: &Count, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut kept: Option<Client> = None;
+    let mut id = seed << 24;
+    while !stop.load(Ordering::SeqCst) {
+        id += 1;
+        let mut tries = 0;
+        let status = loop {
+            let was_kept = kept.is_some();
+            let mut connection = kept.take().unwrap_or_else(|| loop {
+                let known = front.lock().expect("no panic").clone();
+                if let Ok(connection) = Client::connect(known[rng.random_range(0..known.len())]) {
+                    break connection;
+                }
+            });
+            let status = connection.try_ask("/view", &headers("view", id), &body(&[0, 1]));
+            if status.is_some() {
+                kept = Some(connection);
+                break status;
+            }
+            tries += 1;
+            count.crossed.fetch_add(1, Ordering::SeqCst);
+            if !was_kept || tries > 1 {
+                break None;
+            }
+        };
+        let counter = match status {
+            Some(200) => &count.answered,
+            Some(429 | 503) => &count.refused,
+            Some(_) => &count.failed,
+            None => &count.lost,
+        };
+        counter.fetch_add(1, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(rng.random_range(0..25)));
+    }
+}
+
+fn play(seed: u64) -> Arc<Count> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let folder = Folder::new(&format!("restarts-{seed}"));
+    let nodes = [node(), node()];
+    nodes.iter().for_each(|node| node.mood(Mood::Takes(Duration::from_millis(15))));
+    let (discovery, _tell, _asked) = discovery();
+    let servers = format!("{},{}", entry(&nodes, 0, "in_service"), entry(&nodes, 1, "in_service"));
+    let path = folder.write("config.json", &config("127.0.0.1:0", discovery, &servers));
+    let start = || {
+        let program = Program::start(&[], Some(&path));
+        let address = program.address();
+        (program, address)
+    };
+    let mut programs: Vec<(Program, SocketAddr)> = (0..3).map(|_| start()).collect();
+    let front: Front = Arc::new(Mutex::new(programs.iter().map(|(_, address)| *address).collect()));
+    let (stop, count) = (Arc::new(AtomicBool::new(false)), Arc::new(Count::default()));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|n| {
+            let (front, stop, count) = (front.clone(), stop.clone(), count.clone());
+            apart(move || client(&front, &stop, &count, seed * CLIENTS + n + 1))
+        })
+        .collect();
+    for n in 0..programs.len() {
+        std::thread::sleep(Duration::from_millis(rng.random_range(50..300)));
+        programs[n].0.signal("TERM");
+        // New connections keep coming for a while; then the front has noticed.
+        std::thread::sleep(Duration::from_millis(rng.random_range(200..400)));
+        front.lock().expect("no panic").retain(|address| *address != programs[n].1);
+        programs[n].0.ends_by(KILL);
+        programs[n] = start();
+        front.lock().expect("no panic").push(programs[n].1);
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    count
+}
+
+#[test]
+fn restarts_in_turn_lose_no_request() {
+    let runs: Vec<_> = (0..20).map(|seed| apart(move || play(seed))).collect();
+    let (mut answered, mut told) = (0, Vec::new());
+    for (seed, run) in runs.into_iter().enumerate() {
+        let count = run.join().expect("a run");
+        let of = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
+        answered += of(&count.answered);
+        if of(&count.lost) + of(&count.failed) > 0 || of(&count.answered) == 0 {
+            let (lost, failed, crossed) = (of(&count.lost), of(&count.failed), of(&count.crossed));
+            told.push(format!("seed {seed}: {lost} lost, {failed} failed, {crossed} crossed"));
+        }
+    }
+    println!("{answered} answered over 20 runs");
+    assert!(told.is_empty(), "{told:#?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+pub mod site;
 
 use quickcheck::{Gen, QuickCheck, Testable};
 use std::io::{BufRead, BufReader, Write};
@@ -139,6 +140,19 @@
         self.child.wait().expect("it ends").success()
     }
 
+    /// Whether it ends by itself in that time; it is killed otherwise, as the platform does.
+    pub fn ends_by(&mut self, time: Duration) -> bool {
+        let until = std::time::Instant::now() + time;
+        while std::time::Instant::now() < until {
+            if self.child.try_wait().expect("it can be waited for").is_some() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let _ = self.child.kill();
+        false
+    }
+
     /// Waits for its end without asking.
     pub fn ends(&mut self) -> Option<i32> {
         self.child.wait().expect("it ends").code()
@@ -172,9 +186,23 @@
 
 impl Client {
     pub fn new(to: SocketAddr) -> Client {
-        let stream = TcpStream::connect(to).expect("a connection");
-        stream.set_read_timeout(Some(Duration::from_secs(60))).expect("a time-out");
-        Client(BufReader::new(stream))
+        Client::connect(to).expect("a connection")
+    }
+
+    /// The same, where nobody may be listening any more.
+    pub fn connect(to: SocketAddr) -> std::io::Result<Client> {
+        let stream = TcpStream::connect(to)?;
+        stream.set_read_timeout(Some(Duration::from_secs(60)))?;
+        Ok(Client(BufReader::new(stream)))
+    }
+
+    /// Sends a request; its status, or none where the connection ends without an answer.
+    pub fn try_ask(&mut self, path: &str, headers: &str, body: &str) -> Option<u16> {
+        let length = body.len();
+        let text =
+            format!("POST {path} HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        self.0.get_mut().write_all(text.as_bytes()).ok()?;
+        message(&mut self.0).and_then(|(head, _)| head[9..12].parse().ok())
     }
 
     pub fn write(&mut self, bytes: &[u8]) {
