--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -45,9 +45,9 @@
                 }
             });
             let status = connection.try_ask("/view", &headers("view", id), &body(&[0, 1]));
-            if status.is_some() {
-                kept = Some(connection);
-                break status;
+            if let Some((status, stays)) = status {
+                kept = stays.then_some(connection);
+                break Some(status);
             }
             tries += 1;
             count.crossed.fetch_add(1, Ordering::SeqCst);
@@ -88,15 +88,15 @@
             apart(move || client(&front, &stop, &count, seed * CLIENTS + n + 1))
         })
         .collect();
-    for n in 0..programs.len() {
+    for (program, at) in &mut programs {
         std::thread::sleep(Duration::from_millis(rng.random_range(50..300)));
-        programs[n].0.signal("TERM");
+        program.signal("TERM");
         // New connections keep coming for a while; then the front has noticed.
         std::thread::sleep(Duration::from_millis(rng.random_range(200..400)));
-        front.lock().expect("no panic").retain(|address| *address != programs[n].1);
-        programs[n].0.ends_by(KILL);
-        programs[n] = start();
-        front.lock().expect("no panic").push(programs[n].1);
+        front.lock().expect("no panic").retain(|address| address != at);
+        program.ends_by(KILL);
+        (*program, *at) = start();
+        front.lock().expect("no panic").push(*at);
     }
     std::thread::sleep(Duration::from_millis(100));
     stop.store(true, Ordering::SeqCst);
@@ -107,16 +107,19 @@
 #[test]
 fn restarts_in_turn_lose_no_request() {
     let runs: Vec<_> = (0..20).map(|seed| apart(move || play(seed))).collect();
-    let (mut answered, mut told) = (0, Vec::new());
+    let (mut answered, mut all_crossed, mut told) = (0, 0, Vec::new());
     for (seed, run) in runs.into_iter().enumerate() {
         let count = run.join().expect("a run");
         let of = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
         answered += of(&count.answered);
+        all_crossed += of(&count.crossed);
         if of(&count.lost) + of(&count.failed) > 0 || of(&count.answered) == 0 {
             let (lost, failed, crossed) = (of(&count.lost), of(&count.failed), of(&count.crossed));
             told.push(format!("seed {seed}: {lost} lost, {failed} failed, {crossed} crossed"));
         }
     }
-    println!("{answered} answered over 20 runs");
+    println!("{answered} answered over 20 runs, {all_crossed} sent once more");
+    // A close between requests may cross a request now and then; beyond one in 200 it is the program that loses them.
+    assert!(all_crossed * 200 <= answered, "{all_crossed} of {answered} sent once more");
     assert!(told.is_empty(), "{told:#?}");
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -196,13 +196,14 @@
         Ok(Client(BufReader::new(stream)))
     }
 
-    /// Sends a request; its status, or none where the connection ends without an answer.
-    pub fn try_ask(&mut self, path: &str, headers: &str, body: &str) -> Option<u16> {
+    /// Sends a request; its status and whether the connection stays open, or none where it ends without an answer.
+    pub fn try_ask(&mut self, path: &str, headers: &str, body: &str) -> Option<(u16, bool)> {
         let length = body.len();
         let text =
             format!("POST {path} HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
         self.0.get_mut().write_all(text.as_bytes()).ok()?;
-        message(&mut self.0).and_then(|(head, _)| head[9..12].parse().ok())
+        let (head, _) = message(&mut self.0)?;
+        Some((head[9..12].parse().ok()?, !head.contains("Connection: close")))
     }
 
     pub fn write(&mut self, bytes: &[u8]) {
