--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -396,3 +396,40 @@
     assert!(status == 200 && head.contains("Connection: close"), "{head}");
     assert!(idle.is_ended() && crowd[0].is_ended());
 }
+
+/// Runs the program to its end; its exit code and the first line that it says.
+fn ends_with(arguments: &[&str], config: Option<&PathBuf>) -> (Option<i32>, String) {
+    let mut program = Program::start(arguments, config);
+    let line = program.line("");
+    (program.ends(), line)
+}
+
+#[test]
+fn a_start_that_fails_ends_with_1_and_a_line_that_says_what_to_do() {
+    let folder = Folder::new("codes");
+    let nowhere: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    let good = config("127.0.0.1:0", nowhere, "");
+    let file = |name: &str, text: &str| folder.write(name, text);
+    let gone = folder.0.join("gone.json");
+    let first = good.replacen("\"goal_time_ms\":1000", "\"goal_time_ms\":\"soon\"", 1);
+    let cells = good.replace("\"cells\":2", "\"cells\":0");
+    let short = good.replace("\"whole_at\":[1,1,1]", "\"whole_at\":[1,1]");
+    for (path, told) in [
+        (gone, "check the path"),
+        (file("a.json", &first), "field `settings.classes[0].goal_time_ms`"),
+        (file("b.json", &first), "line 3 column"),
+        (file("c.json", &cells), "field `settings.domain.cells` is empty or 0"),
+        (file("d.json", &short), "`settings.domain.whole_at` has 2 values for 3 classes"),
+        (file("e.json", &good.replace("automatic", "always")), "write automatic or subscribe"),
+    ] {
+        let (code, line) = ends_with(&[], Some(&path));
+        assert_eq!(code, Some(1), "{line}");
+        assert!(line.contains(told) && line.contains(path.to_str().expect("UTF-8")), "{told}: {line}");
+    }
+    assert_eq!(ends_with(&[], None).0, Some(1));
+    assert_eq!(ends_with(&["--no-such-flag"], None).0, Some(1));
+    let path = file("good.json", &good);
+    let mut program = Program::start(&[], Some(&path));
+    program.address();
+    assert!(program.terminate(), "an orderly end is 0");
+}
