--- a/examples/toy_nodes.rs
+++ b/examples/toy_nodes.rs
@@ -150,7 +150,7 @@
     )
 }
 
-fn serve(mut stream: TcpStream, port: u16) -> std::io::Result<()> {
+pub fn serve(mut stream: TcpStream, port: u16) -> std::io::Result<()> {
     let (mut input, mut buffer) = (Vec::new(), [0; 4096]);
     loop {
         match http::request(&input) {
