--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -87,6 +87,9 @@
     pub replica: ReplicaId,
     /// When the core stops waiting for it.
     pub stop_at: Ms,
+    /// Where it repeats an attempt that may have run: by when the last byte of both must have left. A connection may
+    /// come up, or drain, long after the frame was queued, and outside the window a repeat runs again.
+    pub leave_by: Option<Ms>,
     /// Present in a second step.
     pub second: Option<Second>,
     /// A copy of what went out in an earlier step and may have been answered since.
@@ -109,6 +112,8 @@
     Send(Send),
     /// Call an attempt off.
     Cancel(AttemptId, ReplicaId),
+    /// Nobody waits for an attempt any more: it does not go out if it has not begun to.
+    Withdraw(AttemptId),
     /// Final answer of a query: whether it is whole, and the shards with their values.
     Answer(RequestId, bool, Vec<(usize, V)>),
     /// Final answer: refused, with advice when to come back.
@@ -137,6 +142,8 @@
     expires_at: Ms,
     parts: Vec<RequestId>,
     second: Option<Second>,
+    /// The program ends before its time is over.
+    cut_short: bool,
     /// How its attempts ended, by [`Outcome`]: for the trace of its final answer.
     outcomes: [u16; OUTCOMES],
 }
@@ -276,7 +283,7 @@
             }
             Input::Query(id, ask) => self.take_query(id, ask, events, effects),
             Input::Gone(id) => {
-                if self.close(id).is_some() {
+                if self.close(id, effects).is_some() {
                     self.counters.gone += 1;
                     events.push(Event::Withdrawn { id });
                 }
@@ -354,8 +361,8 @@
             parts.push(self.add_part(id, number, (shard, weight, work), 0, events));
         }
         let (class, taken_at, expires_at) = (ask.class, self.now, ask.expires_at);
-        let query =
-            Query { number, class, taken_at, expires_at, parts, second: None, outcomes: [0; OUTCOMES] };
+        let (second, cut_short, outcomes) = (None, false, [0; OUTCOMES]);
+        let query = Query { number, class, taken_at, expires_at, parts, second, cut_short, outcomes };
         self.queries.insert(id, query);
     }
 
@@ -375,15 +382,24 @@
         id
     }
 
-    /// Forgets a query and its parts; attempts that are out go on until they end.
-    fn close(&mut self, id: RequestId) -> Option<Query> {
+    /// Forgets a query and its parts. Attempts that have begun go on until they end; whether those may be called off is
+    /// the site's to say, but what has not begun is never sent for a query that is over.
+    fn close(&mut self, id: RequestId, effects: &mut Vec<Effect<V>>) -> Option<Query> {
         let query = self.queries.remove(&id)?;
-        for part in &query.parts {
-            self.parts.remove(part);
+        for id in &query.parts {
+            let out = self.parts.remove(id).map(|part| part.out).unwrap_or_default();
+            effects.extend(out.into_iter().map(|number| Effect::Withdraw(AttemptId { part: *id, number })));
         }
         Some(query)
     }
 
+    /// Whoever is still unanswered then gets its final answer: the program will be gone soon after.
+    pub fn end_by(&mut self, at: Ms) {
+        for query in self.queries.values_mut().filter(|query| query.expires_at > at) {
+            (query.expires_at, query.cut_short) = (at, true);
+        }
+    }
+
     /// Ends an attempt once; what comes after its end is not news.
     fn end_attempt(&mut self, id: AttemptId, outcome: Outcome) -> Option<Event> {
         let attempt = self.attempts.remove(&id)?;
@@ -437,14 +453,29 @@
             self.queries.iter().filter(|(_, q)| q.expires_at <= self.now).map(|(id, _)| *id).collect();
         for id in overdue {
             self.trace_final(id, "overdue");
-            self.close(id);
+            let harmless = self.is_harmless(id);
+            let cut_short = self.close(id, effects).is_some_and(|query| query.cut_short);
             self.pending.push(Event::Withdrawn { id });
+            if cut_short && harmless {
+                // Its client still has time, for another coordinator.
+                self.counters.refused += 1;
+                effects.push(Effect::Refuse(id, self.set.may_advise.then_some(0.0)));
+                continue;
+            }
             self.counters.failed += 1;
             self.counters.overdue += 1;
             effects.push(Effect::Fail(id, Failure::TimedOut, None));
         }
     }
 
+    /// Whether a query may be refused: its client can ask again and nothing runs twice that must not.
+    fn is_harmless(&self, id: RequestId) -> bool {
+        self.queries.get(&id).is_some_and(|query| {
+            self.set.classes[query.class].effect == Repeats::Safe
+                || query.parts.iter().all(|part| !self.ran(*part))
+        })
+    }
+
     fn carry_out(&mut self, action: Action, effects: &mut Vec<Effect<V>>) {
         match action {
             Action::Send { part, replica, stop_at } => self.send(part, replica, stop_at, effects),
@@ -458,12 +489,13 @@
             }
             Action::Answer { query, whole } => self.answer(query, whole, effects),
             Action::Refuse { query, retry_after } => {
-                let Some(held) = self.queries.get(&query) else { return };
-                let safe = self.set.classes[held.class].effect == Repeats::Safe
-                    || held.parts.iter().all(|part| !self.ran(*part));
-                let harmless = crate::must_hold!(self.counters, safe, "a refusal must be harmless");
+                if !self.queries.contains_key(&query) {
+                    return;
+                }
+                let harmless = self.is_harmless(query);
+                let harmless = crate::must_hold!(self.counters, harmless, "a refusal must be harmless");
                 self.trace_final(query, if harmless { "refused" } else { "failed" });
-                self.close(query);
+                self.close(query, effects);
                 if harmless {
                     self.counters.refused += 1;
                     let limit = self.set.advice_limit;
@@ -475,7 +507,7 @@
             }
             Action::Fail { query, retry_after } => {
                 self.trace_final(query, "failed");
-                let Some(held) = self.close(query) else { return };
+                let Some(held) = self.close(query, effects) else { return };
                 self.counters.failed += 1;
                 let late = held.expires_at - self.now < 50.0;
                 let why = if late { Failure::TimedOut } else { Failure::Unserved };
@@ -515,9 +547,7 @@
         let Some(known) = self.replicas.get(&replica) else { return Some("an unlisted replica") };
         let cells = self.set.cells.max(1);
         let holds = (0..self.set.reach).any(|j| (part.shard + j) % cells == known.cell);
-        let first = part.out.iter().filter_map(|n| self.attempts.get(&AttemptId { part: id, number: *n }));
-        let first = first.map(|a| a.sent_at).chain(part.may_have_run).min_by(f64::total_cmp);
-        let repeat = match (self.set.classes[query.class].effect, first) {
+        let repeat = match (self.set.classes[query.class].effect, self.first_sent(id, part)) {
             (Repeats::Unsafe, Some(_)) => true,
             (Repeats::Keyed(window), Some(first)) => self.now > first + window,
             _ => false,
@@ -533,8 +563,24 @@
         told.iter().find(|(broken, _)| *broken).map(|(_, why)| *why)
     }
 
+    /// When the first attempt of a part was sent that may have run or is out.
+    fn first_sent(&self, id: RequestId, part: &Part<V>) -> Option<Ms> {
+        let out = part.out.iter().filter_map(|n| self.attempts.get(&AttemptId { part: id, number: *n }));
+        out.map(|a| a.sent_at).chain(part.may_have_run).min_by(f64::total_cmp)
+    }
+
+    /// By when a repeat must have left that is sent now.
+    fn leave_by(&self, id: RequestId) -> Option<Ms> {
+        let part = self.parts.get(&id)?;
+        match self.set.classes[self.queries.get(&part.query)?.class].effect {
+            Repeats::Keyed(window) => self.first_sent(id, part).map(|first| first + window),
+            Repeats::Safe | Repeats::Unsafe => None,
+        }
+    }
+
     fn send(&mut self, id: RequestId, replica: ReplicaId, stop_at: Ms, effects: &mut Vec<Effect<V>>) {
         let forbidden = self.forbidden(id, replica);
+        let leave_by = self.leave_by(id);
         let allowed = crate::must_hold!(self.counters, forbidden.is_none(), "send: {forbidden:?}");
         let now = self.now;
         let Some(part) = self.parts.get_mut(&id) else { return };
@@ -557,7 +603,7 @@
         let second = if part.step == 1 { held.second.clone() } else { None };
         let shard = part.shard;
         self.attempts.insert(attempt, Attempt { replica, sent_at: now, stop_at });
-        effects.push(Effect::Send(Send { attempt, query, shard, replica, stop_at, second, late }));
+        effects.push(Effect::Send(Send { attempt, query, shard, replica, stop_at, leave_by, second, late }));
     }
 
     fn answer(&mut self, id: RequestId, whole: bool, effects: &mut Vec<Effect<V>>) {
@@ -584,7 +630,7 @@
         let is_whole = first_whole && weight + WEIGHT_SLACK >= need;
         if !crate::must_hold!(self.counters, enough, "an answer needs its class's least share") {
             self.trace_final(id, "failed");
-            self.close(id);
+            self.close(id, effects);
             self.counters.failed += 1;
             self.pending.push(Event::Withdrawn { id });
             effects.push(Effect::Fail(id, Failure::Unserved, None));
@@ -597,7 +643,7 @@
             return;
         }
         self.trace_final(id, if whole { "whole" } else { "partial" });
-        self.close(id);
+        self.close(id, effects);
         self.counters.answered += 1;
         self.counters.whole += u64::from(whole);
         effects.push(Effect::Answer(id, whole, values.into_iter().map(|(shard, _, v)| (shard, v)).collect()));
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -7,6 +7,10 @@
 /// Bytes held for one client beyond which nothing more is read: a request of the greatest size, chunked in a
 /// sensible way. All clients together stay within the memory limit.
 const READ_LIMIT: usize = 160 * 1024;
+/// Bytes of answers that wait to be written beyond which no further request of the client is taken.
+const WRITE_LIMIT: usize = 64 * 1024;
+/// Times of arrival that are kept for one client's input.
+const MARKS: usize = 64;
 
 /// Where a client's connection is.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -26,6 +30,8 @@
 pub struct ClientConn {
     state: ClientState,
     input: Vec<u8>,
+    /// How much of the input was taken: moving the rest for each of many small requests would cost its square.
+    taken: usize,
     output: Vec<u8>,
     /// The request being answered asked to close after it.
     close: bool,
@@ -39,6 +45,10 @@
     pub request_at: Ms,
     /// How far the input reached at which time: a pipelined request's time runs from its own last byte.
     marks: VecDeque<(usize, Ms)>,
+    /// More came than is held. What is held whole is answered, then the connection is closed.
+    overrun: bool,
+    /// Since when the output has not been empty.
+    unwritten_since: Option<Ms>,
 }
 
 impl ClientConn {
@@ -47,6 +57,7 @@
         ClientConn {
             state: ClientState::Reading,
             input: Vec::new(),
+            taken: 0,
             output: Vec::new(),
             close: false,
             reading_since: now,
@@ -54,6 +65,8 @@
             active_at: now,
             request_at: now,
             marks: VecDeque::new(),
+            overrun: false,
+            unwritten_since: None,
         }
     }
 
@@ -62,38 +75,57 @@
         self.state
     }
 
-    /// Whether more bytes are taken now.
+    /// Whether more bytes are read now. Also beyond what is held: else a client that has sent much would not be seen to
+    /// go.
     pub fn wants_input(&self) -> bool {
-        self.state != ClientState::Closing && self.input.len() < READ_LIMIT
+        self.state != ClientState::Closing
     }
 
     /// Takes bytes in.
     pub fn received(&mut self, bytes: &[u8], now: Ms) {
-        if matches!(self.state, ClientState::Reading | ClientState::Asked(_)) {
-            self.input.extend_from_slice(bytes);
-            self.marks.push_back((self.input.len(), now));
-            self.active_at = now;
+        let takes = matches!(self.state, ClientState::Reading | ClientState::Asked(_));
+        if !takes || bytes.is_empty() {
+            return;
+        }
+        self.active_at = now;
+        if self.overrun {
+            return;
+        }
+        self.input.drain(..std::mem::take(&mut self.taken));
+        let room = READ_LIMIT - self.input.len();
+        self.overrun = bytes.len() > room;
+        self.input.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        // A client that sends byte by byte: the earlier time holds for more, which makes its request older, not younger.
+        let full = self.marks.len() >= MARKS;
+        match self.marks.back_mut().filter(|_| full) {
+            Some(mark) => mark.0 = self.input.len(),
+            None => self.marks.push_back((self.input.len(), now)),
         }
     }
 
-    /// The next whole request, where none is being answered.
+    /// The next whole request, where none is being answered and the client reads its answers.
     pub fn next_request(&mut self) -> Option<Result<Request, Bad>> {
-        if self.state != ClientState::Reading || self.input.is_empty() {
+        let rest = &self.input[self.taken..];
+        if self.state != ClientState::Reading || rest.is_empty() || self.output.len() >= WRITE_LIMIT {
             return None;
         }
-        match http::request(&self.input) {
-            // Nothing more would be read: a request that does not fit must not hang.
-            Ok(None) if self.input.len() >= READ_LIMIT => {
+        match http::request(rest) {
+            // Nothing more is held: a request that does not fit must not hang.
+            Ok(None) if self.overrun || rest.len() >= READ_LIMIT => {
                 self.close = true;
                 Some(Err(Bad::TooLarge))
             }
             Ok(None) => None,
             Ok(Some((request, used))) => {
-                self.input.drain(..used);
+                self.taken += used;
                 self.request_at =
                     self.marks.iter().find(|mark| mark.0 >= used).map_or(self.active_at, |mark| mark.1);
                 self.marks.retain(|mark| mark.0 > used);
                 self.marks.iter_mut().for_each(|mark| mark.0 -= used);
+                if self.taken == self.input.len() {
+                    // An idle connection holds no buffer.
+                    (self.input, self.taken) = (Vec::new(), 0);
+                }
                 self.close = request.close;
                 self.has_asked = true;
                 Some(Ok(request))
@@ -114,6 +146,7 @@
     pub fn answer(&mut self, response: &http::Response, close: bool, now: Ms) {
         let close = close || self.close;
         self.output.extend(response.bytes(close));
+        self.unwritten_since.get_or_insert(now);
         (self.active_at, self.reading_since) = (now, now);
         self.state = if close { ClientState::Closing } else { ClientState::Reading };
     }
@@ -126,11 +159,17 @@
     /// So many bytes of the output were written.
     pub fn wrote(&mut self, count: usize) {
         self.output.drain(..count);
+        self.unwritten_since = self.unwritten_since.filter(|_| !self.output.is_empty());
+    }
+
+    /// Since when answers wait for the client to read, where nothing else is under way.
+    pub fn unwritten_since(&self) -> Option<Ms> {
+        self.unwritten_since.filter(|_| !matches!(self.state, ClientState::Asked(_)))
     }
 
     /// Whether it is between requests with nothing left to do.
     pub fn is_idle(&self) -> bool {
-        self.state == ClientState::Reading && self.input.is_empty() && self.output.is_empty()
+        self.state == ClientState::Reading && self.input.len() == self.taken && self.output.is_empty()
     }
 
     /// Whether it has been idle since before then. A connection that has only just come, or was only just
@@ -152,7 +191,7 @@
 
     /// Gives up waiting for the rest of a request.
     pub fn give_up(&mut self, response: &http::Response, now: Ms) {
-        self.input.clear();
+        (self.input, self.taken) = (Vec::new(), 0);
         self.marks.clear();
         self.answer(response, true, now);
     }
--- a/src/net/fault.rs
+++ b/src/net/fault.rs
@@ -47,6 +47,8 @@
     LongList(usize),
     #[error("the stream ended")]
     Ended,
+    #[error("for 6 s only lists older than version {0}: discovery counts anew, what it tells is followed")]
+    Behind(u64),
     #[error("a frame of {0} bytes")]
     FrameLength(usize),
     #[error("text that is not UTF-8")]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -103,11 +103,12 @@
     fn address(&self) -> SocketAddr;
     /// What to write on a new connection.
     fn request(&mut self) -> Vec<u8>;
-    /// Takes bytes in and appends the news in them, also those before what can't be read.
+    /// Takes bytes in and appends the news in them, also those before what can't be read. Tells whether something whole
+    /// came, which shows that the stream lives: bytes alone may trickle in for ever.
     ///
     /// # Errors
     /// Tells why the connection can't go on.
-    fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), PeerError>;
+    fn received(&mut self, bytes: &[u8], now: Ms, news: &mut Vec<News>) -> Result<bool, PeerError>;
     /// Takes in a new text of the front's file; tells whether it names another address.
     ///
     /// # Errors
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -31,6 +31,8 @@
 struct Frame {
     purpose: Purpose,
     bytes: Vec<u8>,
+    /// By when its last byte must have left, if at all.
+    leave_by: Option<Ms>,
 }
 
 /// What calling an attempt off asks of the connection.
@@ -110,10 +112,15 @@
         self.waited + self.waits_since.map_or(0.0, |since| now - since)
     }
 
-    /// Takes bytes in.
+    /// Takes bytes in. That they come proves little: a reply that never ends holds up all behind it.
     pub fn received(&mut self, bytes: &[u8], now: Ms) {
         self.input.extend_from_slice(bytes);
-        (self.active_at, self.waited, self.overtaken) = (now, 0.0, None);
+        self.active_at = now;
+    }
+
+    /// A whole reply came.
+    pub fn heard(&mut self, now: Ms) {
+        (self.waited, self.overtaken) = (0.0, None);
         self.waits_since = self.waits_since.map(|_| now);
     }
 
@@ -133,6 +140,11 @@
         self.queue.is_empty() && self.out.is_empty()
     }
 
+    /// Whether it is up and carries nothing.
+    pub fn rests(&self) -> bool {
+        self.state == NodeState::Open && self.is_idle()
+    }
+
     /// Whether one more call fits. A connection near the end of its idle time is not used again: what is
     /// written to it may meet the other side's close and end as a reset.
     pub fn has_room(&self, streams: usize, retire_after: Ms, now: Ms) -> bool {
@@ -142,7 +154,7 @@
 
     /// Queues a frame.
     pub fn push(&mut self, purpose: Purpose, bytes: Vec<u8>, now: Ms) {
-        self.queue.push_back(Frame { purpose, bytes });
+        self.queue.push_back(Frame { purpose, bytes, leave_by: None });
         self.waits(now);
     }
 
@@ -218,7 +230,7 @@
             }
             let Some(bytes) = told(&self.queue[0].purpose) else { return Called::MustClose };
             self.queue[0].purpose = Purpose::Other;
-            self.queue.insert(1, Frame { purpose: Purpose::Other, bytes });
+            self.queue.insert(1, Frame { purpose: Purpose::Other, bytes, leave_by: None });
             return Called::Told;
         }
         let Some(place) = self.out.iter().position(is) else { return Called::Removed };
@@ -228,6 +240,45 @@
         Called::Told
     }
 
+    /// The frame of an attempt has to leave by then, or not at all, if it is still here.
+    pub fn must_leave_by(&mut self, id: AttemptId, at: Ms) {
+        let is = |frame: &&mut Frame| matches!(frame.purpose, Purpose::Part(known, _) if known == id);
+        if let Some(frame) = self.queue.iter_mut().find(is) {
+            frame.leave_by = Some(frame.leave_by.map_or(at, |old| old.min(at)));
+        }
+    }
+
+    /// When the first frame is due that has to leave by a time.
+    pub fn leave_by(&self) -> Option<Ms> {
+        self.queue.iter().filter_map(|frame| frame.leave_by).min_by(f64::total_cmp)
+    }
+
+    /// Takes out the attempts that had to leave by now. `None`: one of them has begun, and only closing the connection
+    /// keeps its last byte back.
+    pub fn expire_frames(&mut self, now: Ms) -> Option<Vec<AttemptId>> {
+        let due = |frame: &Frame| frame.leave_by.is_some_and(|at| at <= now);
+        if self.written > 0 && self.queue.front().is_some_and(due) {
+            return None;
+        }
+        let (late, rest) = std::mem::take(&mut self.queue).into_iter().partition::<VecDeque<_>, _>(due);
+        self.queue = rest;
+        self.waits(now);
+        let ids = late.into_iter().filter_map(|frame| match frame.purpose {
+            Purpose::Part(id, _) => Some(id),
+            Purpose::Probe(_) | Purpose::Other => None,
+        });
+        Some(ids.collect())
+    }
+
+    /// Takes out an attempt whose first byte has not left; tells whether it was so.
+    pub fn withdraw(&mut self, id: AttemptId, now: Ms) -> bool {
+        let is = |frame: &Frame| matches!(frame.purpose, Purpose::Part(known, _) if known == id);
+        let place = self.queue.iter().position(is).filter(|place| *place > 0 || self.written == 0);
+        let found = place.and_then(|place| self.queue.remove(place)).is_some();
+        self.waits(now);
+        found
+    }
+
     /// Takes out all parts and probes whose first byte has not left.
     pub fn drop_unsent(&mut self, now: Ms) -> Vec<Purpose> {
         let begun = usize::from(self.written > 0).min(self.queue.len());
--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: accepting, reading requests, writing answers.
 
-use super::{Client, Server, IDLE_SHARE, QUIET, STALE_CLIENT};
+use super::{Client, Server, IDLE_SHARE, QUIET, STALE_CLIENT, TURN_READ};
 use crate::core::Input;
 use crate::interface::*;
 use crate::net::client::{ClientConn, ClientState};
@@ -13,14 +13,18 @@
     pub(super) fn accept(&mut self, now: Ms) {
         loop {
             let full = self.clients.len() >= self.sockets.clients;
-            let spare = self.spare_client(now);
-            if full && spare.is_none() {
+            if full && self.spare_client(now).is_none() {
                 return;
             }
             match self.listener.socket.accept() {
                 Ok((socket, _)) => {
+                    self.refused = false;
                     // Closing between requests is allowed; only a client that is there already makes it needed.
-                    spare.filter(|_| full).and_then(|key| self.clients.remove(&key));
+                    for _ in 0..self.clients.len() {
+                        let full = self.clients.len() >= self.sockets.clients;
+                        let Some(spare) = self.spare_client(now).filter(|_| full) else { break };
+                        self.close_idle(spare, now);
+                    }
                     let _ = socket.set_nonblocking(true);
                     let _ = socket.set_nodelay(true);
                     let key = self.new_key();
@@ -38,7 +42,9 @@
                     return;
                 }
                 Err(error) => {
-                    tracing::warn!("accept: {error}");
+                    if !std::mem::replace(&mut self.refused, true) {
+                        tracing::warn!("accept: {error}; said once until one is accepted");
+                    }
                     return;
                 }
             }
@@ -65,11 +71,15 @@
     /// Lets go of clients that have stood without a request, and gives up requests that do not come in whole.
     pub(super) fn watch_clients(&mut self, now: Ms) {
         let crowded = self.is_crowded();
-        let over = |client: &Client| client.time_limit(crowded).is_some_and(|at| at <= now);
+        let slow = self.slow_reader;
+        let over = |client: &Client| client.time_limit(crowded, slow).is_some_and(|at| at <= now);
         let over: Vec<u64> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| *key).collect();
         for key in over {
             let Some(client) = self.clients.get_mut(&key) else { continue };
             if client.conn.is_idle() {
+                self.close_idle(key, now);
+            } else if client.conn.unwritten_since().is_some() {
+                // It can tell by the length that its answer is not whole.
                 self.clients.remove(&key);
             } else if client.conn.state() == ClientState::Reading {
                 self.core.counters.bad_requests += 1;
@@ -84,33 +94,49 @@
         self.next_key
     }
 
+    /// Closes a connection that may go after a last look: a request may have come since the loop gathered. What is read
+    /// then is served, and what is not read tells its client by the reset that it may ask elsewhere.
+    pub(super) fn close_idle(&mut self, key: u64, now: Ms) {
+        let Some(seen) = self.clients.get(&key).map(|client| client.conn.active_at) else { return };
+        self.serve_client(key, now);
+        let goes = |client: &Client| client.conn.may_go(now - STALE_CLIENT) && client.conn.active_at == seen;
+        if self.clients.get(&key).is_some_and(goes) {
+            self.clients.remove(&key);
+        }
+    }
+
     pub(super) fn serve_client(&mut self, key: u64, now: Ms) {
-        loop {
-            let Some(client) = self.clients.get_mut(&key) else { return };
-            let mut bytes = Vec::new();
-            let wanted = client.conn.wants_input();
-            let ended = wanted && read_all(&client.link.socket, http::BODY_LIMIT, &mut bytes);
-            if !bytes.is_empty() {
-                client.conn.received(&bytes, now);
-            }
-            self.take_requests(key, now);
-            self.write_client(key, ended, now);
-            if ended || bytes.is_empty() {
-                return;
-            }
+        // Answers that leave make room for those of further requests.
+        self.write_client(key, false, now);
+        let Some(client) = self.clients.get_mut(&key) else { return };
+        let mut bytes = Vec::new();
+        let wanted = client.conn.wants_input();
+        let ended = wanted && read_all(&client.link.socket, TURN_READ, &mut bytes);
+        client.conn.received(&bytes, now);
+        if bytes.len() >= TURN_READ && !ended {
+            self.unread.push(Key::Client(key));
+        }
+        while self.take_requests(key, now) {
+            self.write_client(key, false, now);
+        }
+        if ended {
+            self.write_client(key, true, now);
         }
     }
 
-    pub(super) fn take_requests(&mut self, key: u64, now: Ms) {
+    /// Takes the whole requests that have come; tells whether there were any.
+    fn take_requests(&mut self, key: u64, now: Ms) -> bool {
         let closing = self.is_closing(now);
+        let mut took = false;
         while let Some(client) = self.clients.get_mut(&key) {
-            let Some(request) = client.conn.next_request() else { return };
+            let Some(request) = client.conn.next_request() else { break };
+            took = true;
             let request = match request {
                 Ok(request) => request,
                 Err(bad) => {
                     self.core.counters.bad_requests += 1;
                     client.conn.answer(&self.dialect.bad(bad), true, now);
-                    return;
+                    break;
                 }
             };
             let id = self.core.new_id();
@@ -133,6 +159,7 @@
                 }
             }
         }
+        took
     }
 
     /// Writes what a client's connection has for it; `ended` tells that the client has gone.
@@ -152,6 +179,8 @@
         }
         if client.conn.linger(now) {
             let _ = client.link.socket.shutdown(Shutdown::Write);
+            // Nothing was read while the answer left; what lies there would reset the connection at its close.
+            self.unread.push(Key::Client(key));
         }
         if ended {
             if let ClientState::Asked(id) = client.conn.state() {
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -57,8 +57,8 @@
 /// Share of that time which an overtaken connection has left to speak: after a pause of the node, the answers
 /// on all its connections come at about the same time.
 const OVERTAKEN: f64 = 0.25;
-/// Bytes taken from a node's connection at a time.
-const NODE_READ: usize = 64 * 1024;
+/// Bytes taken from one connection in a turn: whoever sends without end must not keep the loop from the others.
+const TURN_READ: usize = 64 * 1024;
 
 struct Client {
     link: Watched<TcpStream>,
@@ -66,8 +66,12 @@
 }
 
 impl Client {
-    /// When its connection has stood without a request, or with a part of one, for too long.
-    fn time_limit(&self, crowded: bool) -> Option<Ms> {
+    /// When its connection has stood without a request, with a part of one, or with an answer that is not read, for
+    /// too long.
+    fn time_limit(&self, crowded: bool, slow_reader: Ms) -> Option<Ms> {
+        if let Some(since) = self.conn.unwritten_since() {
+            return Some(since + slow_reader);
+        }
         let idle = self.conn.is_idle() && (crowded || !self.conn.has_asked());
         let idle = idle.then_some(self.conn.active_at + IDLE_CLIENT);
         idle.or(self.conn.incomplete_since().map(|since| since + SLOW_REQUEST))
@@ -81,8 +85,12 @@
     addr: SocketAddr,
 }
 
-/// The roster's stream: how it stands, and its connection unless it is down.
-struct Stream(Standing, Option<Watched<TcpStream>>);
+/// The roster's stream: how it stands, its connection unless it is down, and whether its loss has been logged.
+struct Stream {
+    standing: Standing,
+    link: Option<Watched<TcpStream>>,
+    said_lost: bool,
+}
 
 /// How an orderly end runs, in time from the order to end.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -142,6 +150,12 @@
     favours: Favours,
     roster: Option<Box<dyn Roster>>,
     stream: Stream,
+    /// Sockets that had more to read than one turn takes: the loop tells of readiness once.
+    unread: Vec<Key>,
+    /// How long an answer may take to be read, ms: the longest time that any client waits.
+    slow_reader: Ms,
+    /// The system refused a client's connection, and that was logged.
+    refused: bool,
     inputs: Vec<Input<D::Value>>,
     next_key: u64,
     ending: Ending,
@@ -166,6 +180,7 @@
         roster: Option<Box<dyn Roster>>,
     ) -> io::Result<Self> {
         let handle = event_loop.handle();
+        let slow_reader = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         let socket = TcpListener::bind(listen)?;
         socket.set_nonblocking(true)?;
         let listener = Watched::new(&handle, number, Key::Listener, socket)?;
@@ -187,7 +202,10 @@
             trail: Trail::default(),
             favours: Favours::default(),
             roster,
-            stream: Stream(Standing::Down(f64::NEG_INFINITY), None),
+            stream: Stream { standing: Standing::Down(f64::NEG_INFINITY), link: None, said_lost: false },
+            unread: Vec::new(),
+            slow_reader,
+            refused: false,
             inputs: Vec::new(),
             next_key: 1,
             ending_since: None,
@@ -229,13 +247,27 @@
         };
         let due: Vec<u64> = self.nodes.iter().filter(|(_, node)| due(node)).map(|(key, _)| *key).collect();
         due.into_iter().for_each(|key| self.close_node(key, "its time is over"));
-        for node in self.nodes.values_mut() {
+        let mut begun = Vec::new();
+        for (key, node) in &mut self.nodes {
             for _ in 0..node.conn.expire_probes(now - PROBE_TIME, now) {
                 self.inputs.push(Input::Probed(node.replica, Outcome::TooSlow, Report::default()));
             }
+            if node.conn.leave_by().is_none_or(|at| at > now) {
+                continue;
+            }
+            let late = node.conn.expire_frames(now);
+            begun.extend(late.is_none().then_some(*key));
+            for id in late.into_iter().flatten() {
+                self.placed.remove(&id);
+                self.inputs.push(Input::Ended(id, Outcome::NotSent));
+            }
         }
+        begun.into_iter().for_each(|key| self.close_node(key, "a repeat would outlast its window"));
         if self.is_closing(now) {
-            self.clients.retain(|_, client| !client.conn.is_quiet(now - QUIET));
+            let quiet = |client: &Client| client.conn.is_quiet(now - QUIET);
+            let quiet: Vec<u64> =
+                self.clients.iter().filter(|(_, c)| quiet(c)).map(|(key, _)| *key).collect();
+            quiet.into_iter().for_each(|key| self.close_idle(key, now));
         }
         self.watch_clients(now);
         let lingers = |client: &Client| match client.conn.state() {
@@ -243,7 +275,7 @@
             _ => true,
         };
         self.clients.retain(|_, client| lingers(client));
-        if self.roster.is_some() && now >= self.stream.0.ask_again_at() {
+        if self.roster.is_some() && now >= self.stream.standing.ask_again_at() {
             self.dial_roster(now);
         }
     }
@@ -302,6 +334,12 @@
                 if let Some(key) = self.push(replica, Purpose::Part(id, name), bytes, now, touched) {
                     self.placed.insert(id, (key, send.query));
                 }
+                // The earlier attempts too: whichever of them leaves last must not leave outside the window.
+                for number in send.leave_by.iter().flat_map(|_| 0..=id.number) {
+                    let earlier = AttemptId { number, ..id };
+                    let node = self.placed.get(&earlier).and_then(|(key, _)| self.nodes.get_mut(key));
+                    node.into_iter().zip(send.leave_by).for_each(|(n, at)| n.conn.must_leave_by(earlier, at));
+                }
             }
             Effect::Probe(replica) => {
                 if let Some(bytes) = self.dialect.probe() {
@@ -311,13 +349,22 @@
             Effect::Cancel(id, _) => {
                 let Some((key, _)) = self.placed.remove(&id) else { return };
                 let Some(node) = self.nodes.get_mut(&key) else { return };
-                match node.conn.cancel(id, |name| self.dialect.cancel(name), now) {
+                // A connection that bears one call has a notice wait unread behind it, until that call has run.
+                let notice = |name: &str| self.dialect.cancel(name).filter(|_| self.limits.streams > 1);
+                match node.conn.cancel(id, notice, now) {
                     Called::MustClose => self.close_node(key, "an attempt was called off"),
                     Called::Told | Called::Removed => {
                         touched.insert(key);
                     }
                 }
             }
+            Effect::Withdraw(id) => {
+                let node = self.placed.get(&id).and_then(|(key, _)| self.nodes.get_mut(key));
+                if node.is_some_and(|node| node.conn.withdraw(id, now)) {
+                    self.placed.remove(&id);
+                    self.inputs.push(Input::Ended(id, Outcome::NotSent));
+                }
+            }
             Effect::DropUnsent(replica) => {
                 let mut dropped = Vec::new();
                 for node in self.nodes.values_mut().filter(|node| node.replica == replica) {
@@ -359,26 +406,36 @@
     }
 
     fn end(&mut self, now: Ms) {
-        self.ending_since.get_or_insert(now);
+        if self.ending_since.replace(self.ending_since.unwrap_or(now)).is_none() {
+            // What is not answered when the platform kills the program is lost.
+            self.core.end_by(now + self.ending.last_answer);
+        }
     }
 
     fn has_ended(&self, now: Ms) -> bool {
         let fresh = |client: &Client| client.conn.is_idle() && !client.conn.is_quiet(now - QUIET);
-        let settled = |client: &Client| client.conn.may_go(now - STALE_REQUEST) && !fresh(client);
+        // The end of the process closes over what a client still sends, and that reset may cost it the answer.
+        let last = self.ending.last_answer + KILL_SPARE / 2.0;
+        let killed_at = self.ending_since.map_or(f64::INFINITY, |since| since + last);
+        let leaves = |client: &Client| matches!(client.conn.state(), ClientState::Lingering(_));
+        let settled = |client: &Client| {
+            client.conn.may_go(now - STALE_REQUEST) && !fresh(client) && (!leaves(client) || now >= killed_at)
+        };
         let over = self.clients.is_empty() || self.is_closing(now) && self.clients.values().all(settled);
         over && self.ending_since.is_some_and(|since| now - since >= LINGER)
     }
 
     fn next_due(&self, now: Ms) -> Option<Ms> {
-        if !self.inputs.is_empty() {
+        if !self.inputs.is_empty() || !self.unread.is_empty() {
             return Some(now);
         }
-        let roster = self.roster.as_ref().map(|_| self.stream.0.ask_again_at());
+        let roster = self.roster.as_ref().map(|_| self.stream.standing.ask_again_at());
         let nodes = self.nodes.values().filter_map(|node| match node.conn.state() {
             NodeState::Connecting(since) => Some(since + self.limits.dial_timeout),
             _ if node.conn.is_idle() => Some(node.conn.active_at + self.retire_after()),
             _ => node.conn.oldest_probe().map(|sent| sent + PROBE_TIME),
         });
+        let leave_by = self.nodes.values().filter_map(|node| node.conn.leave_by());
         let overtaken = self.nodes.values().filter_map(|node| node.conn.overtaken);
         let overtaken = overtaken.map(|at| at + OVERTAKEN * self.silence_limit());
         let nodes = nodes.chain(overtaken);
@@ -386,11 +443,11 @@
         let crowded = self.is_crowded();
         let lingering = self.clients.values().filter_map(|client| match client.conn.state() {
             ClientState::Lingering(since) => Some(since + LINGER_CLOSE),
-            ClientState::Reading => client.time_limit(crowded),
-            _ => None,
+            _ => client.time_limit(crowded, self.slow_reader),
         });
         let warm = self.favours.next_due();
         nodes
+            .chain(leave_by)
             .chain(warm)
             .chain(lingering)
             .chain(roster)
@@ -401,11 +458,13 @@
 
     fn turn(&mut self, now: Ms, ready: &[(usize, Key)]) {
         let mine = self.number;
-        for (_, key) in ready.iter().filter(|(number, _)| *number == mine) {
+        let ready = ready.iter().filter(|(number, _)| *number == mine).map(|(_, key)| *key);
+        let unread = std::mem::take(&mut self.unread);
+        for key in unread.into_iter().chain(ready) {
             match key {
                 Key::Listener => self.accept_again = true,
-                Key::Client(key) => self.serve_client(*key, now),
-                Key::Node(key) => self.serve_node(*key, now),
+                Key::Client(key) => self.serve_client(key, now),
+                Key::Node(key) => self.serve_node(key, now),
                 Key::Roster(_) => self.serve_roster(now),
             }
         }
--- a/src/net/server/nodes.rs
+++ b/src/net/server/nodes.rs
@@ -1,6 +1,6 @@
 //! The pool of connections to book nodes.
 
-use super::{Node, Server, MOST_SILENT, NODE_READ, SILENCE};
+use super::{Node, Server, MOST_SILENT, SILENCE, TURN_READ};
 use crate::core::{AttemptId, Input};
 use crate::interface::*;
 use crate::net::node::{NodeConn, NodeState, Purpose};
@@ -72,40 +72,46 @@
                 _ => return self.close_node(key, "could not connect"),
             }
         }
-        // Until less came than was asked for: the loop tells of readiness once.
-        loop {
-            let Some(node) = self.nodes.get_mut(&key) else { return };
-            let mut bytes = Vec::new();
-            let ended = read_all(&node.link.socket, NODE_READ, &mut bytes);
-            if !bytes.is_empty() {
-                node.conn.received(&bytes, now);
-                self.overtake(key, now);
-            }
-            if let Err(why) = self.take_replies(key, now) {
-                self.core.counters.bad_frames += 1;
-                return self.close_node(key, &why.to_string());
-            }
-            if ended {
-                return self.close_node(key, "closed by the node");
-            }
-            if bytes.len() < NODE_READ {
-                break;
-            }
+        if self.hear_node(key, now) {
+            self.write_node(key, now);
         }
-        self.write_node(key, now);
+    }
+
+    /// Reads what has come on a node's connection; false if it is closed then.
+    fn hear_node(&mut self, key: u64, now: Ms) -> bool {
+        let Some(node) = self.nodes.get_mut(&key) else { return false };
+        let mut bytes = Vec::new();
+        let ended = read_all(&node.link.socket, TURN_READ, &mut bytes);
+        node.conn.received(&bytes, now);
+        if let Err(why) = self.take_replies(key, now) {
+            self.core.counters.bad_frames += 1;
+            self.close_node(key, &why.to_string());
+            return false;
+        }
+        if ended {
+            self.close_node(key, "closed by the node");
+            return false;
+        }
+        if bytes.len() >= TURN_READ {
+            self.unread.push(Key::Node(key));
+        }
+        true
     }
 
     /// Takes the whole replies off a connection's input.
     fn take_replies(&mut self, key: u64, now: Ms) -> Result<(), PeerError> {
+        let mut heard = false;
         while let Some(node) = self.nodes.get_mut(&key) {
-            match self.dialect.reply(&mut node.conn.input)? {
-                None => break,
-                Some(NodeReply::Load(outcome, report)) => {
+            let Some(reply) = self.dialect.reply(&mut node.conn.input)? else { break };
+            node.conn.heard(now);
+            heard = true;
+            match reply {
+                NodeReply::Load(outcome, report) => {
                     if node.conn.probe_answered(now) {
                         self.inputs.push(Input::Probed(node.replica, outcome, report));
                     }
                 }
-                Some(NodeReply::Part(name, end, last)) => {
+                NodeReply::Part(name, end, last) => {
                     if last {
                         node.conn.retire();
                     }
@@ -120,6 +126,9 @@
                 }
             }
         }
+        if heard {
+            self.overtake(key, now);
+        }
         Ok(())
     }
 
@@ -177,9 +186,17 @@
         now: Ms,
         touched: &mut BTreeSet<u64>,
     ) -> Option<u64> {
-        let Some(key) = self.node_for(replica, now) else {
-            self.end_call(replica, purpose, Outcome::NoRoute);
-            return None;
+        // A node may have closed a resting connection in this very moment: what is written to it would end as if it
+        // may have run.
+        let key = loop {
+            let Some(key) = self.node_for(replica, now) else {
+                self.end_call(replica, purpose, Outcome::NoRoute);
+                return None;
+            };
+            let rests = self.nodes.get(&key).is_some_and(|node| node.conn.rests());
+            if !rests || self.hear_node(key, now) {
+                break key;
+            }
         };
         if let Some(node) = self.nodes.get_mut(&key) {
             node.conn.push(purpose, bytes, now);
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -2,6 +2,7 @@
 
 use super::config::Config;
 use crate::interface::*;
+use crate::members::clock::MISSED;
 use crate::net::http::{self, Chunks, Framing};
 use crate::net::{News, PeerError, Roster};
 use crate::settings::ConfigError;
@@ -97,6 +98,8 @@
     state: State,
     /// What has come and makes no whole list yet.
     text: Vec<u8>,
+    /// Since when discovery has told of nothing but an older list than the one that is known.
+    behind_since: Option<Ms>,
 }
 
 impl Watch {
@@ -104,35 +107,52 @@
     pub fn new(address: SocketAddr, mut directory: Directory, known: &List) -> (Self, News) {
         let news = directory.news(ListKind::Restored, known);
         let state = State::Head(Vec::new());
-        (Watch { address, directory, version: known.version, state, text: Vec::new() }, news)
+        (
+            Watch { address, directory, version: known.version, state, text: Vec::new(), behind_since: None },
+            news,
+        )
     }
 
     /// Takes the whole lists off the front of what has come; where one ends is for the reader to say, since a list may
-    /// take many lines.
-    fn take_lists(&mut self, news: &mut Vec<News>) -> Result<(), PeerError> {
+    /// take many lines. Tells whether a list or an empty line came whole.
+    fn take_lists(&mut self, now: Ms, news: &mut Vec<News>) -> Result<bool, PeerError> {
         let text = std::mem::take(&mut self.text);
         let mut lists = serde_json::Deserializer::from_slice(&text).into_iter::<List>();
-        let mut used = 0;
+        let (mut used, mut whole) = (0, false);
         while let Some(list) = lists.next() {
             match list {
                 Ok(list) => {
-                    used = lists.byte_offset();
-                    // A change that is known already says nothing new; a whole list is always what holds now.
-                    if list.full || list.version > self.version {
-                        let kind = if list.full { ListKind::Replace } else { ListKind::Update };
-                        self.version = list.version;
-                        news.push(self.directory.news(kind, &list));
-                    }
+                    (used, whole) = (lists.byte_offset(), true);
+                    self.take_list(&list, now, news);
                 }
                 Err(error) if error.is_eof() => {
                     self.text = text[used..].to_vec();
                     let fits = self.text.len() <= LIST_LIMIT;
-                    return fits.then_some(()).ok_or(PeerError::LongList(LIST_LIMIT));
+                    return fits.then_some(whole).ok_or(PeerError::LongList(LIST_LIMIT));
                 }
                 Err(error) => return Err(PeerError::List(error)),
             }
         }
-        Ok(())
+        // What is left is blank: an empty line, unless it is only the end of a list's.
+        Ok(whole || text.contains(&b'\n'))
+    }
+
+    /// Takes one list in. A change that is known already says nothing new. A whole list is what holds now, but an agent
+    /// that is behind would undo what is known, a drain say: its older list counts only once it has told of nothing
+    /// newer for as long as discovery may be late, since then its numbers have begun anew.
+    fn take_list(&mut self, list: &List, now: Ms, news: &mut Vec<News>) {
+        if list.full && list.version < self.version {
+            if now - *self.behind_since.get_or_insert(now) < MISSED {
+                tracing::debug!(list.version, self.version, "an older list is not taken in");
+                return;
+            }
+        } else if !list.full && list.version <= self.version {
+            return;
+        }
+        self.behind_since = None;
+        let kind = if list.full { ListKind::Replace } else { ListKind::Update };
+        self.version = list.version;
+        news.push(self.directory.news(kind, list));
     }
 }
 
@@ -154,13 +174,14 @@
         format!("GET /v1/endpoints?watch=1&after={version} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
     }
 
-    fn received(&mut self, bytes: &[u8], news: &mut Vec<News>) -> Result<(), PeerError> {
+    fn received(&mut self, bytes: &[u8], now: Ms, news: &mut Vec<News>) -> Result<bool, PeerError> {
         let mut data = Vec::new();
+        let mut whole = false;
         match &mut self.state {
             State::Head(head) => {
                 head.extend_from_slice(bytes);
                 let Some(told) = http::response_head(head).map_err(|_| PeerError::NotHttp)? else {
-                    return Ok(());
+                    return Ok(false);
                 };
                 if told.status != 200 || told.framing != Some(Framing::Chunked) {
                     return Err(PeerError::Status(told.status));
@@ -168,16 +189,22 @@
                 let mut chunks = Chunks::default();
                 chunks.read(&head[told.length..], &mut data).map_err(|_| PeerError::Body)?;
                 self.state = State::Body(chunks);
+                whole = true;
             }
             State::Body(chunks) => {
                 chunks.read(bytes, &mut data).map_err(|_| PeerError::Body)?;
             }
         }
-        self.text.extend(data);
-        self.take_lists(news)?;
+        if !data.is_empty() {
+            self.text.extend(data);
+            whole |= self.take_lists(now, news)?;
+        }
         if matches!(&self.state, State::Body(chunks) if chunks.is_done()) {
             return Err(PeerError::Ended);
         }
-        Ok(())
+        if self.behind_since.is_some_and(|since| now - since >= MISSED) {
+            return Err(PeerError::Behind(self.version));
+        }
+        Ok(whole)
     }
 }
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -84,7 +84,7 @@
     watch.request();
     let head =
         format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{LINE}\n\r\n", LINE.len() + 1);
-    let _ = watch.received(&spoilt(&head), &mut Vec::new());
+    let _ = watch.received(&spoilt(&head), 0.0, &mut Vec::new());
     let text = |text: &str| String::from_utf8_lossy(&spoilt(text)).into_owned();
     let _ = Records::new(0.0)
         .read(&text(include_str!("../deploy/book-nodes.zone")), "_opensearch._tcp.books.example.");
--- a/tests/client_conn.rs
+++ b/tests/client_conn.rs
@@ -126,7 +126,8 @@
 fn a_request_that_does_not_fit_is_refused_and_its_answer_is_left_time_to_arrive() {
     let mut conn = ClientConn::new(0.0);
     conn.received(b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 0.0);
-    while conn.wants_input() {
+    for _ in 0..40 {
+        assert!(conn.wants_input(), "else its end would not be seen");
         conn.received(&b"1\r\nx\r\n".repeat(1000), 0.0);
     }
     assert_eq!(conn.next_request(), Some(Err(Bad::TooLarge)));
@@ -137,6 +138,50 @@
     assert_eq!(conn.state(), ClientState::Lingering(1.0));
 }
 
+#[test]
+fn what_is_whole_of_too_much_is_answered_and_nothing_is_made_of_the_rest() {
+    let mut conn = ClientConn::new(0.0);
+    let one = b"GET /a HTTP/1.1\r\n\r\n";
+    // More than is held, and then what would make a request of the piece that is.
+    conn.received(&one.repeat(20_000), 0.0);
+    conn.received(b"GET /b HTTP/1.1\r\n\r\n", 0.0);
+    let mut taken = 0;
+    let bad = loop {
+        match conn.next_request() {
+            Some(Ok(request)) => assert_eq!(request.path, "/a"),
+            other => break other,
+        }
+        taken += 1;
+    };
+    assert_eq!((taken, bad), (160 * 1024 / one.len(), Some(Err(Bad::TooLarge))));
+}
+
+#[test]
+fn no_further_request_is_taken_while_many_answers_wait_to_be_read() {
+    let mut conn = ClientConn::new(0.0);
+    conn.received(&b"GET /a HTTP/1.1\r\n\r\n".repeat(3000), 0.0);
+    let mut answered = 0;
+    while conn.next_request().is_some() {
+        conn.answer(&Response::new(404, "x".repeat(100)), false, 5.0);
+        answered += 1;
+    }
+    assert!(answered < 500 && conn.output().len() < 66 * 1024, "{answered}");
+    assert_eq!(conn.unwritten_since(), Some(5.0));
+    conn.wrote(conn.output().len());
+    assert!(conn.unwritten_since().is_none() && conn.next_request().is_some());
+}
+
+#[test]
+fn bytes_that_come_one_by_one_are_held_with_few_times_of_arrival_none_of_them_late() {
+    let mut conn = ClientConn::new(0.0);
+    let wire = b"GET /a HTTP/1.1\r\nX: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n\r\n";
+    for (n, byte) in wire.iter().enumerate() {
+        conn.received(&[*byte], n as f64);
+    }
+    assert!(conn.next_request().is_some_and(|request| request.is_ok()));
+    assert!(conn.request_at <= wire.len() as f64 && conn.request_at >= 60.0, "{}", conn.request_at);
+}
+
 #[test]
 fn a_connection_that_has_only_just_come_is_not_quiet() {
     let mut conn = ClientConn::new(10.0);
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -29,6 +29,7 @@
     first: BTreeMap<RequestId, Vec<(AttemptId, f64)>>,
     in_shards: BTreeMap<RequestId, BTreeSet<usize>>,
     shard_of: BTreeMap<AttemptId, (usize, bool)>,
+    withdrawn: BTreeSet<AttemptId>,
 }
 
 impl World {
@@ -49,12 +50,11 @@
                     assert!(*tries <= set.try_limit, "most attempts of a part");
                     let ran = self.first.entry(send.attempt.part).or_default();
                     match set.classes[asked.class].effect {
-                        Effect::Safe => {}
+                        Effect::Safe => assert_eq!(send.leave_by, None),
                         Effect::Keyed(window) => {
-                            assert!(
-                                ran.first().is_none_or(|(_, at)| self.now <= at + window),
-                                "keyed repeat"
-                            );
+                            let until = ran.first().map(|(_, at)| at + window);
+                            assert!(until.is_none_or(|until| self.now <= until), "keyed repeat");
+                            assert_eq!(send.leave_by, until, "nor may it leave later");
                         }
                         Effect::Unsafe => assert!(ran.is_empty(), "unsafe repeat"),
                     }
@@ -73,6 +73,9 @@
                 Out::Cancel(id, _) => {
                     self.out.remove(&id);
                 }
+                Out::Withdraw(id) => {
+                    self.withdrawn.insert(id);
+                }
                 Out::Answer(query, whole, values) => {
                     let asked = self.end(query);
                     let fetch = settings().classes[asked.class].fetch;
@@ -98,6 +101,7 @@
     }
 
     fn end(&mut self, query: RequestId) -> &Asked {
+        self.is_withdrawn(query);
         let asked = self.asked.get_mut(&query).expect("it was asked");
         assert!(!asked.gone, "a client that went needs no answer");
         assert!(self.now <= asked.expires_at + 20.0, "inside the client's time");
@@ -106,6 +110,12 @@
         asked
     }
 
+    /// Nothing of a query that is over may still begin.
+    fn is_withdrawn(&self, query: RequestId) {
+        let out = self.out.iter().filter(|(_, (of, _))| *of == query).map(|(id, _)| *id);
+        out.for_each(|id| assert!(self.withdrawn.contains(&id), "{id:?} may still begin"));
+    }
+
     /// Ends one attempt that is out.
     fn end_attempt(&mut self, id: AttemptId, outcome: Outcome) {
         let Some((query, _)) = self.out.remove(&id) else { return };
@@ -135,6 +145,7 @@
         first: BTreeMap::new(),
         in_shards: BTreeMap::new(),
         shard_of: BTreeMap::new(),
+        withdrawn: BTreeSet::new(),
     };
     let all = (0..NODES).map(|id| listed(u32::from(id), Lifecycle::On)).collect();
     world.step(vec![Input::List(ListKind::Restored, all)]);
@@ -182,6 +193,7 @@
                 asked.gone = true;
                 let id = *id;
                 world.step(vec![Input::Gone(id)]);
+                world.is_withdrawn(id);
             }
             _ => {
                 // As the loop does: a step whenever the core has one due, then one at the end of the sleep.
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -66,7 +66,7 @@
     watch.request();
     while fed < wire.len() {
         let end = wire.len().min(fed + size(n) / 3 + 1);
-        watch.received(&wire[fed..end], &mut news).expect("a sound watch");
+        watch.received(&wire[fed..end], 0.0, &mut news).expect("a sound watch");
         (fed, n) = (end, n + 1);
     }
     assert!(String::from_utf8(watch.request()).expect("ASCII").contains(&format!("after={version} ")));
@@ -109,7 +109,7 @@
         let wire =
             format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n", body.len());
         watch.request();
-        watch.received(wire.as_bytes(), &mut Vec::new()).expect("a sound watch");
+        watch.received(wire.as_bytes(), 0.0, &mut Vec::new()).expect("a sound watch");
     };
     let calm = std::iter::repeat_n((255, 0, 0), 20);
     for (what, a, b) in script.into_iter().chain(calm) {
@@ -181,7 +181,7 @@
         format!("\n{}{}\n", indented(&list), indented(&list.replace("43", "44").replace("false", "true")));
     let wire = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n", body.len());
     for byte in wire.bytes() {
-        watch.received(&[byte], &mut news).expect("a sound watch");
+        watch.received(&[byte], 0.0, &mut news).expect("a sound watch");
     }
     let one = vec![(ReplicaId(1), Lifecycle::Fading)];
     assert_eq!(seen(&news), [(ListKind::Update, one.clone()), (ListKind::Replace, one)]);
@@ -194,7 +194,7 @@
     let line =
         format!("{{\"version\":43,\"full\":false,\"servers\":[{}]}}\nnonsense\n", entry(1, "terminating", 0));
     let wire = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len());
-    assert!(watch.received(wire.as_bytes(), &mut news).is_err());
+    assert!(watch.received(wire.as_bytes(), 0.0, &mut news).is_err());
     assert_eq!(seen(&news), [(ListKind::Update, vec![(ReplicaId(1), Lifecycle::Fading)])]);
 }
 
@@ -209,7 +209,7 @@
     ];
     let line = format!("{{\"version\":43,\"full\":true,\"servers\":[{}]}}\n", entries.join(","));
     let wire = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len());
-    watch.received(wire.as_bytes(), &mut news).expect("a sound watch");
+    watch.received(wire.as_bytes(), 0.0, &mut news).expect("a sound watch");
     let entries = &news[0].entries;
     assert_eq!(entries[0].lifecycle, Lifecycle::Fading, "an unknown state is not in service");
     assert_eq!((entries.len(), entries[1].born), (2, Some(4000.0)));
--- a/tests/node_conn.rs
+++ b/tests/node_conn.rs
@@ -168,6 +168,9 @@
     conn.wrote(1, 500.0);
     assert_eq!(conn.silent_for(520.0), 120.0);
     conn.overtaken = Some(510.0);
+    // Half a reply proves nothing either.
     conn.received(b"half", 530.0);
-    assert_eq!((conn.silent_for(540.0), conn.overtaken), (10.0, None));
+    assert_eq!((conn.silent_for(540.0), conn.overtaken), (140.0, Some(510.0)));
+    conn.heard(540.0);
+    assert_eq!((conn.silent_for(550.0), conn.overtaken), (10.0, None));
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,40 +6,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc::{Receiver, Sender};
+use support::front::*;
 use support::site::*;
 use support::{stand_in, Client, Folder, Program};
 
-struct Site {
-    folder: Folder,
-    nodes: [Node; 2],
-    program: Program,
-    address: SocketAddr,
-    tell: Sender<String>,
-    asked: Receiver<String>,
-}
-
-impl Site {
-    fn new(name: &str) -> Site {
-        Site::logged(name, None)
-    }
-
-    fn logged(name: &str, level: Option<&str>) -> Site {
-        let folder = Folder::new(name);
-        let nodes = [node(), node()];
-        let (discovery, tell, asked) = discovery();
-        let servers = format!("{},{}", entry(&nodes, 0, "in_service"), entry(&nodes, 1, "in_service"));
-        let path = folder.write("config.json", &config("127.0.0.1:0", discovery, &servers));
-        let program = Program::start_with(&[], Some(&path), level);
-        let address = program.address();
-        Site { folder, nodes, program, address, tell, asked }
-    }
-
-    fn ask(&self, class: &str, id: u64, shards: &[usize]) -> (u16, String, String) {
-        Client::new(self.address).ask("POST", &format!("/{class}"), &headers(class, id), &body(shards))
-    }
-}
-
 #[test]
 fn a_query_goes_all_the_way_and_back() {
     let site = Site::new("way");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,9 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+pub mod driven;
+pub mod front;
+pub mod hand;
 pub mod site;
 
 use quickcheck::{Gen, QuickCheck, Testable};
@@ -99,7 +102,12 @@
     /// The same with `STEPPICK_LOG` set to `level`.
     pub fn start_with(arguments: &[&str], config: Option<&PathBuf>, level: Option<&str>) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_steppick"));
-        command.args(arguments).env_remove("LB_CONFIG").env_remove("STEPPICK_LOG").stderr(Stdio::piped());
+        command.args(arguments);
+        Program::spawn(command, config, level)
+    }
+
+    fn spawn(mut command: Command, config: Option<&PathBuf>, level: Option<&str>) -> Program {
+        command.env_remove("LB_CONFIG").env_remove("STEPPICK_LOG").stderr(Stdio::piped());
         if let Some(level) = level {
             command.env("STEPPICK_LOG", level);
         }
@@ -113,6 +121,17 @@
         Program { child, lines }
     }
 
+    /// The same with a limit on descriptors that the system holds it to.
+    pub fn start_limited(config: &PathBuf, descriptors: usize) -> Program {
+        let mut command = Command::new("sh");
+        command.args([
+            "-c",
+            &format!("ulimit -n {descriptors}; exec \"$0\""),
+            env!("CARGO_BIN_EXE_steppick"),
+        ]);
+        Program::spawn(command, Some(config), None)
+    }
+
     /// The next log line that holds `text`.
     pub fn line(&self, text: &str) -> String {
         loop {
@@ -134,6 +153,13 @@
         Command::new("kill").args([&format!("-{name}"), &id]).status().expect("kill runs");
     }
 
+    /// Memory that it holds now.
+    pub fn memory_kb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("its memory");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     /// Asks it to end and tells whether it ended well.
     pub fn terminate(&mut self) -> bool {
         self.signal("TERM");
@@ -210,6 +236,19 @@
         self.0.get_mut().write_all(bytes).expect("written");
     }
 
+    /// The same, where the other side may have gone.
+    pub fn try_write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.0.get_mut().write_all(bytes)
+    }
+
+    /// Whether something has come that was not read yet.
+    pub fn has_more(&mut self) -> bool {
+        self.0.get_ref().set_nonblocking(true).expect("set");
+        let more = self.0.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
+        self.0.get_ref().set_nonblocking(false).expect("set");
+        more
+    }
+
     /// The status, head and body of the next answer.
     pub fn read(&mut self) -> (u16, String, String) {
         let (head, body) = message(&mut self.0).expect("an answer");
@@ -223,7 +262,8 @@
 
     /// Whether the other side has ended the connection without a further byte.
     pub fn is_ended(&mut self) -> bool {
-        self.0.fill_buf().map_or(true, <[u8]>::is_empty)
+        let waits = |error: std::io::Error| error.kind() == std::io::ErrorKind::WouldBlock;
+        self.0.fill_buf().map_or_else(|error| !waits(error), <[u8]>::is_empty)
     }
 
     /// Whether it has done so in order, without a reset.
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -119,11 +119,7 @@
 }
 
 pub fn entry(nodes: &[Node; 2], n: usize, state: &str) -> String {
-    let address = nodes[n].address;
-    format!(
-        "{{\"id\":\"s-{n}\",\"addr\":\"{address}\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":{n},\"state\":\"{state}\",\
-         \"weight\":1.0,\"started_ms\":0}}"
-    )
+    entry_at(nodes[n].address, n, state)
 }
 
 pub fn config(listen: &str, discovery: SocketAddr, servers: &str) -> String {
@@ -145,3 +141,11 @@
         shards.iter().map(|s| format!("{{\"shard\":{s},\"weight\":{weight},\"cost\":9000}}")).collect();
     format!("{{\"shards\":[{}],\"q\":\"some text\"}}", each.join(","))
 }
+
+/// An entry of the list.
+pub fn entry_at(address: SocketAddr, n: usize, state: &str) -> String {
+    format!(
+        "{{\"id\":\"s-{n}\",\"addr\":\"{address}\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":{n},\"state\":\"{state}\",\
+         \"weight\":1.0,\"started_ms\":0}}"
+    )
+}
