Tests of endings: wait until the other side's system has what was written, not until it may

`settle` reads the table of connections until bytes and end are acknowledged. The assertions are unchanged.

--- a/tests/ending_clients.rs
+++ b/tests/ending_clients.rs
@@ -25,7 +25,10 @@
 /// A client whose connection the server has accepted, and nothing else of.
 fn accepted(driven: &mut Driven) -> Client {
     let client = Client::new(driven.address());
-    driven.turn(0.0, &[Key::Listener]);
+    let before = driven.server.counters().connections;
+    while driven.server.counters().connections == before {
+        driven.turn(0.0, &[Key::Listener]);
+    }
     client
 }
 
@@ -33,7 +36,7 @@
 fn a_request_that_came_as_its_idle_connection_is_closed_is_served() {
     let (mut driven, _nodes, _discovery) = driven(|text| text);
     let mut client = accepted(&mut driven);
-    client.write(READY);
+    client.write_through(READY);
     // Its time without a request is over in a turn that was not told of the bytes.
     driven.turn(2001.0, &[]);
     assert_eq!(client.read().0, 200);
@@ -44,7 +47,7 @@
     let (mut driven, _nodes, _discovery) = driven(|text| text);
     let mut client = accepted(&mut driven);
     driven.server.end(driven.now);
-    client.write(READY);
+    client.write_through(READY);
     driven.turn(1700.0, &[]);
     let (status, head, _) = client.read();
     assert!(status == 503 && head.contains("Connection: close"), "{head}");
@@ -55,7 +58,7 @@
     // The least number of clients: six.
     let (mut driven, _nodes, _discovery) = driven(|text| text.replace("\"sockets\":256", "\"sockets\":70"));
     let mut clients: Vec<Client> = (0..6).map(|_| accepted(&mut driven)).collect();
-    clients[0].write(READY);
+    clients[0].write_through(READY);
     driven.now += 200.0;
     let mut newest = accepted(&mut driven);
     newest.write(READY);
--- a/tests/ending_nodes.rs
+++ b/tests/ending_nodes.rs
@@ -71,10 +71,12 @@
     driven.until(|_| client.has_more());
     assert_eq!(client.read().0, 200);
     // The node closes, and the loop has not been told when the next query comes.
-    drop(peer);
+    peer.end();
     let mut client = Client::new(driven.address());
-    client.write(&request("entry", 2, &[0]));
-    driven.turn(0.0, &[Key::Listener]);
+    client.write_through(&request("entry", 2, &[0]));
+    while driven.server.counters().queries == 1 {
+        driven.turn(0.0, &[Key::Listener]);
+    }
     driven.turn(10.0, &[]);
     let mut next = None;
     driven.until(|_| {
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -164,10 +164,9 @@
                 }
                 Standing::Dialling(_) if now < refuses_until => standing = Standing::Down(now),
                 Standing::Dialling(_) => standing = Standing::Asked(now),
-                Standing::Telling(_) if matches!(open, Open::Trickling(_)) => {
-                    if watch.received(b"1\r\n \r\n", now, &mut Vec::new()).expect("a sound watch") {
-                        standing = Standing::Telling(now);
-                    }
+                Standing::Telling(heard) if matches!(open, Open::Trickling(_)) => {
+                    let whole = watch.received(b"1\r\n \r\n", now, &mut Vec::new()).expect("a sound watch");
+                    standing = Standing::Telling(if whole { now } else { heard });
                 }
                 Standing::Telling(_)
                     if up && open == Open::Sound && (seen < version || now - heard >= HEARTBEAT) =>
--- a/tests/support/hand.rs
+++ b/tests/support/hand.rs
@@ -139,6 +139,12 @@
         self.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
     }
 
+    /// Ends its side; the other side's system knows.
+    pub fn end(&self) {
+        self.0.shutdown(std::net::Shutdown::Write).expect("shut down");
+        settle(&self.0);
+    }
+
     /// Ends the connection with a reset.
     pub fn reset(self) {
         socket2::SockRef::from(&self.0).set_linger(Some(Duration::ZERO)).expect("set");
@@ -160,3 +166,21 @@
         false
     }
 }
+
+/// Waits until the other side's system has all that was written, and the end if there was one: on a busy machine that is
+/// not so at once, also on loopback.
+pub fn settle(stream: &TcpStream) {
+    let hex = |at: std::io::Result<SocketAddr>| format!("0100007F:{:04X}", at.expect("an address").port());
+    let ends = format!("{} {} ", hex(stream.local_addr()), hex(stream.peer_addr()));
+    let until = Instant::now() + SOON;
+    while Instant::now() < until {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+        let line = table.lines().find_map(|line| line.split_once(&ends).map(|(_, rest)| rest.to_string()));
+        // The state, 04 while the end is not acknowledged, and the bytes that are not.
+        if line.is_some_and(|rest| !rest.starts_with("04") && rest[3..].starts_with("00000000:")) {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    panic!("the other side's system does not take it");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -236,6 +236,12 @@
         self.0.get_mut().write_all(bytes).expect("written");
     }
 
+    /// The same; the other side's system has it then.
+    pub fn write_through(&mut self, bytes: &[u8]) {
+        self.write(bytes);
+        hand::settle(self.0.get_ref());
+    }
+
     /// The same, where the other side may have gone.
     pub fn try_write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.0.get_mut().write_all(bytes)
