--- a/tests/ending_clients.rs
+++ b/tests/ending_clients.rs
@@ -288,3 +288,33 @@
     assert!(driven.server.has_ended(driven.now));
     drop(client);
 }
+
+#[test]
+fn requests_that_are_only_half_there_at_the_order_to_end_are_served_when_they_are_whole() {
+    let mut site = Site::new("halves");
+    let wire = |id: u64| request("view", id, &[0, 1]);
+    // Cut in the head, before its blank line, in the body, and one request that is whole with half of the next behind it.
+    let cuts = [10, wire(0).len() - body(&[0, 1]).len() - 1, wire(0).len() - 5];
+    let mut halves: Vec<(Client, Vec<u8>, usize)> = Vec::new();
+    for (id, cut) in cuts.into_iter().enumerate() {
+        let (whole, mut client) = (wire(id as u64), Client::new(site.address));
+        client.write_through(&whole[..cut]);
+        halves.push((client, whole[cut..].to_vec(), 1));
+    }
+    let (first, second, mut client) = (wire(8), wire(9), Client::new(site.address));
+    client.write_through(&[&first[..], &second[..20]].concat());
+    halves.push((client, second[20..].to_vec(), 2));
+    site.program.signal("TERM");
+    site.program.signal("USR1");
+    site.program.line("platform: queries");
+    for (client, rest, _) in &mut halves {
+        client.write(rest);
+    }
+    for (client, _, answers) in &mut halves {
+        for _ in 0..*answers {
+            assert_eq!(client.read().0, 200);
+        }
+    }
+    drop(halves);
+    assert!(site.program.ends_by(SOON));
+}
--- a/tests/opensearch.rs
+++ b/tests/opensearch.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use support::hand::Hand;
 use support::{apart, message, stand_in, Client, Folder, Notes, Program};
 
 /// How a stand-in behaves, by shard.
@@ -432,3 +433,27 @@
     let (status, _, body) = site.ask("/_search", BY_PRICE);
     assert!(status == 429 || status >= 500, "{body}");
 }
+
+#[test]
+fn for_a_client_that_has_gone_a_node_s_connection_is_ended_and_nothing_new_begins() {
+    let node = Hand::new();
+    let port = node.address.port();
+    let one = format!(
+        "{SERVICE} PTR n0.{SERVICE}\nn0.{SERVICE} SRV 0 10 {port} h0.example.\n\
+         n0.{SERVICE} TXT \"cell=0\" \"zone=a\" \"state=in_service\"\nh0.example. A 127.0.0.1\n"
+    );
+    let site = Site::changed("gone", "idempotent", "1, 1", |_| one.clone(), |front| front);
+    let mut client = Client::new(site.front);
+    client.write(
+        format!(
+            "POST /_search?preference=_shards:0 HTTP/1.1\r\nX-Opaque-Id: desk\r\nContent-Length: {}\r\n\r\n{BY_PRICE}",
+            BY_PRICE.len()
+        )
+        .as_bytes(),
+    );
+    let mut peer = node.accept();
+    assert!(peer.head().contains("_shards:0"));
+    drop(client);
+    assert!(peer.ends_within(Duration::from_millis(1000)), "the call is called off by its connection's end");
+    assert!(node.accept_within(Duration::from_millis(500)).is_none(), "and is not made again");
+}
