Tests: a server that takes on answers without bound fails the reader tests in place of hanging

Seen: run once more on the program before the change, both tests with a client that reads nothing hung in their set-up (tests/ending_clients.rs, `unread`), since its requests were taken without end. The set-up now has a limit of time of its own; nothing else is changed.

--- a/tests/ending_clients.rs
+++ b/tests/ending_clients.rs
@@ -176,7 +176,9 @@
     client.set_nonblocking(true).expect("set");
     // The system holds some megabytes of answers; then they lie with the program, which reads on to see its client go.
     let (mut answered, mut still) = (0, 0);
+    let began = Instant::now();
     while still < 200 {
+        assert!(began.elapsed() < SOON, "answers are taken on without bound");
         let _ = (&client).write(&many);
         driven.round();
         let now = driven.server.counters().bad_requests;
