--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,20 @@
+//! The protocol between the processes of the router fleet: typed messages in length-prefixed frames.
+//!
+//! A frame is a length (u32, little-endian), then a [`Message`], whose first byte is its number. A number that is not
+//! known is read as [`Message::Unknown`] and skipped by the receiver, and bytes behind the fields that are known are
+//! ignored: so two versions can run side by side, as long as numbers and fields are only ever added. No I/O.
+#![warn(missing_docs)]
+
+mod frame;
+mod message;
+mod parts;
+mod text;
+
+pub use frame::{encode, FrameError, FrameReader, LONGEST_FRAME};
+pub use message::{
+    Alive, Beat, Beats, Blob, Configuration, Fleet, Hello, Message, ModelVersion, NamedVersion, PartChange,
+    Prefixes, ReplicaRecord, ReplicaState, Replicas, Role, Weights, MOST_CHANGES, MOST_RECORDS, NEVER,
+    PROTOCOL,
+};
+pub use parts::part_key;
+pub use text::{Address, Text};
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,357 @@
+//! The messages. Numbers and fields are only ever added.
+
+use crate::{Address, Text};
+use deku::prelude::*;
+
+/// The version of the protocol that this program speaks.
+pub const PROTOCOL: u16 = 1;
+
+/// An age that means: not yet, or longer ago than can be said.
+pub const NEVER: u32 = u32::MAX;
+
+/// Most records or beats in one message; more go in further messages. Room for a list is made before it is read, so
+/// each count has a limit.
+pub const MOST_RECORDS: u32 = 8192;
+/// Most changes of kept parts in one message.
+pub const MOST_CHANGES: u32 = 262_144;
+
+/// Which program a peer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum Role {
+    /// `steppick controller`.
+    #[deku(id = "1")]
+    Controller,
+    /// `steppick agent`.
+    #[deku(id = "2")]
+    Agent,
+    /// `steppick proxy`.
+    #[deku(id = "3")]
+    Proxy,
+}
+
+/// Who connects; the first message of each side that has something to say of itself.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Hello {
+    /// Version of the protocol.
+    #[deku(endian = "little")]
+    pub protocol: u16,
+    /// The program.
+    pub role: Role,
+    /// Name of its machine.
+    pub machine: Text,
+    /// Zone of its machine.
+    pub zone: Text,
+    /// Drawn at the start of the process.
+    #[deku(endian = "little")]
+    pub incarnation: u64,
+    /// Where it listens for its peers.
+    pub address: Address,
+    /// Version of the configuration that it has, 0 for none.
+    #[deku(endian = "little")]
+    pub configuration: u64,
+}
+
+/// A configuration, or changes on top of one.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Configuration {
+    /// The version that the changes build on; 0 where the body is whole.
+    #[deku(endian = "little")]
+    pub base: u64,
+    /// The version that it makes.
+    #[deku(endian = "little")]
+    pub version: u64,
+    /// JSON: a whole configuration, or changes as operators send them.
+    pub body: Blob,
+}
+
+/// Bytes with their length.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Blob {
+    #[deku(
+        assert = "*length <= crate::LONGEST_FRAME as u32",
+        endian = "little",
+        update = "self.bytes.len()"
+    )]
+    length: u32,
+    /// The bytes.
+    #[deku(count = "length")]
+    pub bytes: Vec<u8>,
+}
+
+impl From<Vec<u8>> for Blob {
+    fn from(bytes: Vec<u8>) -> Blob {
+        Blob { length: bytes.len() as u32, bytes }
+    }
+}
+
+/// Life of a replica. The order is the order of merging at one beat number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum ReplicaState {
+    /// Takes requests.
+    #[deku(id = "1")]
+    Ready,
+    /// Was not heard of for too long; a later beat takes this back.
+    #[deku(id = "2")]
+    Lost,
+    /// Ends what it has and takes nothing new.
+    #[deku(id = "3")]
+    Draining,
+    /// Has left; final.
+    #[deku(id = "4")]
+    Gone,
+}
+
+/// A model with the version of its weights.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct ModelVersion {
+    /// Name of the model.
+    pub name: Text,
+    /// Version of its weights.
+    #[deku(endian = "little")]
+    pub version: u64,
+}
+
+/// What is known of one life of a replica.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct ReplicaRecord {
+    /// Unique to this life.
+    pub id: Text,
+    /// Name of its service.
+    pub service: Text,
+    /// Where it takes requests.
+    pub address: Address,
+    /// Its zone.
+    pub zone: Text,
+    /// Its state.
+    pub state: ReplicaState,
+    /// Number of the beat that told it.
+    #[deku(endian = "little")]
+    pub beat: u64,
+    /// Requests that it works on at once.
+    #[deku(endian = "little")]
+    pub free_slots: u32,
+    /// How much longer it is slow from its start, ms.
+    #[deku(endian = "little")]
+    pub cold_left_ms: u32,
+    #[deku(endian = "little", update = "self.models.len()")]
+    model_count: u16,
+    /// Its models.
+    #[deku(count = "model_count")]
+    pub models: Vec<ModelVersion>,
+}
+
+impl ReplicaRecord {
+    /// A ready replica without models.
+    pub fn new(id: &str, service: &str, address: Address, zone: &str) -> ReplicaRecord {
+        ReplicaRecord {
+            id: id.into(),
+            service: service.into(),
+            address,
+            zone: zone.into(),
+            state: ReplicaState::Ready,
+            beat: 0,
+            free_slots: 0,
+            cold_left_ms: 0,
+            model_count: 0,
+            models: Vec::new(),
+        }
+    }
+
+    /// The record with other models.
+    #[must_use]
+    pub fn with_models(mut self, models: Vec<ModelVersion>) -> ReplicaRecord {
+        self.model_count = models.len() as u16;
+        self.models = models;
+        self
+    }
+
+    /// Whether this record is to take the place of another of the same id.
+    pub fn supersedes(&self, other: &ReplicaRecord) -> bool {
+        let gone = |record: &ReplicaRecord| record.state == ReplicaState::Gone;
+        (gone(self), self.beat, self.state) > (gone(other), other.beat, other.state)
+    }
+}
+
+/// News of replicas.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Replicas {
+    #[deku(assert = "*count <= MOST_RECORDS", endian = "little", update = "self.records.len()")]
+    count: u32,
+    /// The records; each is merged by itself.
+    #[deku(count = "count")]
+    pub records: Vec<ReplicaRecord>,
+}
+
+impl From<Vec<ReplicaRecord>> for Replicas {
+    fn from(records: Vec<ReplicaRecord>) -> Replicas {
+        Replicas { count: records.len() as u32, records }
+    }
+}
+
+/// The version of a model's weights that operators named last.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct NamedVersion {
+    /// Name of the model.
+    pub model: Text,
+    /// Its version.
+    #[deku(endian = "little")]
+    pub version: u64,
+    /// How long ago it was acknowledged, ms.
+    #[deku(endian = "little")]
+    pub age_ms: u32,
+}
+
+/// The named versions of all models.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Weights {
+    #[deku(endian = "little", update = "self.versions.len()")]
+    count: u16,
+    /// One for each model that was ever named.
+    #[deku(count = "count")]
+    pub versions: Vec<NamedVersion>,
+}
+
+impl From<Vec<NamedVersion>> for Weights {
+    fn from(versions: Vec<NamedVersion>) -> Weights {
+        Weights { count: versions.len() as u16, versions }
+    }
+}
+
+/// Who there is in the fleet.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Fleet {
+    #[deku(endian = "little", update = "self.controllers.len()")]
+    count: u16,
+    /// Inner addresses of the controllers that are in service.
+    #[deku(count = "count")]
+    pub controllers: Vec<Address>,
+    /// Number of proxies, for shares of fixed allowances.
+    #[deku(endian = "little")]
+    pub proxies: u32,
+}
+
+impl Fleet {
+    /// The controllers and the number of proxies.
+    pub fn new(controllers: Vec<Address>, proxies: u32) -> Fleet {
+        Fleet { count: controllers.len() as u16, controllers, proxies }
+    }
+}
+
+/// A change of what a replica keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct PartChange {
+    /// The part, by [`crate::part_key`].
+    #[deku(endian = "little")]
+    pub part: u64,
+    /// Tokens of it that are kept now; 0 for none.
+    #[deku(endian = "little")]
+    pub tokens: u32,
+}
+
+/// Changes of what one replica or store keeps.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Prefixes {
+    /// Id of the replica, or address of the store.
+    pub replica: Text,
+    /// Changes with every restart of the replica.
+    #[deku(endian = "little")]
+    pub epoch: u64,
+    /// 1 where all that was known of the replica is to be dropped first.
+    pub reset: u8,
+    #[deku(assert = "*count <= MOST_CHANGES", endian = "little", update = "self.changes.len()")]
+    count: u32,
+    /// The changes in order.
+    #[deku(count = "count")]
+    pub changes: Vec<PartChange>,
+}
+
+impl Prefixes {
+    /// Changes of one replica.
+    pub fn new(replica: &str, epoch: u64, reset: bool, changes: Vec<PartChange>) -> Prefixes {
+        Prefixes { replica: replica.into(), epoch, reset: reset.into(), count: changes.len() as u32, changes }
+    }
+}
+
+/// A replica that a controller heard.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Beat {
+    /// Id of the replica.
+    pub id: Text,
+    /// Number of its newest beat.
+    #[deku(endian = "little")]
+    pub beat: u64,
+}
+
+/// Replicas that a controller heard since its last such message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Beats {
+    #[deku(assert = "*count <= MOST_RECORDS", endian = "little", update = "self.heard.len()")]
+    count: u32,
+    /// The replicas.
+    #[deku(count = "count")]
+    pub heard: Vec<Beat>,
+}
+
+impl From<Vec<Beat>> for Beats {
+    fn from(heard: Vec<Beat>) -> Beats {
+        Beats { count: heard.len() as u32, heard }
+    }
+}
+
+/// The sender lives, and how far it is in step with the majority.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Alive {
+    /// Age of its latest proof that it reaches a majority, ms.
+    #[deku(endian = "little")]
+    pub majority_age_ms: u32,
+    /// Version of the configuration that it has.
+    #[deku(endian = "little")]
+    pub configuration: u64,
+}
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(id_type = "u8")]
+pub enum Message {
+    /// Who connects.
+    #[deku(id = "1")]
+    Hello(Hello),
+    /// A configuration or changes of it.
+    #[deku(id = "2")]
+    Configuration(Configuration),
+    /// News of replicas.
+    #[deku(id = "3")]
+    Replicas(Replicas),
+    /// Named versions of weights.
+    #[deku(id = "4")]
+    Weights(Weights),
+    /// Who there is.
+    #[deku(id = "5")]
+    Fleet(Fleet),
+    /// What a replica keeps.
+    #[deku(id = "6")]
+    Prefixes(Prefixes),
+    /// Replicas heard.
+    #[deku(id = "7")]
+    Beats(Beats),
+    /// The sender lives.
+    #[deku(id = "8")]
+    Alive(Alive),
+    /// A message of the register group, in its own encoding.
+    #[deku(id = "9")]
+    Register(Blob),
+    /// A message of the controllers' membership, in its own encoding.
+    #[deku(id = "10")]
+    Membership(Blob),
+    /// The sender has a configuration other than the one that changes build on, and asks for the whole.
+    #[deku(id = "11")]
+    WantConfiguration,
+    /// A message of a later version; to be skipped.
+    #[deku(id_pat = "_")]
+    Unknown {
+        /// Its number.
+        number: u8,
+    },
+}
--- /dev/null
+++ b/crates/peer/tests/messages.rs
@@ -0,0 +1,148 @@
+//! Messages through frames, in pieces of all sizes, spoilt and of later versions.
+
+use peer::*;
+use rstest::rstest;
+
+fn address(last: u8) -> Address {
+    Address::from(std::net::SocketAddrV4::new([10, 0, 0, last].into(), 7640))
+}
+
+fn record() -> ReplicaRecord {
+    let models = vec![ModelVersion { name: "m".into(), version: 3 }];
+    ReplicaRecord::new("i-1", "reader", address(9), "lac").with_models(models)
+}
+
+fn messages() -> Vec<Message> {
+    vec![
+        Message::Hello(Hello {
+            protocol: PROTOCOL,
+            role: Role::Agent,
+            machine: "edge-1".into(),
+            zone: "lac".into(),
+            incarnation: 7,
+            address: Address::NONE,
+            configuration: 4,
+        }),
+        Message::Configuration(Configuration { base: 0, version: 7, body: vec![1; 70_000].into() }),
+        Message::Replicas(vec![record(), record()].into()),
+        Message::Weights(vec![NamedVersion { model: "m".into(), version: 2, age_ms: NEVER }].into()),
+        Message::Fleet(Fleet::new(vec![address(1), address(2)], 7)),
+        Message::Prefixes(Prefixes::new("i-1", 5, true, vec![PartChange { part: 9, tokens: 16 }])),
+        Message::Beats(vec![Beat { id: "i-1".into(), beat: 12 }].into()),
+        Message::Alive(Alive { majority_age_ms: 3, configuration: 7 }),
+        Message::Register(vec![1, 2, 3].into()),
+        Message::Membership(Vec::new().into()),
+        Message::WantConfiguration,
+    ]
+}
+
+#[rstest]
+#[case(1)]
+#[case(7)]
+#[case(4096)]
+#[case(1 << 20)]
+fn messages_come_through_pieces_of_all_sizes(#[case] piece: usize) {
+    let bytes: Vec<u8> = messages().iter().flat_map(|message| encode(message).unwrap()).collect();
+    let (mut reader, mut read) = (FrameReader::default(), Vec::new());
+    for piece in bytes.chunks(piece) {
+        reader.push(piece);
+        while let Some(message) = reader.next_message().unwrap() {
+            read.push(message);
+        }
+    }
+    assert_eq!(read, messages());
+}
+
+#[test]
+fn a_number_of_a_later_version_is_skipped_with_its_bytes() {
+    let mut reader = FrameReader::default();
+    reader.push(&[4, 0, 0, 0, 200, 1, 2, 3]);
+    reader.push(&encode(&Message::WantConfiguration).unwrap());
+    assert_eq!(reader.next_message(), Ok(Some(Message::Unknown { number: 200 })));
+    assert_eq!(reader.next_message(), Ok(Some(Message::WantConfiguration)));
+}
+
+#[test]
+fn fields_of_a_later_version_are_ignored() {
+    let mut frame = encode(&Message::Alive(Alive { majority_age_ms: 3, configuration: 7 })).unwrap();
+    frame[0] += 5;
+    frame.extend([9; 5]);
+    let mut reader = FrameReader::default();
+    reader.push(&frame);
+    assert_eq!(
+        reader.next_message(),
+        Ok(Some(Message::Alive(Alive { majority_age_ms: 3, configuration: 7 })))
+    );
+    assert_eq!(reader.next_message(), Ok(None));
+}
+
+#[test]
+fn messages_cut_short_or_spoilt_are_errors_and_never_more() {
+    for message in messages().into_iter().filter(|message| !matches!(message, Message::Configuration(_))) {
+        let frame = encode(&message).unwrap();
+        for cut in 5..frame.len() {
+            let mut spoilt = frame[..cut].to_vec();
+            spoilt[..4].copy_from_slice(&((cut - 4) as u32).to_le_bytes());
+            let mut reader = FrameReader::default();
+            reader.push(&spoilt);
+            assert!(matches!(reader.next_message(), Err(FrameError::Malformed(_))), "{message:?} {cut}");
+        }
+        for place in 4..frame.len() {
+            let mut spoilt = frame.clone();
+            spoilt[place] ^= 0xff;
+            let mut reader = FrameReader::default();
+            reader.push(&spoilt);
+            let _ = reader.next_message();
+        }
+    }
+}
+
+#[test]
+fn a_count_that_no_frame_holds_takes_no_memory() {
+    let mut reader = FrameReader::default();
+    reader.push(&[5, 0, 0, 0, 3, 255, 255, 255, 255]);
+    assert!(matches!(reader.next_message(), Err(FrameError::Malformed(_))));
+    let mut reader = FrameReader::default();
+    reader.push(&u32::MAX.to_le_bytes());
+    assert_eq!(reader.next_message(), Err(FrameError::TooLong(u32::MAX as usize)));
+}
+
+#[rstest]
+#[case(ReplicaState::Ready, 2, ReplicaState::Lost, 1, true)]
+#[case(ReplicaState::Ready, 1, ReplicaState::Lost, 1, false)]
+#[case(ReplicaState::Draining, 1, ReplicaState::Ready, 1, true)]
+#[case(ReplicaState::Ready, 9, ReplicaState::Gone, 1, false)]
+#[case(ReplicaState::Gone, 1, ReplicaState::Ready, 9, true)]
+#[case(ReplicaState::Ready, 1, ReplicaState::Ready, 1, false)]
+fn records_merge_by_beat_and_state(
+    #[case] state: ReplicaState,
+    #[case] beat: u64,
+    #[case] other_state: ReplicaState,
+    #[case] other_beat: u64,
+    #[case] supersedes: bool,
+) {
+    let at = |state, beat| {
+        let mut at = record();
+        (at.state, at.beat) = (state, beat);
+        at
+    };
+    let (new, old) = (at(state, beat), at(other_state, other_beat));
+    assert_eq!(new.supersedes(&old), supersedes);
+}
+
+#[test]
+fn part_keys_keep_their_values() {
+    assert_ne!(part_key("m", "ab", "c"), part_key("m", "a", "bc"));
+    assert_eq!(part_key("m", "salt", "5c1e07a2"), part_key("m", "salt", "5c1e07a2"));
+}
+
+/// Bodies are copied whole, not byte by byte: a big configuration must not stall a process.
+#[test]
+fn a_big_body_costs_little() {
+    let frame = encode(&Message::Register(vec![7; 4 << 20].into())).unwrap();
+    let began = std::time::Instant::now();
+    let mut reader = FrameReader::default();
+    reader.push(&frame);
+    assert!(reader.next_message().unwrap().is_some());
+    assert!(began.elapsed() < std::time::Duration::from_millis(500), "{:?}", began.elapsed());
+}
