--- a/crates/configuration/src/validate.rs
+++ b/crates/configuration/src/validate.rs
@@ -32,7 +32,7 @@
 
 fn check_route(route: &Route, place: &str, services: &HashSet<&str>, faults: &mut Vec<Fault>) {
     let mut fault = |field, remedy: String| faults.push(Fault::new(place, field, remedy));
-    if !(route.give_up_ms > 0.0) {
+    if route.give_up_ms.is_nan() || route.give_up_ms <= 0.0 {
         fault("give-up-ms", format!("is {}; give milliseconds above 0", route.give_up_ms));
     }
     if !route.path_start.starts_with('/') || !route.path_start.ends_with('/') {
@@ -51,8 +51,8 @@
         fault("service", "is missing; name a service or a split".into());
     }
     let weights = || route.split.iter().map(|share| share.share);
-    let sound = weights().all(|weight| weight >= 0.0 && weight.is_finite());
-    if !route.split.is_empty() && (!sound || !(weights().sum::<f64>() > 0.0)) {
+    let sound = weights().all(|weight| weight >= 0.0 && weight.is_finite()) && weights().sum::<f64>() > 0.0;
+    if !route.split.is_empty() && !sound {
         fault("split", "the shares add up to nothing; give at least one a share above 0".into());
     }
 }
