HTTP codec moves into crates/http, used from there by the coordinator

Cause: the router fleet's proxy needs the same codec, and nothing is to be written twice. Ruled out: a copy for the fleet.

--- a/src/net/http.rs
+++ b/crates/http/src/message.rs
@@ -1,4 +1,4 @@
-//! The one HTTP/1.1 codec: fronts, the discovery watch and HTTP book nodes share it. No I/O.
+//! Whole messages: fronts, the discovery watch and HTTP book nodes of the coordinator share them.
 
 /// Longest head of a message, bytes.
 const HEAD_LIMIT: usize = 16 * 1024;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,11 +2,11 @@
 
 pub mod client;
 mod fault;
-pub mod http;
 pub mod node;
 mod server;
 pub mod trail;
 
+pub use ::http;
 pub use fault::{PeerError, ServeError};
 pub use server::{Ending, Server, Sockets};
 
