--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line. `steppick` without a sub-command serves.
 
+pub mod fleet;
 pub mod place;
 
 use clap::{Parser, Subcommand};
--- a/src/main.rs
+++ b/src/main.rs
@@ -47,7 +47,16 @@
     run(event_loop, clock, fronts)
 }
 
+/// Whether the command line names a sub-command of the router fleet.
+fn is_fleet_command() -> bool {
+    let first = std::env::args_os().nth(1);
+    first.is_some_and(|first| cli::fleet::COMMANDS.iter().any(|command| first == *command))
+}
+
 fn main() -> ExitCode {
+    if is_fleet_command() {
+        return cli::fleet::main();
+    }
     let cli = match Cli::try_parse() {
         Ok(cli) => cli,
         Err(error) => {
