Catalogue of replicas: heartbeats in, a lattice of records, changes for subscribers

Cause: the fleet has no list of replicas but what they say themselves. Ruled out: heartbeat numbers within the record's order (a number that came ahead of its record hid what the record says; a test holds this). Change: crates/catalog without I/O: merge, silence judged only with a proof of majority, bounded memory, homes by rendezvous hashing.

--- /dev/null
+++ b/crates/catalog/src/catalog.rs
@@ -0,0 +1,372 @@
+//! The table of replicas: heartbeats in, changes out.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+
+use crate::{Millis, Record, State};
+
+/// Bounds of a catalogue.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Silence after which a replica counts as lost.
+    pub lost_after_ms: Millis,
+    /// Silence after which a replica that was draining or lost is taken for ended.
+    pub gone_after_ms: Millis,
+    /// An id is not ended by another one at its address while it was heard so lately: the other is a late
+    /// message of the address's former owner.
+    pub reuse_after_ms: Millis,
+    /// How long ended ids are remembered, so that late messages don't bring them back.
+    pub remember_gone_ms: Millis,
+    /// Most ended ids remembered.
+    pub most_gone: usize,
+    /// Most replicas kept; heartbeats of further ones are turned away.
+    pub most_replicas: usize,
+}
+
+impl Limits {
+    /// Bounds for replicas that send a heartbeat every `beat_every_ms`, with addresses that may be given
+    /// again `reuse_after_ms` after an end.
+    pub fn for_beats(beat_every_ms: Millis, reuse_after_ms: Millis) -> Limits {
+        const MISSED_BEATS: u64 = 3;
+        Limits {
+            lost_after_ms: MISSED_BEATS * beat_every_ms + beat_every_ms / 4,
+            gone_after_ms: 100 * beat_every_ms,
+            reuse_after_ms,
+            remember_gone_ms: 600_000,
+            most_gone: 2_000,
+            most_replicas: 4_000,
+        }
+    }
+}
+
+/// What became of a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It says something new: subscribers must hear it.
+    News,
+    /// Nothing new but the time.
+    Same,
+    /// An older one than is known, or of an id that has ended.
+    Late,
+    /// There is no room for another replica.
+    Full,
+}
+
+/// What became of a record from elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merged {
+    /// It was newer and says something new.
+    News,
+    /// It was known.
+    Same,
+    /// The catalogue knows better: the sender should be told.
+    Older,
+}
+
+/// A heartbeat heard by a controller, as told to its peers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    pub id: String,
+    pub beat: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    record: Record,
+    /// When a heartbeat was last heard here or by a peer.
+    heard: Millis,
+    /// The highest heartbeat heard here or by a peer; the record may stem from an earlier one.
+    heard_beat: u64,
+    /// When a heartbeat was last heard here, if ever.
+    heard_here: Option<Millis>,
+    /// Number of the last change that subscribers must hear.
+    changed: u64,
+    /// Heard here since the peers were last told.
+    untold: bool,
+}
+
+/// Replicas by id, with the order of their changes.
+#[derive(Debug, Clone)]
+pub struct Catalog {
+    limits: Limits,
+    entries: HashMap<String, Entry>,
+    /// Ids by the number of their last change.
+    changes: BTreeMap<u64, String>,
+    by_address: HashMap<SocketAddrV4, String>,
+    last_change: u64,
+    /// A subscriber that has not got further than this must take a snapshot.
+    forgotten: u64,
+}
+
+impl Catalog {
+    pub fn new(limits: Limits) -> Catalog {
+        Catalog {
+            limits,
+            entries: HashMap::new(),
+            changes: BTreeMap::new(),
+            by_address: HashMap::new(),
+            last_change: 0,
+            forgotten: 0,
+        }
+    }
+
+    /// Takes a heartbeat that a replica sent here.
+    pub fn heartbeat(&mut self, now: Millis, record: Record) -> Heard {
+        if !self.entries.contains_key(&record.id) {
+            return self.first_heartbeat(now, record);
+        }
+        let Some(entry) = self.entries.get_mut(&record.id) else { return Heard::Late };
+        if entry.record.state == State::Gone || record.beat < entry.record.beat {
+            return Heard::Late;
+        }
+        entry.heard = now;
+        entry.heard_beat = entry.heard_beat.max(record.beat);
+        entry.heard_here = Some(now);
+        entry.untold = true;
+        // A heartbeat with the number of one that was counted as lost is the same one, heard again.
+        match self.take(record) {
+            Merged::News => Heard::News,
+            _ => Heard::Same,
+        }
+    }
+
+    fn first_heartbeat(&mut self, now: Millis, record: Record) -> Heard {
+        if let Some(former) = self.by_address.get(&record.address).cloned() {
+            let heard = self.entries.get(&former).map_or(0, |entry| entry.heard);
+            if now.saturating_sub(heard) < self.limits.reuse_after_ms {
+                return Heard::Late;
+            }
+            self.end(now, &former);
+        }
+        if self.live().count() >= self.limits.most_replicas {
+            return Heard::Full;
+        }
+        self.insert(now, record, Some(now));
+        Heard::News
+    }
+
+    /// Takes a replica's word that it ends. Whether that was news.
+    pub fn leave(&mut self, now: Millis, id: &str) -> bool {
+        if !self.entries.contains_key(id) {
+            // Unknown here: a peer may know it, so the end is kept and told.
+            self.insert(now, Record::ended(id), None);
+            return true;
+        }
+        self.end(now, id)
+    }
+
+    fn end(&mut self, now: Millis, id: &str) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else { return false };
+        if entry.record.state == State::Gone {
+            return false;
+        }
+        entry.heard = now;
+        let gone = Record { state: State::Gone, ..entry.record.clone() };
+        self.take(gone) == Merged::News
+    }
+
+    /// Takes a record that a peer, a controller or a subscriber told.
+    pub fn merge(&mut self, now: Millis, record: Record) -> Merged {
+        let Some(entry) = self.entries.get_mut(&record.id) else {
+            if record.state != State::Gone && self.live().count() >= self.limits.most_replicas {
+                return Merged::Same;
+            }
+            self.insert(now, record, None);
+            return Merged::News;
+        };
+        match record.order(&entry.record) {
+            Ordering::Less => return Merged::Older,
+            Ordering::Equal => return Merged::Same,
+            Ordering::Greater => {}
+        }
+        if record.beat > entry.heard_beat {
+            entry.heard = now;
+            entry.heard_beat = record.beat;
+        }
+        self.take(record)
+    }
+
+    /// Notes heartbeats that a peer heard. They only tell that a replica lives: what it says comes by `merge`,
+    /// and so does its return after it was counted as lost, since the peer that hears it answers that.
+    pub fn peer_beats(&mut self, now: Millis, beats: &[Beat]) {
+        for heard in beats {
+            let Some(entry) = self.entries.get_mut(&heard.id) else { continue };
+            if heard.beat > entry.heard_beat {
+                entry.heard = now;
+                entry.heard_beat = heard.beat;
+            }
+        }
+    }
+
+    /// Heartbeats heard here since the last call, for the peers.
+    pub fn take_beats(&mut self) -> Vec<Beat> {
+        let mut beats = Vec::new();
+        for entry in self.entries.values_mut().filter(|entry| entry.untold) {
+            entry.untold = false;
+            beats.push(Beat { id: entry.record.id.clone(), beat: entry.heard_beat });
+        }
+        beats.sort_by(|a, b| a.id.cmp(&b.id));
+        beats
+    }
+
+    /// Passes judgement on silent replicas, and forgets those that ended long ago. Only a controller that
+    /// `proved` a majority lately may say that a replica is lost. Whether anything is news.
+    pub fn tick(&mut self, now: Millis, proved: bool) -> bool {
+        let mut news = false;
+        if proved {
+            for (id, state) in self.overdue(now) {
+                let Some(entry) = self.entries.get(&id) else { continue };
+                let record = Record { state, beat: entry.heard_beat, ..entry.record.clone() };
+                news |= self.take(record) == Merged::News;
+            }
+        }
+        self.forget(now);
+        news
+    }
+
+    /// Replicas silent for too long, each with the state that this makes of it.
+    fn overdue(&self, now: Millis) -> Vec<(String, State)> {
+        let verdict = |entry: &Entry| {
+            let silent = now.saturating_sub(entry.heard);
+            match entry.record.state {
+                State::Gone => None,
+                _ if silent > self.limits.gone_after_ms => Some(State::Gone),
+                State::Ready if silent > self.limits.lost_after_ms => Some(State::Lost),
+                _ => None,
+            }
+        };
+        let entries = self.entries.iter();
+        entries.filter_map(|(id, entry)| Some((id.clone(), verdict(entry)?))).collect()
+    }
+
+    /// Drops ended ids that are too old or too many.
+    fn forget(&mut self, now: Millis) {
+        let mut ended: Vec<(Millis, String)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.record.state == State::Gone)
+            .map(|(id, entry)| (entry.heard, id.clone()))
+            .collect();
+        ended.sort_unstable();
+        let surplus = ended.len().saturating_sub(self.limits.most_gone);
+        for (place, (heard, id)) in ended.into_iter().enumerate() {
+            if place < surplus || now.saturating_sub(heard) > self.limits.remember_gone_ms {
+                self.remove(&id);
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(entry) = self.entries.remove(id) else { return };
+        self.changes.remove(&entry.changed);
+        self.forgotten = self.forgotten.max(entry.changed);
+        if self.by_address.get(&entry.record.address).is_some_and(|holder| holder == id) {
+            self.by_address.remove(&entry.record.address);
+        }
+    }
+
+    fn insert(&mut self, now: Millis, record: Record, heard_here: Option<Millis>) {
+        let id = record.id.clone();
+        if record.state != State::Gone {
+            self.by_address.insert(record.address, id.clone());
+        }
+        let entry = Entry {
+            heard: now,
+            heard_beat: record.beat,
+            heard_here,
+            changed: 0,
+            untold: heard_here.is_some(),
+            record,
+        };
+        self.entries.insert(id.clone(), entry);
+        self.note_change(&id);
+    }
+
+    /// Puts a record in place of a lesser one.
+    fn take(&mut self, record: Record) -> Merged {
+        let id = record.id.clone();
+        let Some(entry) = self.entries.get_mut(&id) else { return Merged::Same };
+        if record.order(&entry.record) != Ordering::Greater {
+            return Merged::Same;
+        }
+        let news = record.is_news_after(&entry.record);
+        let (before, after) = (entry.record.address, record.address);
+        let gone = record.state == State::Gone;
+        entry.record = record;
+        let holds_address = self.by_address.get(&before).is_some_and(|holder| *holder == id);
+        if holds_address && (gone || before != after) {
+            self.by_address.remove(&before);
+        }
+        if !gone && before != after {
+            self.by_address.insert(after, id.clone());
+        }
+        if !news {
+            return Merged::Same;
+        }
+        self.note_change(&id);
+        Merged::News
+    }
+
+    fn note_change(&mut self, id: &str) {
+        let Some(entry) = self.entries.get_mut(id) else { return };
+        self.changes.remove(&entry.changed);
+        self.last_change += 1;
+        entry.changed = self.last_change;
+        self.changes.insert(self.last_change, id.to_string());
+    }
+
+    /// Number of the last change.
+    pub fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
+    /// All records, the ended ones too, in the order of their last changes.
+    pub fn snapshot(&self) -> Vec<Record> {
+        self.records_after(0)
+    }
+
+    /// The records that changed after change number `since`; `None` if some of those are forgotten, so that
+    /// the subscriber must take a snapshot.
+    pub fn changes_since(&self, since: u64) -> Option<Vec<Record>> {
+        (since >= self.forgotten && since <= self.last_change).then(|| self.records_after(since))
+    }
+
+    fn records_after(&self, since: u64) -> Vec<Record> {
+        let ids = self.changes.range(since + 1..).map(|(_, id)| id);
+        ids.filter_map(|id| self.get(id).cloned()).collect()
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Record> {
+        self.entries.get(id).map(|entry| &entry.record)
+    }
+
+    /// When a replica's heartbeat was last heard here, not by a peer.
+    pub fn heard_here(&self, id: &str) -> Option<Millis> {
+        self.entries.get(id).and_then(|entry| entry.heard_here)
+    }
+
+    /// Records of replicas that have not ended, in no order.
+    pub fn live(&self) -> impl Iterator<Item = &Record> {
+        self.entries.values().map(|entry| &entry.record).filter(|record| record.state != State::Gone)
+    }
+}
+
+impl Record {
+    /// The end of a replica of which nothing else is known.
+    pub fn ended(id: &str) -> Record {
+        Record {
+            id: id.to_string(),
+            service: String::new(),
+            address: SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
+            zone: String::new(),
+            software: String::new(),
+            free_slots: 0,
+            state: State::Gone,
+            beat: 0,
+            models: Vec::new(),
+            stage: String::new(),
+            cold_left_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/record.rs
@@ -0,0 +1,67 @@
+//! One replica as its heartbeats describe it, and how two descriptions merge.
+
+use std::cmp::Ordering;
+use std::net::SocketAddrV4;
+
+/// What is known of a replica's willingness to serve; a later variant wins at the same heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum State {
+    /// It takes requests.
+    Ready,
+    /// No controller has heard it for several heartbeats; a later heartbeat takes this back.
+    Lost,
+    /// It said that it is about to end.
+    Draining,
+    /// It ended. Final for its id.
+    Gone,
+}
+
+/// The version of a model's weights that a replica holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelVersion {
+    pub name: String,
+    pub version: u64,
+}
+
+/// One life of a replica: each start has an id of its own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddrV4,
+    pub zone: String,
+    /// Version of the replica's software.
+    pub software: String,
+    /// Requests that it works on at the same time.
+    pub free_slots: u32,
+    pub state: State,
+    /// Number of the heartbeat (`call-count`) that this description comes from.
+    pub beat: u64,
+    pub models: Vec<ModelVersion>,
+    pub stage: String,
+    /// How much longer it stays slow from its start, milliseconds, as of the heartbeat.
+    pub cold_left_ms: u32,
+}
+
+impl Record {
+    /// Orders two descriptions of one replica: the greater one holds.
+    ///
+    /// `Gone` is above all; otherwise the later heartbeat is above, and at the same heartbeat the graver state.
+    pub fn order(&self, other: &Record) -> Ordering {
+        let gone = |record: &Record| record.state == State::Gone;
+        gone(self).cmp(&gone(other)).then(self.beat.cmp(&other.beat)).then(self.state.cmp(&other.state))
+    }
+
+    /// Whether subscribers must hear of the step from `before` to this description. Heartbeats that change
+    /// nothing but their number, and the count-down from a cold start, are not news.
+    pub fn is_news_after(&self, before: &Record) -> bool {
+        self.state != before.state
+            || self.models != before.models
+            || self.stage != before.stage
+            || self.address != before.address
+            || self.free_slots != before.free_slots
+            || self.service != before.service
+            || self.zone != before.zone
+            || (self.cold_left_ms == 0) != (before.cold_left_ms == 0)
+    }
+}
--- /dev/null
+++ b/crates/catalog/tests/catalogue.rs
@@ -0,0 +1,267 @@
+//! The table of replicas: merges in any order agree, silence is judged late and taken back, changes reach
+//! subscribers.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use catalog::{home_of, Beat, Catalog, Controller, Heard, Limits, Merged, ModelVersion, Record, State};
+use rand::rngs::SmallRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+const BEAT_MS: u64 = 1_200;
+const REUSE_MS: u64 = 2_000;
+
+fn catalogue() -> Catalog {
+    Catalog::new(Limits::for_beats(BEAT_MS, REUSE_MS))
+}
+
+fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 8080)
+}
+
+fn record(id: &str, last: u8, beat: u64, state: State) -> Record {
+    Record {
+        id: id.to_string(),
+        service: "reader".to_string(),
+        address: address(last),
+        zone: "north".to_string(),
+        software: "v1".to_string(),
+        free_slots: 12,
+        state,
+        beat,
+        models: vec![ModelVersion { name: "m".to_string(), version: 1 }],
+        stage: "both_ways".to_string(),
+        cold_left_ms: 0,
+    }
+}
+
+fn state_of(catalogue: &Catalog, id: &str) -> Option<State> {
+    catalogue.get(id).map(|record| record.state)
+}
+
+#[rstest]
+fn a_heartbeat_that_changes_nothing_is_no_news() {
+    let mut table = catalogue();
+    assert_eq!(table.heartbeat(0, record("a", 1, 1, State::Ready)), Heard::News);
+    assert_eq!(table.heartbeat(BEAT_MS, record("a", 1, 2, State::Ready)), Heard::Same);
+    assert_eq!(table.heartbeat(2 * BEAT_MS, record("a", 1, 3, State::Draining)), Heard::News);
+    assert_eq!(table.heartbeat(2 * BEAT_MS, record("a", 1, 2, State::Ready)), Heard::Late);
+    assert_eq!(state_of(&table, "a"), Some(State::Draining));
+}
+
+#[rstest]
+fn an_end_is_final_whatever_comes_later() {
+    let mut table = catalogue();
+    table.heartbeat(0, record("a", 1, 1, State::Ready));
+    assert!(table.leave(10, "a"));
+    assert!(!table.leave(20, "a"), "the second leave is no news");
+    assert_eq!(table.heartbeat(30, record("a", 1, 9, State::Ready)), Heard::Late);
+    assert_eq!(table.merge(30, record("a", 1, 9, State::Ready)), Merged::Older);
+    assert_eq!(state_of(&table, "a"), Some(State::Gone));
+}
+
+#[rstest]
+fn the_end_of_an_unknown_replica_is_kept_and_told() {
+    let mut table = catalogue();
+    assert!(table.leave(10, "a"));
+    assert_eq!(table.heartbeat(20, record("a", 1, 3, State::Draining)), Heard::Late);
+    assert_eq!(table.snapshot().len(), 1);
+}
+
+#[rstest]
+#[case::three_missed(3 * BEAT_MS, State::Ready)]
+#[case::three_missed_and_the_slack(3 * BEAT_MS + BEAT_MS / 4 + 1, State::Lost)]
+fn silence_makes_a_replica_lost(#[case] silent: u64, #[case] expected: State) {
+    let mut table = catalogue();
+    table.heartbeat(0, record("a", 1, 1, State::Ready));
+    table.tick(silent, true);
+    assert_eq!(state_of(&table, "a"), Some(expected));
+}
+
+#[rstest]
+fn without_a_majority_nothing_is_said_lost() {
+    let mut table = catalogue();
+    table.heartbeat(0, record("a", 1, 1, State::Ready));
+    assert!(!table.tick(60_000, false));
+    assert_eq!(state_of(&table, "a"), Some(State::Ready));
+}
+
+#[rstest]
+fn a_peer_that_hears_a_replica_keeps_it_ready() {
+    let mut table = catalogue();
+    table.merge(0, record("a", 1, 1, State::Ready));
+    table.peer_beats(3_000, &[Beat { id: "a".to_string(), beat: 4 }]);
+    table.tick(5_000, true);
+    assert_eq!(state_of(&table, "a"), Some(State::Ready));
+}
+
+#[rstest]
+fn a_controller_that_hears_a_replica_corrects_one_that_calls_it_lost() {
+    let (mut hears, mut silent) = (catalogue(), catalogue());
+    hears.heartbeat(0, record("a", 1, 1, State::Ready));
+    silent.merge(0, record("a", 1, 1, State::Ready));
+    for beat in 2..6 {
+        hears.heartbeat(beat * BEAT_MS, record("a", 1, beat, State::Ready));
+    }
+    assert!(silent.tick(5 * BEAT_MS, true));
+    let lost = silent.get("a").cloned().expect("known");
+    assert_eq!(lost.state, State::Lost);
+
+    assert_eq!(hears.merge(5 * BEAT_MS, lost), Merged::Older);
+    let better = hears.get("a").cloned().expect("known");
+    assert_eq!(silent.merge(5 * BEAT_MS, better), Merged::News);
+    assert_eq!(state_of(&silent, "a"), Some(State::Ready));
+}
+
+#[rstest]
+fn what_a_record_says_is_not_hidden_by_a_heartbeat_number_that_came_first() {
+    let mut table = catalogue();
+    table.merge(0, record("a", 1, 1, State::Ready));
+    table.peer_beats(100, &[Beat { id: "a".to_string(), beat: 2 }]);
+    let newer = Record {
+        models: vec![ModelVersion { name: "m".to_string(), version: 2 }],
+        ..record("a", 1, 2, State::Ready)
+    };
+    assert_eq!(table.merge(110, newer), Merged::News);
+    assert_eq!(table.get("a").map(|record| record.models[0].version), Some(2));
+}
+
+#[rstest]
+fn a_draining_replica_that_falls_silent_is_not_taken_for_lost_but_ends_at_last() {
+    let mut table = catalogue();
+    table.heartbeat(0, record("a", 1, 1, State::Draining));
+    table.tick(20_000, true);
+    assert_eq!(state_of(&table, "a"), Some(State::Draining));
+    table.tick(121_000, true);
+    assert_eq!(state_of(&table, "a"), Some(State::Gone));
+}
+
+#[rstest]
+fn a_new_id_ends_the_former_holder_of_its_address() {
+    let mut table = catalogue();
+    table.heartbeat(0, record("old", 1, 7, State::Ready));
+    assert_eq!(table.heartbeat(REUSE_MS, record("new", 1, 1, State::Ready)), Heard::News);
+    assert_eq!(state_of(&table, "old"), Some(State::Gone));
+    assert_eq!(state_of(&table, "new"), Some(State::Ready));
+}
+
+#[rstest]
+fn a_late_heartbeat_of_a_former_holder_does_not_end_the_present_one() {
+    let mut table = catalogue();
+    table.heartbeat(0, record("new", 1, 1, State::Ready));
+    assert_eq!(table.heartbeat(500, record("old", 1, 7, State::Ready)), Heard::Late);
+    assert_eq!(state_of(&table, "new"), Some(State::Ready));
+    assert_eq!(state_of(&table, "old"), None);
+}
+
+#[rstest]
+fn subscribers_get_each_change_once_and_a_snapshot_when_too_far_behind() {
+    let mut table = catalogue();
+    table.heartbeat(0, record("a", 1, 1, State::Ready));
+    table.heartbeat(0, record("b", 2, 1, State::Ready));
+    let seen = table.last_change();
+    assert_eq!(table.changes_since(seen), Some(Vec::new()));
+    table.heartbeat(10, record("a", 1, 2, State::Draining));
+    table.leave(20, "a");
+    let changes = table.changes_since(seen).expect("near");
+    assert_eq!(changes.len(), 1, "only the last state of a record is told");
+    assert_eq!(changes[0].state, State::Gone);
+
+    table.tick(700_000, false);
+    assert_eq!(table.changes_since(seen), None, "the end of `a` was forgotten");
+    assert_eq!(table.snapshot().len(), 1);
+}
+
+#[rstest]
+fn a_subscriber_of_an_earlier_life_takes_a_snapshot() {
+    let table = catalogue();
+    assert_eq!(table.changes_since(17), None);
+}
+
+#[rstest]
+fn ended_ids_are_bounded_in_number() {
+    let limits = Limits { most_gone: 3, ..Limits::for_beats(BEAT_MS, REUSE_MS) };
+    let mut table = Catalog::new(limits);
+    for number in 0..10 {
+        table.leave(number, &format!("r{number}"));
+    }
+    table.tick(20, true);
+    assert_eq!(table.snapshot().len(), 3);
+    assert!(table.get("r9").is_some() && table.get("r0").is_none());
+}
+
+#[rstest]
+fn a_full_table_turns_further_replicas_away() {
+    let limits = Limits { most_replicas: 2, ..Limits::for_beats(BEAT_MS, REUSE_MS) };
+    let mut table = Catalog::new(limits);
+    table.heartbeat(0, record("a", 1, 1, State::Ready));
+    table.heartbeat(0, record("b", 2, 1, State::Ready));
+    assert_eq!(table.heartbeat(0, record("c", 3, 1, State::Ready)), Heard::Full);
+    table.leave(0, "a");
+    assert_eq!(table.heartbeat(0, record("c", 3, 1, State::Ready)), Heard::News);
+}
+
+/// Records in any order, with repeats, give the same table.
+#[rstest]
+fn merges_commute(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let states = [State::Ready, State::Lost, State::Draining, State::Gone];
+    let news: Vec<Record> = (0..60)
+        .map(|_| {
+            let replica = random.random_range(1..6u8);
+            let state = *states.choose(&mut random).expect("some");
+            record(&format!("r{replica}"), replica, random.random_range(1..9), state)
+        })
+        .collect();
+    let outcome = |news: &[Record]| {
+        let mut table = catalogue();
+        for one in news {
+            table.merge(0, one.clone());
+        }
+        let mut records = table.snapshot();
+        records.sort_by(|a, b| a.id.cmp(&b.id));
+        records
+            .into_iter()
+            .map(|r| (r.id, r.state, if r.state == State::Gone { 0 } else { r.beat }))
+            .collect::<Vec<_>>()
+    };
+    let expected = outcome(&news);
+    for _ in 0..20 {
+        let mut shuffled = news.clone();
+        shuffled.extend(news.iter().take(10).cloned());
+        shuffled.shuffle(&mut random);
+        assert_eq!(outcome(&shuffled), expected);
+    }
+}
+
+#[rstest]
+fn heartbeats_go_to_a_controller_of_the_replicas_zone() {
+    let controller = |last: u8, zone: &str| Controller { control: address(last), zone: zone.to_string() };
+    let all = [controller(1, "north"), controller(2, "south"), controller(3, "south")];
+    assert_eq!(home_of("a", "north", &all).map(|home| home.control), Some(address(1)));
+    let far = home_of("a", "east", &all).expect("some");
+    let rest: Vec<Controller> =
+        all.iter().filter(|controller| controller.control != far.control).cloned().collect();
+    assert!(home_of("a", "east", &rest).is_some());
+    assert_eq!(home_of("a", "east", &[]), None);
+}
+
+#[rstest]
+fn the_loss_of_a_controller_moves_only_its_replicas() {
+    let all: Vec<Controller> =
+        (1..6).map(|last| Controller { control: address(last), zone: "north".to_string() }).collect();
+    let rest = &all[1..];
+    let mut moved = 0;
+    for number in 0..200 {
+        let id = format!("i-{number:08x}");
+        let before = home_of(&id, "north", &all).expect("some");
+        let after = home_of(&id, "north", rest).expect("some");
+        if before.control != all[0].control {
+            assert_eq!(before, after);
+        } else {
+            moved += 1;
+        }
+    }
+    assert!((15..80).contains(&moved), "the hash spreads: {moved} of 200 had that home");
+}
