Membership on the wire; replicas' weights join as the newest that was seen

Cause: a report between two heartbeats shows new weights under a heartbeat number that agents hold already. Ruled out: a number of its own for reports; weights of one life only go up, so the newest of both is the lattice's join.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,10 +1,9 @@
 //! The table of replicas: heartbeats in, changes out.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 
-use crate::{Millis, Record, State};
+use crate::{Millis, ModelVersion, Record, State};
 
 /// Bounds of a catalogue.
 #[derive(Debug, Clone)]
@@ -175,16 +174,21 @@
             self.insert(now, record, None);
             return Merged::News;
         };
-        match record.order(&entry.record) {
-            Ordering::Less => return Merged::Older,
-            Ordering::Equal => return Merged::Same,
-            Ordering::Greater => {}
-        }
         if record.beat > entry.heard_beat {
             entry.heard = now;
             entry.heard_beat = record.beat;
         }
-        self.take(record)
+        let known = entry.record.clone();
+        match self.take(record.clone()) {
+            Merged::Same if known.join(&record) != record.sorted() => Merged::Older,
+            merged => merged,
+        }
+    }
+
+    /// Notes weights that a replica was seen to hold between two heartbeats. Whether that was news.
+    pub fn note_models(&mut self, id: &str, models: Vec<ModelVersion>) -> bool {
+        let Some(record) = self.get(id).cloned() else { return false };
+        self.take(Record { models, ..record }) == Merged::News
     }
 
     /// Notes heartbeats that a peer heard. They only tell that a replica lives: what it says comes by `merge`,
@@ -283,13 +287,11 @@
         self.note_change(&id);
     }
 
-    /// Puts a record in place of a lesser one.
+    /// Joins a record with the one known.
     fn take(&mut self, record: Record) -> Merged {
         let id = record.id.clone();
         let Some(entry) = self.entries.get_mut(&id) else { return Merged::Same };
-        if record.order(&entry.record) != Ordering::Greater {
-            return Merged::Same;
-        }
+        let record = entry.record.join(&record);
         let news = record.is_news_after(&entry.record);
         let (before, after) = (entry.record.address, record.address);
         let gone = record.state == State::Gone;
@@ -360,12 +362,10 @@
             service: String::new(),
             address: SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
             zone: String::new(),
-            software: String::new(),
             free_slots: 0,
             state: State::Gone,
             beat: 0,
             models: Vec::new(),
-            stage: String::new(),
             cold_left_ms: 0,
         }
     }
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -30,15 +30,12 @@
     pub service: String,
     pub address: SocketAddrV4,
     pub zone: String,
-    /// Version of the replica's software.
-    pub software: String,
     /// Requests that it works on at the same time.
     pub free_slots: u32,
     pub state: State,
     /// Number of the heartbeat (`call-count`) that this description comes from.
     pub beat: u64,
     pub models: Vec<ModelVersion>,
-    pub stage: String,
     /// How much longer it stays slow from its start, milliseconds, as of the heartbeat.
     pub cold_left_ms: u32,
 }
@@ -52,12 +49,31 @@
         gone(self).cmp(&gone(other)).then(self.beat.cmp(&other.beat)).then(self.state.cmp(&other.state))
     }
 
+    /// The least description that includes both: that of the greater in [`Record::order`], with the newest weights
+    /// that either names, since a replica's weights only go up during its life.
+    pub fn join(&self, other: &Record) -> Record {
+        let (mut greater, lesser) =
+            if self.order(other).is_lt() { (other.clone(), self) } else { (self.clone(), other) };
+        for model in &lesser.models {
+            match greater.models.iter_mut().find(|known| known.name == model.name) {
+                Some(known) => known.version = known.version.max(model.version),
+                None => greater.models.push(model.clone()),
+            }
+        }
+        greater.sorted()
+    }
+
+    /// The same with its models in order of their names, as [`Record::join`] leaves them.
+    pub(crate) fn sorted(mut self) -> Record {
+        self.models.sort_by(|a, b| a.name.cmp(&b.name));
+        self
+    }
+
     /// Whether subscribers must hear of the step from `before` to this description. Heartbeats that change
     /// nothing but their number, and the count-down from a cold start, are not news.
     pub fn is_news_after(&self, before: &Record) -> bool {
         self.state != before.state
             || self.models != before.models
-            || self.stage != before.stage
             || self.address != before.address
             || self.free_slots != before.free_slots
             || self.service != before.service
--- a/crates/catalog/tests/catalogue.rs
+++ b/crates/catalog/tests/catalogue.rs
@@ -26,12 +26,10 @@
         service: "reader".to_string(),
         address: address(last),
         zone: "north".to_string(),
-        software: "v1".to_string(),
         free_slots: 12,
         state,
         beat,
         models: vec![ModelVersion { name: "m".to_string(), version: 1 }],
-        stage: "both_ways".to_string(),
         cold_left_ms: 0,
     }
 }
@@ -127,6 +125,21 @@
     assert_eq!(table.get("a").map(|record| record.models[0].version), Some(2));
 }
 
+#[rstest]
+fn weights_seen_between_two_heartbeats_reach_others_and_are_not_taken_back() {
+    let (mut here, mut there) = (catalogue(), catalogue());
+    here.heartbeat(0, record("a", 1, 5, State::Ready));
+    there.merge(0, record("a", 1, 5, State::Ready));
+    let newer = vec![ModelVersion { name: "m".to_string(), version: 2 }];
+    assert!(here.note_models("a", newer.clone()));
+    let told = here.get("a").cloned().expect("known");
+    assert_eq!(there.merge(10, told), Merged::News, "though its heartbeat is the same");
+    assert_eq!(there.get("a").map(|record| record.models.clone()), Some(newer.clone()));
+
+    here.heartbeat(20, record("a", 1, 6, State::Ready));
+    assert_eq!(here.get("a").map(|record| record.models.clone()), Some(newer), "that heartbeat was late");
+}
+
 #[rstest]
 fn a_draining_replica_that_falls_silent_is_not_taken_for_lost_but_ends_at_last() {
     let mut table = catalogue();
@@ -211,7 +224,9 @@
         .map(|_| {
             let replica = random.random_range(1..6u8);
             let state = *states.choose(&mut random).expect("some");
-            record(&format!("r{replica}"), replica, random.random_range(1..9), state)
+            let mut one = record(&format!("r{replica}"), replica, random.random_range(1..9), state);
+            one.models[0].version = random.random_range(1..4);
+            one
         })
         .collect();
     let outcome = |news: &[Record]| {
@@ -223,7 +238,7 @@
         records.sort_by(|a, b| a.id.cmp(&b.id));
         records
             .into_iter()
-            .map(|r| (r.id, r.state, if r.state == State::Gone { 0 } else { r.beat }))
+            .map(|r| (r.id, r.state, r.models, if r.state == State::Gone { 0 } else { r.beat }))
             .collect::<Vec<_>>()
     };
     let expected = outcome(&news);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,11 +12,13 @@
 mod probing;
 mod table;
 mod timing;
+mod wire;
 
 pub use member::{Member, Status, Update};
 pub use message::Message;
 pub use probing::{Membership, Send};
 pub use timing::Timing;
+pub use wire::{decode, encode, WireError};
 
 /// Milliseconds of the caller's steady clock.
 pub type Millis = u64;
