--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -310,6 +310,11 @@
         Merged::News
     }
 
+    /// Has a record told to all subscribers once more: somebody was seen to know less.
+    pub fn tell_again(&mut self, id: &str) {
+        self.note_change(id);
+    }
+
     fn note_change(&mut self, id: &str) {
         let Some(entry) = self.entries.get_mut(id) else { return };
         self.changes.remove(&entry.changed);
--- /dev/null
+++ b/crates/controller/src/machine/agents.rs
@@ -0,0 +1,109 @@
+//! What passes between a controller and the agents that subscribe to it.
+
+use std::collections::BTreeMap;
+
+use feed::Subscriber;
+use links::LinkId;
+use peer::{Hello, Message, NEVER};
+
+use crate::machine::{Effect, Machine, Moment};
+use crate::Millis;
+
+/// An agent that went away counts as there for so long: proxies share fixed allowances, and one that is cut off
+/// still spends its share.
+const REMEMBER_MS: Millis = 30_000;
+/// A controller that started lately has not heard all agents, and says no number.
+const COUNT_AFTER_MS: Millis = 3_000;
+
+#[derive(Debug)]
+struct Agent {
+    machine: String,
+    subscriber: Subscriber,
+    /// A batch is on its way; the next one waits for its end, so that a slow agent holds one batch only.
+    busy: bool,
+}
+
+/// The agents that are connected, and the machines of those that were lately.
+#[derive(Debug, Default)]
+pub(crate) struct Agents {
+    links: BTreeMap<LinkId, Agent>,
+    /// When agents were last seen, by machine.
+    seen: BTreeMap<String, Millis>,
+}
+
+impl Agents {
+    pub fn up(&mut self, now: Millis, link: LinkId, hello: &Hello) {
+        let machine = hello.machine.as_str().to_string();
+        self.seen.insert(machine.clone(), now);
+        let subscriber = Subscriber::new(hello.configuration);
+        self.links.insert(link, Agent { machine, subscriber, busy: false });
+    }
+
+    pub fn flushed(&mut self, link: LinkId) {
+        if let Some(agent) = self.links.get_mut(&link) {
+            agent.busy = false;
+        }
+    }
+
+    pub fn down(&mut self, now: Millis, link: LinkId) {
+        if let Some(agent) = self.links.remove(&link) {
+            self.seen.insert(agent.machine, now);
+        }
+    }
+
+    pub fn deadline(&self) -> Millis {
+        let idle = self.links.values().filter(|agent| !agent.busy);
+        idle.map(|agent| agent.subscriber.deadline()).min().unwrap_or(Millis::MAX)
+    }
+
+    /// Number of machines with agents, now or lately.
+    fn count(&mut self, now: Millis) -> u32 {
+        for agent in self.links.values() {
+            self.seen.insert(agent.machine.clone(), now);
+        }
+        self.seen.retain(|_, seen| now.saturating_sub(*seen) < REMEMBER_MS);
+        self.seen.len() as u32
+    }
+}
+
+impl Machine {
+    pub(crate) fn agent_message(&mut self, at: Moment, link: LinkId, message: Message) {
+        match message {
+            Message::WantConfiguration => {
+                if let Some(agent) = self.agents.links.get_mut(&link) {
+                    agent.subscriber.wants_configuration();
+                }
+            }
+            // An agent passes on which replicas others call lost.
+            Message::Replicas(replicas) => {
+                self.view.take_replicas(at.now, &replicas);
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends every agent and controller what it has not heard yet.
+    pub(crate) fn feed(&mut self, at: Moment, out: &mut Vec<Effect>) {
+        self.feed_peers(out);
+        let age = self.majority_age(at.now).min(Millis::from(NEVER)) as u32;
+        for (link, agent) in self.agents.links.iter_mut().filter(|(_, agent)| !agent.busy) {
+            let messages = agent.subscriber.messages(at.now, &self.view, age);
+            if !messages.is_empty() {
+                agent.busy = true;
+                out.push(Effect::SendAgent { link: *link, messages });
+            }
+        }
+    }
+
+    /// Brings up to date who there is.
+    pub(crate) fn update_fleet(&mut self, now: Millis) {
+        let mut controllers = self.set_addresses();
+        controllers.extend(self.membership.alive().map(|member| member.peer));
+        controllers.push(self.me.peer);
+        controllers.sort_unstable();
+        controllers.dedup();
+        let known = now >= self.started + COUNT_AFTER_MS;
+        let proxies = if known { self.agents.count(now) } else { 0 };
+        self.view.set_fleet(controllers, proxies);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/machine/calls.rs
@@ -0,0 +1,175 @@
+//! Calls of replicas and operators.
+
+use std::sync::Arc;
+
+use catalog::{home_of, Controller, Heard, Record, State};
+use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
+use serde::Serialize;
+
+use crate::change::{ConfigurationOrder, Verdict, WeightsOrder, WeightsVerdict};
+use crate::command::{too_large, Command, Reply};
+use crate::machine::{CallId, Effect, Machine, Moment};
+use crate::values::{ConfigurationValue, ValueError, WeightsValue};
+use crate::Millis;
+
+/// An operator's call ends within this: callers move on after a second of silence.
+const CALL_MS: Millis = 850;
+/// When a caller that was refused may come back.
+const RETRY_AFTER_MS: u64 = 200;
+
+/// A request at the register that is under way.
+#[derive(Debug)]
+pub(crate) enum Pending {
+    /// For a call.
+    Call { call: CallId, kind: CallKind },
+    /// For the duty.
+    Duty,
+}
+
+/// What a call wants of the register.
+#[derive(Debug)]
+pub(crate) enum CallKind {
+    Configure(Arc<ConfigurationOrder>),
+    NameWeights(WeightsOrder),
+    Read,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct HeartbeatReply {
+    beat_to: String,
+}
+
+impl Machine {
+    pub(crate) fn call(&mut self, at: Moment, call: CallId, command: Command, out: &mut Vec<Effect>) {
+        match command {
+            Command::Heartbeat(record) => {
+                let reply = self.heartbeat(at.now, *record);
+                self.replies.push(Effect::Reply { call, reply });
+            }
+            Command::Leave { id } => {
+                if self.view.replicas.leave(at.now, &id) {
+                    log::info!("2031 replica {id} left");
+                }
+                self.replies.push(Effect::Reply { call, reply: Reply::empty(200) });
+            }
+            Command::Configure(order) => self.configure(at, call, *order, out),
+            Command::NameWeights(order) => self.name_weights(at, call, order, out),
+            Command::ReadConfiguration => {
+                let (key, deadline) = (RegisterKey::Configuration, at.now + CALL_MS);
+                let pending = Pending::Call { call, kind: CallKind::Read };
+                self.request(at, pending, |request| RegisterInput::Read { request, key, deadline }, out);
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, now: Millis, record: Record) -> Reply {
+        let (id, zone, state) = (record.id.clone(), record.zone.clone(), record.state);
+        match self.view.replicas.heartbeat(now, record) {
+            Heard::Full => return Reply::later(503, "too many replicas; raise the limit", 1_000),
+            Heard::News if state == State::Draining => log::info!("2032 replica {id} drains"),
+            Heard::News => log::debug!("2030 news of replica {id}"),
+            Heard::Same | Heard::Late => {}
+        }
+        let reply = HeartbeatReply { beat_to: self.home(&id, &zone) };
+        Reply::new(200, serde_json::to_vec(&reply).unwrap_or_default())
+    }
+
+    /// Where a replica should send its next heartbeats.
+    fn home(&self, id: &str, zone: &str) -> String {
+        let me = Controller { control: self.me.control, zone: self.me.zone.clone() };
+        let others = self.membership.alive();
+        let others = others.map(|one| Controller { control: one.control, zone: one.zone.clone() });
+        let all: Vec<Controller> = others.chain([me]).collect();
+        let home = home_of(id, zone, &all).map_or(self.me.control, |home| home.control);
+        home.to_string()
+    }
+
+    fn configure(&mut self, at: Moment, call: CallId, order: ConfigurationOrder, out: &mut Vec<Effect>) {
+        let order = Arc::new(order);
+        let judged = Arc::clone(&order);
+        let decide = Box::new(move |current: Option<&Accepted>| match judge(&judged, current) {
+            Ok(Verdict::Write(value)) => Decision::Write(value.bytes().into()),
+            _ => Decision::Keep,
+        });
+        let (key, deadline) = (RegisterKey::Configuration, at.now + CALL_MS);
+        let pending = Pending::Call { call, kind: CallKind::Configure(order) };
+        self.request(at, pending, |request| RegisterInput::Propose { request, key, deadline, decide }, out);
+    }
+
+    fn name_weights(&mut self, at: Moment, call: CallId, order: WeightsOrder, out: &mut Vec<Effect>) {
+        let judged = order.clone();
+        let decide =
+            Box::new(move |current: Option<&Accepted>| match judge_weights(&judged, current, at.wall_ms) {
+                Ok(WeightsVerdict::Write(value)) => Decision::Write(value.bytes().into()),
+                _ => Decision::Keep,
+            });
+        let (key, deadline) = (RegisterKey::Weights, at.now + CALL_MS);
+        let pending = Pending::Call { call, kind: CallKind::NameWeights(order) };
+        self.request(at, pending, |request| RegisterInput::Propose { request, key, deadline, decide }, out);
+    }
+}
+
+fn judge(order: &ConfigurationOrder, current: Option<&Accepted>) -> Result<Verdict, ValueError> {
+    let current = current.map(|accepted| ConfigurationValue::read(accepted.value.bytes())).transpose()?;
+    Ok(order.judge(current.as_ref()))
+}
+
+fn judge_weights(
+    order: &WeightsOrder,
+    current: Option<&Accepted>,
+    wall_ms: u64,
+) -> Result<WeightsVerdict, ValueError> {
+    let current = current.map(|accepted| WeightsValue::read(accepted.value.bytes())).transpose()?;
+    Ok(order.judge(current.as_ref(), wall_ms))
+}
+
+/// The answer to a call whose request ended so.
+pub(crate) fn reply(kind: &CallKind, at: Moment, outcome: Outcome) -> Reply {
+    match outcome {
+        Outcome::Decided { .. } => Reply::empty(200),
+        Outcome::Kept { current } => kept(kind, at, current.as_ref()),
+        Outcome::Read { current: Some(current) } => body(&current),
+        Outcome::Read { current: None } => Reply::refusal(404, "no configuration has been taken yet"),
+        Outcome::Unclear => {
+            Reply::later(504, "unclear whether the change took effect; send it again", RETRY_AFTER_MS)
+        }
+        Outcome::NoMajority => {
+            Reply::later(503, "no majority of the controllers answers; try again", RETRY_AFTER_MS)
+        }
+        Outcome::Overloaded => Reply::later(503, "too many calls are under way; try again", RETRY_AFTER_MS),
+        Outcome::TooLong => too_large(),
+        Outcome::Reserved => Reply::refusal(500, "the register is not open to calls"),
+    }
+}
+
+fn body(current: &Accepted) -> Reply {
+    match ConfigurationValue::read(current.value.bytes()) {
+        Ok(value) => Reply::new(200, value.body),
+        Err(why) => Reply::refusal(500, &why.to_string()),
+    }
+}
+
+/// The answer to a change that was not made, from the value on which it was judged.
+fn kept(kind: &CallKind, at: Moment, current: Option<&Accepted>) -> Reply {
+    let changed = || Reply::later(503, "another change came in between; try again", RETRY_AFTER_MS);
+    match kind {
+        CallKind::Read => current.map_or_else(|| Reply::refusal(404, "no configuration yet"), body),
+        CallKind::Configure(order) => match judge(order, current) {
+            Ok(Verdict::Taken) => Reply::empty(200),
+            Ok(Verdict::OtherVersion(version)) => Reply::refusal(
+                412,
+                &format!("version {version} is in place; read it and build the change on it"),
+            ),
+            Ok(Verdict::Invalid(why)) => Reply::refusal(400, &why),
+            Ok(Verdict::Write(_)) => changed(),
+            Err(why) => Reply::refusal(500, &why.to_string()),
+        },
+        CallKind::NameWeights(order) => match judge_weights(order, current, at.wall_ms) {
+            Ok(WeightsVerdict::Named) => Reply::empty(200),
+            Ok(WeightsVerdict::TooManyModels) => Reply::refusal(400, "too many models have named versions"),
+            Ok(WeightsVerdict::Write(_)) => changed(),
+            Err(why) => Reply::refusal(500, &why.to_string()),
+        },
+    }
+}
--- /dev/null
+++ b/crates/controller/src/machine/duties.rs
@@ -0,0 +1,117 @@
+//! The duty of moving replicas to named weights, joined to the register and the catalogue.
+
+use feed::NamedWeights;
+use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
+
+use crate::duty::holder::{Circumstances, Proposal};
+use crate::duty::moves::Report;
+use crate::machine::calls::Pending;
+use crate::machine::{Effect, Machine, Moment};
+use crate::values::{DutyValue, WeightsValue};
+use crate::Millis;
+
+/// A change of the duty register ends within this.
+const DUTY_MS: Millis = 800;
+
+impl Machine {
+    pub(crate) fn learned_weights(&mut self, at: Moment, bytes: &[u8]) {
+        let value = match WeightsValue::read(bytes) {
+            Ok(value) => value,
+            Err(why) => return log::error!("2022 {why}"),
+        };
+        let named = value.models.iter().map(|one| NamedWeights {
+            model: one.model().to_string(),
+            version: one.version,
+            named_at: at.now as i64 - at.wall_ms.saturating_sub(one.named_at_ms) as i64,
+        });
+        if self.view.take_weights(named.collect()) {
+            log::info!("2023 versions of weights are named for {} models", value.models.len());
+        }
+        self.weights = value;
+        self.next_upkeep = at.now;
+    }
+
+    pub(crate) fn learned_duty(&mut self, at: Moment, bytes: &[u8]) {
+        match DutyValue::read(bytes) {
+            Ok(value) => self.holder.learn(at.now, Some(value)),
+            Err(why) => log::error!("2024 {why}"),
+        }
+    }
+
+    /// Gives, renews or takes the duty as needed, and gives the orders that are due.
+    pub(crate) fn consider_duty(&mut self, at: Moment, out: &mut Vec<Effect>) {
+        if self.terminating || !self.register.is_confirmed(RegisterKey::Duty) {
+            return;
+        }
+        let has_work = self.moves.has_work(self.view.replicas.live(), &self.weights);
+        let circumstances =
+            Circumstances { now: at.now, has_work, rank: self.rank(), holder_alive: self.is_holder_alive() };
+        if let Some(proposal) = self.holder.consider(circumstances) {
+            self.propose_duty(at, proposal, out);
+        }
+        if !self.holder.is_mine() {
+            return self.moves.clear();
+        }
+        let replicas: Vec<_> = self.view.replicas.live().cloned().collect();
+        let fence = self.holder.may_order(at.now);
+        let calls = self.moves.calls(at.now, &replicas, &self.weights, fence);
+        out.extend(calls.into_iter().map(Effect::CallReplica));
+    }
+
+    pub(crate) fn reported(&mut self, at: Moment, replica: &str, report: Option<Report>) {
+        self.moves.reported(at.now, replica, report.as_ref());
+        if let Some(report) = report {
+            self.view.replicas.note_models(replica, report.models);
+        }
+    }
+
+    fn propose_duty(&mut self, at: Moment, proposal: Proposal, out: &mut Vec<Effect>) {
+        let decide = Box::new(move |current: Option<&Accepted>| {
+            let current = current.map(|accepted| DutyValue::read(accepted.value.bytes()));
+            let expected = match (current, proposal.expected) {
+                (None, None) => true,
+                (Some(Ok(current)), Some(expected)) => current == expected,
+                _ => false,
+            };
+            if expected {
+                Decision::Write(proposal.value.bytes().into())
+            } else {
+                Decision::Keep
+            }
+        });
+        let (key, deadline) = (RegisterKey::Duty, at.now + DUTY_MS);
+        let input = |request| RegisterInput::Propose { request, key, deadline, decide };
+        self.request(at, Pending::Duty, input, out);
+    }
+
+    pub(crate) fn duty_settled(&mut self, at: Moment, outcome: Outcome) {
+        let decided = matches!(outcome, Outcome::Decided { .. });
+        self.holder.settled(at.now, decided);
+        if let Outcome::Decided { current, .. } | Outcome::Kept { current: Some(current) } = outcome {
+            self.learned_duty(at, current.value.bytes());
+        }
+    }
+
+    /// Place of this controller among those alive.
+    fn rank(&self) -> u64 {
+        self.membership.alive().filter(|member| member.peer < self.me.peer).count() as u64
+    }
+
+    fn is_holder_alive(&self) -> bool {
+        let Some(holder) = self.holder.last_holder() else { return false };
+        self.membership.alive().any(|member| member.peer == holder)
+    }
+
+    /// Ends: says so to the others, and hands the duty on.
+    pub(crate) fn terminate(&mut self, at: Moment, out: &mut Vec<Effect>) {
+        self.terminating = true;
+        let successor = self.membership.alive().map(|member| member.peer).min();
+        for send in self.membership.leave() {
+            self.send_membership(send, out);
+        }
+        if let Some(proposal) = self.holder.release(at.now, successor) {
+            log::info!("2051 the duty is handed to {successor:?}");
+            self.propose_duty(at, proposal, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/machine/mod.rs
@@ -0,0 +1,337 @@
+//! The controller as one state machine: register, membership, catalogue, subscribers and duty together.
+
+mod agents;
+mod calls;
+mod duties;
+mod peers;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+use feed::View;
+use links::LinkId;
+use membership::{Member, Membership};
+use peer::Message;
+use register::{Accepted, Record, RequestId, WriteFailed, WriteToken};
+use register::{Effect as RegisterEffect, Input as RegisterInput, Outcome, RegisterKey, RegisterNode};
+
+use crate::command::{Command, Reply};
+use crate::duty::holder::Holder;
+use crate::duty::moves::{Moves, ReplicaCall, Report};
+use crate::values::{ConfigurationValue, WeightsValue};
+use crate::Millis;
+
+use agents::Agents;
+use calls::Pending;
+use peers::Peers;
+
+/// The moment of an input.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moment {
+    /// Steady clock.
+    pub now: Millis,
+    /// Time of day, milliseconds since 1970.
+    pub wall_ms: u64,
+}
+
+/// Names a call of a replica or an operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// What a controller is told.
+#[derive(Debug)]
+pub enum Input {
+    /// A call came.
+    Call {
+        call: CallId,
+        command: Command,
+    },
+    /// The link to another controller, which this side dialled, is up.
+    PeerUp {
+        peer: SocketAddrV4,
+    },
+    PeerDown {
+        peer: SocketAddrV4,
+    },
+    /// Another controller sent a message on a link that it dialled.
+    PeerMessage {
+        from: SocketAddrV4,
+        message: Message,
+    },
+    /// An agent connected and said who it is.
+    AgentUp {
+        link: LinkId,
+        hello: peer::Hello,
+    },
+    AgentMessage {
+        link: LinkId,
+        message: Message,
+    },
+    /// What was sent to an agent is on its way.
+    AgentFlushed {
+        link: LinkId,
+    },
+    AgentDown {
+        link: LinkId,
+    },
+    /// A write came to its end.
+    DiskDone {
+        token: WriteToken,
+        result: Result<(), WriteFailed>,
+    },
+    /// A replica answered an order with this status, or not at all.
+    Ordered {
+        replica: String,
+        status: Option<u16>,
+    },
+    /// A replica answered a question, or not.
+    Reported {
+        replica: String,
+        report: Option<Report>,
+    },
+    /// Time went by.
+    Tick,
+    /// The process is to end.
+    Terminate,
+}
+
+/// What a controller wants done, in this order.
+#[derive(Debug)]
+pub enum Effect {
+    Reply {
+        call: CallId,
+        reply: Reply,
+    },
+    SendPeer {
+        to: SocketAddrV4,
+        message: Message,
+    },
+    SendAgent {
+        link: LinkId,
+        messages: Vec<Message>,
+    },
+    DropAgent {
+        link: LinkId,
+    },
+    /// Write all entries or none, then hand in [`Input::DiskDone`].
+    Write {
+        token: WriteToken,
+        record: Record,
+    },
+    CallReplica(ReplicaCall),
+}
+
+/// Times that the settings give.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    pub beat_every_ms: Millis,
+    pub lease_ms: Millis,
+    pub reuse_after_ms: Millis,
+}
+
+/// One controller.
+pub struct Machine {
+    started: Millis,
+    timing: Timing,
+    me: Member,
+    register: RegisterNode,
+    membership: Membership,
+    /// Register members that the register was told are out of reach.
+    suspected: BTreeSet<SocketAddrV4>,
+    view: View,
+    weights: WeightsValue,
+    holder: Holder,
+    moves: Moves,
+    peers: Peers,
+    agents: Agents,
+    pending: BTreeMap<RequestId, Pending>,
+    last_request: u64,
+    next_upkeep: Millis,
+    next_beats: Millis,
+    terminating: bool,
+    replies: Vec<Effect>,
+}
+
+/// Time between looks at silent replicas, absent members and work.
+const UPKEEP_EVERY_MS: Millis = 100;
+/// Time between messages on heartbeats heard to the other controllers.
+const BEATS_EVERY_MS: Millis = 400;
+/// A majority was reached lately if its proof is younger.
+const PROVED_MS: Millis = 1_500;
+
+impl Machine {
+    pub fn new(
+        now: Millis,
+        timing: Timing,
+        me: Member,
+        register: RegisterNode,
+        membership: Membership,
+    ) -> Machine {
+        let limits = catalog::Limits::for_beats(timing.beat_every_ms, timing.reuse_after_ms);
+        Machine {
+            started: now,
+            timing,
+            register,
+            membership,
+            suspected: BTreeSet::new(),
+            view: View::new(limits),
+            weights: WeightsValue::default(),
+            holder: Holder::new(now, me.peer, timing.lease_ms),
+            moves: Moves::default(),
+            peers: Peers::default(),
+            agents: Agents::default(),
+            pending: BTreeMap::new(),
+            last_request: 0,
+            next_upkeep: now,
+            next_beats: now,
+            terminating: false,
+            replies: Vec::new(),
+            me,
+        }
+    }
+
+    /// Takes one input; what is to be done is pushed to `out`.
+    pub fn step(&mut self, at: Moment, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::Call { call, command } => self.call(at, call, command, out),
+            Input::PeerUp { peer } => self.peers.up(peer),
+            Input::PeerDown { peer } => self.peers.down(peer),
+            Input::PeerMessage { from, message } => self.peer_message(at, from, message, out),
+            Input::AgentUp { link, hello } => self.agents.up(at.now, link, &hello),
+            Input::AgentMessage { link, message } => self.agent_message(at, link, message),
+            Input::AgentFlushed { link } => self.agents.flushed(link),
+            Input::AgentDown { link } => self.agents.down(at.now, link),
+            Input::DiskDone { token, result } => {
+                self.register(at, RegisterInput::DiskDone { token, result }, out);
+            }
+            Input::Ordered { replica, status } => self.moves.ordered(at.now, &replica, status),
+            Input::Reported { replica, report } => self.reported(at, &replica, report),
+            Input::Tick => self.tick(at, out),
+            Input::Terminate => self.terminate(at, out),
+        }
+        self.feed(at, out);
+        out.append(&mut self.replies);
+    }
+
+    /// When the next [`Input::Tick`] is due.
+    pub fn deadline(&self) -> Millis {
+        let timers = [
+            self.register.wake_at(),
+            self.membership.deadline(),
+            self.next_upkeep,
+            self.next_beats,
+            self.agents.deadline(),
+        ];
+        timers.into_iter().min().unwrap_or(self.next_upkeep)
+    }
+
+    /// The controllers to which links should be up.
+    pub fn wanted_peers(&self) -> BTreeSet<SocketAddrV4> {
+        let mut wanted: BTreeSet<SocketAddrV4> = self.membership.addresses().into_iter().collect();
+        wanted.extend(self.set_addresses());
+        wanted.remove(&self.me.peer);
+        wanted
+    }
+
+    /// Whether nothing is left to finish before the process ends.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// What is known of the fleet.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    fn tick(&mut self, at: Moment, out: &mut Vec<Effect>) {
+        self.register(at, RegisterInput::Tick, out);
+        for send in self.membership.tick(at.now) {
+            self.send_membership(send, out);
+        }
+        if at.now >= self.next_beats {
+            self.next_beats = at.now + BEATS_EVERY_MS;
+            self.send_beats(out);
+        }
+        if at.now >= self.next_upkeep {
+            self.next_upkeep = at.now + UPKEEP_EVERY_MS;
+            self.view.replicas.tick(at.now, self.majority_age(at.now) < PROVED_MS);
+            self.compare_membership(at, out);
+            self.update_fleet(at.now);
+            self.consider_duty(at, out);
+        }
+    }
+
+    /// Age of the newest proof that this machine is on the majority's side.
+    fn majority_age(&self, now: Millis) -> Millis {
+        self.register.confirmed_at(now).map_or(Millis::MAX, |at| now.saturating_sub(at))
+    }
+
+    /// Runs the register and takes its effects.
+    fn register(&mut self, at: Moment, input: RegisterInput, out: &mut Vec<Effect>) {
+        let mut effects = Vec::new();
+        self.register.step(at.now, input, &mut effects);
+        for effect in effects {
+            match effect {
+                RegisterEffect::Send { to, message } => self.send_register(to, &message, out),
+                RegisterEffect::Write { token, record } => out.push(Effect::Write { token, record }),
+                RegisterEffect::Answer { request, outcome } => self.request_ended(at, request, outcome),
+                RegisterEffect::Learned { key, value } => self.learned(at, key, &value),
+                RegisterEffect::SetChanged { set } => {
+                    log::info!("2010 acceptor set of epoch {}: {} members", set.epoch, set.members.len());
+                }
+            }
+        }
+    }
+
+    /// A newer version of a register is decided.
+    fn learned(&mut self, at: Moment, key: RegisterKey, accepted: &Accepted) {
+        let bytes = accepted.value.bytes();
+        match key {
+            RegisterKey::Configuration => self.learned_configuration(bytes),
+            RegisterKey::Weights => self.learned_weights(at, bytes),
+            RegisterKey::Duty => self.learned_duty(at, bytes),
+            RegisterKey::Members => {}
+        }
+    }
+
+    fn learned_configuration(&mut self, bytes: &[u8]) {
+        let value = match ConfigurationValue::read(bytes) {
+            Ok(value) => value,
+            Err(why) => return log::error!("2021 {why}"),
+        };
+        match self.view.take_configuration(value.version, value.body) {
+            Ok(_) => log::info!("2020 configuration {} is in force", value.version),
+            Err(why) => log::error!("2021 configuration {}: {why}", value.version),
+        }
+    }
+
+    fn set_addresses(&self) -> Vec<SocketAddrV4> {
+        let members = self.register.set().into_iter().flat_map(|set| &set.members);
+        members.map(|member| member.address).collect()
+    }
+
+    /// Starts a request at the register; its end comes as [`Pending`].
+    fn request(
+        &mut self,
+        at: Moment,
+        pending: Pending,
+        input: impl FnOnce(RequestId) -> RegisterInput,
+        out: &mut Vec<Effect>,
+    ) {
+        self.last_request += 1;
+        let request = RequestId(self.last_request);
+        self.pending.insert(request, pending);
+        self.register(at, input(request), out);
+    }
+
+    fn request_ended(&mut self, at: Moment, request: RequestId, outcome: Outcome) {
+        let Some(pending) = self.pending.remove(&request) else { return };
+        match pending {
+            Pending::Call { call, kind } => {
+                let reply = calls::reply(&kind, at, outcome);
+                self.replies.push(Effect::Reply { call, reply });
+            }
+            Pending::Duty => self.duty_settled(at, outcome),
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/machine/peers.rs
@@ -0,0 +1,136 @@
+//! What passes between controllers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use catalog::Beat;
+use feed::ReplicaFeed;
+use peer::{Beats, Message};
+use register::message as register_message;
+use register::{Input as RegisterInput, RegisterMessage};
+
+use crate::machine::{Effect, Machine, Moment};
+use crate::Millis;
+
+/// A member of the acceptor set that was never heard counts as out of reach after so long.
+const UNHEARD_MS: Millis = 2_000;
+
+/// The links to other controllers that are up.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    links: BTreeMap<SocketAddrV4, ReplicaFeed>,
+}
+
+impl Peers {
+    pub fn up(&mut self, peer: SocketAddrV4) {
+        self.links.insert(peer, ReplicaFeed::default());
+    }
+
+    pub fn down(&mut self, peer: SocketAddrV4) {
+        self.links.remove(&peer);
+    }
+}
+
+impl Machine {
+    pub(crate) fn peer_message(
+        &mut self,
+        at: Moment,
+        from: SocketAddrV4,
+        message: Message,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Register(blob) => match register_message::decode(&blob.bytes) {
+                Ok((message, _)) => self.register(at, RegisterInput::Received { from, message }, out),
+                Err(why) => log::warn!("2041 from {from}: {why}"),
+            },
+            Message::Membership(blob) => match membership::decode(&blob.bytes) {
+                Ok(message) => {
+                    for send in self.membership.receive(at.now, from, message) {
+                        self.send_membership(send, out);
+                    }
+                }
+                Err(why) => log::warn!("2042 from {from}: {why}"),
+            },
+            Message::Replicas(replicas) => {
+                self.view.take_replicas(at.now, &replicas);
+            }
+            Message::Beats(beats) => {
+                let heard = beats.heard.iter();
+                let heard: Vec<Beat> =
+                    heard.map(|one| Beat { id: one.id.as_str().to_string(), beat: one.beat }).collect();
+                self.view.replicas.peer_beats(at.now, &heard);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn send_peer(&self, to: SocketAddrV4, message: Message, out: &mut Vec<Effect>) {
+        if self.peers.links.contains_key(&to) {
+            out.push(Effect::SendPeer { to, message });
+        }
+    }
+
+    pub(crate) fn send_register(&self, to: SocketAddrV4, message: &RegisterMessage, out: &mut Vec<Effect>) {
+        self.send_peer(to, Message::Register(register_message::encode(message).into()), out);
+    }
+
+    pub(crate) fn send_membership(&self, send: membership::Send, out: &mut Vec<Effect>) {
+        match membership::encode(&send.message) {
+            Ok(bytes) => self.send_peer(send.to, Message::Membership(bytes.into()), out),
+            Err(why) => log::error!("2043 {why}"),
+        }
+    }
+
+    /// Tells the other controllers which replicas were heard here.
+    pub(crate) fn send_beats(&mut self, out: &mut Vec<Effect>) {
+        let beats = self.view.replicas.take_beats();
+        if beats.is_empty() {
+            return;
+        }
+        let heard = beats.iter().map(|one| peer::Beat { id: one.id.as_str().into(), beat: one.beat });
+        let message = Message::Beats(Beats::from(heard.collect::<Vec<_>>()));
+        for to in self.peers.links.keys() {
+            out.push(Effect::SendPeer { to: *to, message: message.clone() });
+        }
+    }
+
+    /// Tells the other controllers what is new of replicas.
+    pub(crate) fn feed_peers(&mut self, out: &mut Vec<Effect>) {
+        for (to, replicas) in &mut self.peers.links {
+            if let Some(message) = replicas.message(&self.view) {
+                out.push(Effect::SendPeer { to: *to, message });
+            }
+        }
+    }
+
+    /// Tells the register which members are out of reach, and which are back.
+    pub(crate) fn compare_membership(&mut self, at: Moment, out: &mut Vec<Effect>) {
+        for address in self.set_addresses() {
+            if address == self.me.peer {
+                continue;
+            }
+            let absent = self.is_absent(at.now, address);
+            if absent == self.suspected.contains(&address) {
+                continue;
+            }
+            if absent {
+                log::warn!("2011 controller {address} is out of reach");
+                self.suspected.insert(address);
+                self.register(at, RegisterInput::PeerSuspected { address }, out);
+            } else {
+                log::info!("2012 controller {address} is back");
+                self.suspected.remove(&address);
+                self.register(at, RegisterInput::PeerReachable { address }, out);
+            }
+        }
+    }
+
+    fn is_absent(&self, now: Millis, address: SocketAddrV4) -> bool {
+        let known = self.membership.known().any(|update| update.member.peer == address);
+        if known {
+            return self.membership.absent_since(address).is_some();
+        }
+        now >= self.started + UNHEARD_MS
+    }
+}
--- /dev/null
+++ b/crates/feed/src/lib.rs
@@ -0,0 +1,16 @@
+//! What a process knows of the fleet ([`View`]), and what each of its subscribers has not heard yet
+//! ([`Subscriber`]): a snapshot at first, then changes. Controllers feed agents, and agents feed proxies, in the
+//! same way. No I/O; times are milliseconds of a steady clock that the caller hands in.
+
+mod held;
+mod records;
+mod subscriber;
+mod view;
+
+pub use held::{ConfigurationTaken, HeldConfiguration};
+pub use records::{record_from_wire, record_to_wire};
+pub use subscriber::{ReplicaFeed, Subscriber};
+pub use view::{NamedWeights, ReplicasTaken, View};
+
+/// Milliseconds of the caller's steady clock.
+pub type Millis = u64;
--- /dev/null
+++ b/crates/feed/src/subscriber.rs
@@ -0,0 +1,96 @@
+//! How far a subscriber has got.
+
+use peer::{Alive, Message, Replicas};
+
+use crate::records::record_to_wire;
+use crate::view::View;
+use crate::Millis;
+
+/// Every subscriber hears at least so often that its feeder lives.
+const ALIVE_EVERY_MS: Millis = 500;
+
+/// How far one receiver has got in the changes of replicas.
+#[derive(Debug, Clone, Default)]
+pub struct ReplicaFeed {
+    /// Number of the last change that was sent; `None` before the snapshot.
+    seen: Option<u64>,
+}
+
+impl ReplicaFeed {
+    /// The records that the receiver has not got yet; what is returned counts as sent.
+    pub fn message(&mut self, view: &View) -> Option<Message> {
+        let newest = view.replicas.last_change();
+        if self.seen == Some(newest) {
+            return None;
+        }
+        let changes = self.seen.and_then(|seen| view.replicas.changes_since(seen));
+        let records = changes.unwrap_or_else(|| view.replicas.snapshot());
+        self.seen = Some(newest);
+        let records: Vec<_> = records.iter().map(record_to_wire).collect();
+        (!records.is_empty()).then(|| Message::Replicas(Replicas::from(records)))
+    }
+}
+
+/// What one subscriber has been sent.
+#[derive(Debug, Clone)]
+pub struct Subscriber {
+    configuration: u64,
+    replicas: ReplicaFeed,
+    weights: u64,
+    fleet: u64,
+    alive_at: Option<Millis>,
+}
+
+impl Subscriber {
+    /// A subscriber that has this version of the configuration, 0 for none.
+    pub fn new(configuration: u64) -> Subscriber {
+        Subscriber { configuration, replicas: ReplicaFeed::default(), weights: 0, fleet: 0, alive_at: None }
+    }
+
+    /// The subscriber says that it needs the whole configuration.
+    pub fn wants_configuration(&mut self) {
+        self.configuration = 0;
+    }
+
+    /// When the subscriber is to hear something even if there is no news.
+    pub fn deadline(&self) -> Millis {
+        self.alive_at.map_or(0, |at| at + ALIVE_EVERY_MS)
+    }
+
+    /// What the subscriber has not heard yet. What is returned counts as sent. `majority_age_ms`: age of the
+    /// newest proof that the feeder's knowledge is the majority's.
+    pub fn messages(&mut self, now: Millis, view: &View, majority_age_ms: u32) -> Vec<Message> {
+        let mut messages = Vec::new();
+        messages.extend(self.replicas.message(view));
+        messages.extend(self.configuration(view));
+        messages.extend(self.weights(now, view));
+        messages.extend(self.fleet(view));
+        if now >= self.deadline() {
+            self.alive_at = Some(now);
+            messages
+                .push(Message::Alive(Alive { majority_age_ms, configuration: view.configuration_version() }));
+        }
+        messages
+    }
+
+    fn configuration(&mut self, view: &View) -> Option<Message> {
+        let held = view.configuration().filter(|held| held.version() > self.configuration)?;
+        let message = held.message_for(self.configuration);
+        self.configuration = held.version();
+        Some(Message::Configuration(message))
+    }
+
+    fn weights(&mut self, now: Millis, view: &View) -> Option<Message> {
+        (self.weights != view.weights_change).then(|| {
+            self.weights = view.weights_change;
+            Message::Weights(view.weights_message(now))
+        })
+    }
+
+    fn fleet(&mut self, view: &View) -> Option<Message> {
+        (self.fleet != view.fleet_change).then(|| {
+            self.fleet = view.fleet_change;
+            Message::Fleet(view.fleet_message())
+        })
+    }
+}
