--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -6,6 +6,8 @@
 pub const BODY_LIMIT: usize = 64 * 1024;
 /// Most header lines of a message.
 const HEADERS: usize = 64;
+/// Most trailer lines after the last chunk.
+const TRAILERS: usize = 64;
 /// Longest line that gives the size of a chunk, and longest trailer, bytes.
 const LINE_LIMIT: usize = 1024;
 
@@ -181,6 +183,7 @@
     state: ChunkState,
     /// The part of a line that has come.
     line: Vec<u8>,
+    trailers: usize,
 }
 
 impl Chunks {
@@ -219,6 +222,8 @@
 
     fn end_line(&mut self, line: &[u8]) -> Result<(), Bad> {
         self.state = match self.state {
+            // The parser takes a line without digits for the last chunk.
+            ChunkState::Size if !line[0].is_ascii_hexdigit() => return Err(Bad::Malformed),
             ChunkState::Size => match httparse::parse_chunk_size(line) {
                 Ok(httparse::Status::Complete((_, 0))) => ChunkState::Trailer,
                 Ok(httparse::Status::Complete((_, size))) => {
@@ -228,7 +233,10 @@
             },
             ChunkState::DataEnd if line == b"\r\n" => ChunkState::Size,
             ChunkState::Trailer if line == b"\r\n" => ChunkState::Done,
-            ChunkState::Trailer => ChunkState::Trailer,
+            ChunkState::Trailer if self.trailers < TRAILERS => {
+                self.trailers += 1;
+                ChunkState::Trailer
+            }
             _ => return Err(Bad::Malformed),
         };
         Ok(())
