Controllers played together: first configuration, races, cuts, lost disks, replacements, agents

Change: the controller's sockets and program; a cluster of state machines with simulated links, disks and clocks for its tests.

--- a/crates/controller/src/duty/holder.rs
+++ b/crates/controller/src/duty/holder.rs
@@ -130,8 +130,7 @@
         if now >= self.worked + IDLE_MS {
             return Some(tenure.value.released(None));
         }
-        let renewed = DutyValue { renewals: tenure.value.renewals + 1, ..tenure.value };
-        (now >= tenure.renewed + self.lease / RENEWAL).then_some(renewed)
+        (now >= tenure.renewed + self.lease / RENEWAL).then(|| tenure.value.renewed())
     }
 
     fn take_over(&self, circumstances: Circumstances) -> Option<DutyValue> {
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -110,9 +110,6 @@
         link: LinkId,
         messages: Vec<Message>,
     },
-    DropAgent {
-        link: LinkId,
-    },
     /// Write all entries or none, then hand in [`Input::DiskDone`].
     Write {
         token: WriteToken,
@@ -132,7 +129,6 @@
 /// One controller.
 pub struct Machine {
     started: Millis,
-    timing: Timing,
     me: Member,
     register: RegisterNode,
     membership: Membership,
@@ -170,7 +166,6 @@
         let limits = catalog::Limits::for_beats(timing.beat_every_ms, timing.reuse_after_ms);
         Machine {
             started: now,
-            timing,
             register,
             membership,
             suspected: BTreeSet::new(),
@@ -215,13 +210,9 @@
 
     /// When the next [`Input::Tick`] is due.
     pub fn deadline(&self) -> Millis {
-        let timers = [
-            self.register.wake_at(),
-            self.membership.deadline(),
-            self.next_upkeep,
-            self.next_beats,
-            self.agents.deadline(),
-        ];
+        let membership = if self.terminating { Millis::MAX } else { self.membership.deadline() };
+        let timers =
+            [self.register.wake_at(), membership, self.next_upkeep, self.next_beats, self.agents.deadline()];
         timers.into_iter().min().unwrap_or(self.next_upkeep)
     }
 
--- /dev/null
+++ b/crates/controller/src/program.rs
@@ -0,0 +1,345 @@
+//! Joins the state machine to sockets, the disk and the clock.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use links::{accept, dial, Dialer, LinkEvent, LinkId, LinkTiming, Outbox};
+use membership::{Member, Membership};
+use peer::{Hello, Message, Role, PROTOCOL};
+use register::{Identity, RegisterNode};
+use settings::ProcessSettings;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, timeout};
+
+use crate::command::Reply;
+use crate::control_api::{serve, Issued};
+use crate::disk::Disk;
+use crate::error::ControllerError;
+use crate::machine::{CallId, Effect, Input, Machine, Moment, Timing};
+use crate::replica_calls::call;
+
+/// Events that may wait for the machine.
+const QUEUE: usize = 256;
+/// Longest time that a process takes to end.
+const ENDING: Duration = Duration::from_millis(700);
+/// Time left for answers to reach their callers.
+const LAST_ANSWERS: Duration = Duration::from_millis(30);
+/// Times of links with other processes.
+const LINKS: LinkTiming =
+    LinkTiming { unacknowledged: Duration::from_millis(1_500), silence: Some(Duration::from_secs(10)) };
+/// Agents have little to say.
+const AGENT_LINKS: LinkTiming = LinkTiming { silence: None, ..LINKS };
+
+/// What the process is told from outside.
+#[derive(Debug)]
+pub enum Control {
+    /// End, within the grace that the settings give.
+    Terminate,
+    /// The settings changed.
+    Reload(Box<ProcessSettings>),
+}
+
+/// Where a link leads.
+#[derive(Debug)]
+enum Link {
+    /// Nobody has said who they are yet.
+    Unknown(Outbox),
+    /// Another controller dialled.
+    Peer(SocketAddrV4),
+    Agent(Outbox),
+    /// This side dialled.
+    Dialed(SocketAddrV4),
+}
+
+/// One controller with its sockets.
+struct Program {
+    settings: ProcessSettings,
+    me: Member,
+    incarnation: u64,
+    started: Instant,
+    machine: Machine,
+    effects: Vec<Effect>,
+    links: BTreeMap<LinkId, Link>,
+    outboxes: BTreeMap<SocketAddrV4, (LinkId, Outbox)>,
+    dialers: BTreeMap<SocketAddrV4, Dialer>,
+    calls: BTreeMap<CallId, oneshot::Sender<Reply>>,
+    last_call: u64,
+    disk: Disk,
+    link_events: mpsc::Sender<LinkEvent>,
+    replica_answers: mpsc::Sender<Input>,
+}
+
+/// Runs a controller until it is told to end.
+pub async fn run(
+    settings: ProcessSettings,
+    mut control: mpsc::Receiver<Control>,
+) -> Result<(), ControllerError> {
+    let me = member(&settings)?;
+    let control_listener = listen(me.control).await?;
+    let peer_listener = listen(me.peer).await?;
+    let (issue, mut issued) = mpsc::channel(QUEUE);
+    let (link_events, mut link_news) = mpsc::channel(QUEUE);
+    let (replica_answers, mut replica_news) = mpsc::channel(QUEUE);
+    let (disk, stored, mut disk_news) = Disk::open(settings.data_dir.as_deref())?;
+    let api = tokio::spawn(serve(control_listener, issue));
+    let inner = tokio::spawn(accept_links(peer_listener, link_events.clone()));
+    log::info!("2001 controller {} serves {} and {}", me.node, me.control, me.peer);
+    let mut program = Program::new(settings, me, stored, disk, link_events, replica_answers);
+    let mut ending: Option<Instant> = None;
+    loop {
+        let wake = tokio::time::Instant::from_std(program.next_wake());
+        tokio::select! {
+            Some(call) = issued.recv() => program.issued(call),
+            Some(event) = link_news.recv() => program.link_event(event),
+            Some(done) = disk_news.recv() => program.step(Input::DiskDone { token: done.token, result: done.result }),
+            Some(answer) = replica_news.recv() => program.step(answer),
+            told = control.recv() => match told {
+                Some(Control::Reload(settings)) => program.reload(*settings),
+                Some(Control::Terminate) | None if ending.is_none() => {
+                    log::info!("2002 controller ends");
+                    ending = Some(Instant::now());
+                    api.abort();
+                    inner.abort();
+                    program.step(Input::Terminate);
+                }
+                _ => tokio::time::sleep(Duration::from_millis(5)).await,
+            },
+            () = sleep_until(wake) => program.step(Input::Tick),
+        }
+        if ending.is_some_and(|since| program.machine.is_idle() || since.elapsed() >= ENDING) {
+            let _ = timeout(LAST_ANSWERS, std::future::pending::<()>()).await;
+            return Ok(());
+        }
+    }
+}
+
+fn member(settings: &ProcessSettings) -> Result<Member, ControllerError> {
+    let control = match settings.listen_on.control {
+        Some(SocketAddr::V4(control)) => control,
+        _ => return Err(ControllerError::Setting("listen-on.control")),
+    };
+    Ok(Member {
+        node: settings.node.clone(),
+        peer: settings.controller_address(settings.ip),
+        control,
+        zone: settings.zone.clone(),
+    })
+}
+
+async fn listen(address: SocketAddrV4) -> Result<TcpListener, ControllerError> {
+    TcpListener::bind(address).await.map_err(|why| ControllerError::Listen(address, why))
+}
+
+async fn accept_links(listener: TcpListener, events: mpsc::Sender<LinkEvent>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(accept(stream, AGENT_LINKS, events.clone()));
+            }
+            Err(why) => {
+                log::warn!("2061 inner listener: no connection taken: {why}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+impl Program {
+    fn new(
+        settings: ProcessSettings,
+        me: Member,
+        stored: Option<register::StoredState>,
+        disk: Disk,
+        link_events: mpsc::Sender<LinkEvent>,
+        replica_answers: mpsc::Sender<Input>,
+    ) -> Program {
+        let seeds = settings.seed_controllers();
+        let incarnation = wall_ms();
+        let identity = Identity { address: me.peer };
+        let register = RegisterNode::recover(stored, identity, &seeds, settings.first_start, rand::random());
+        let timing = membership::Timing::default();
+        let membership = Membership::new(0, me.clone(), incarnation, &seeds, timing, rand::random());
+        let timing = Timing {
+            beat_every_ms: settings.beat_every_ms,
+            lease_ms: settings.bounds.lease_ms,
+            reuse_after_ms: (settings.bounds.reuse_after_s * 1_000.0) as u64,
+        };
+        Program {
+            machine: Machine::new(0, timing, me.clone(), register, membership),
+            settings,
+            me,
+            incarnation,
+            started: Instant::now(),
+            effects: Vec::new(),
+            links: BTreeMap::new(),
+            outboxes: BTreeMap::new(),
+            dialers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            last_call: 0,
+            disk,
+            link_events,
+            replica_answers,
+        }
+    }
+
+    fn next_wake(&self) -> Instant {
+        self.started + Duration::from_millis(self.machine.deadline())
+    }
+
+    fn step(&mut self, input: Input) {
+        let at = Moment { now: self.started.elapsed().as_millis() as u64, wall_ms: wall_ms() };
+        let mut effects = std::mem::take(&mut self.effects);
+        self.machine.step(at, input, &mut effects);
+        for effect in effects.drain(..) {
+            self.run(effect);
+        }
+        self.effects = effects;
+        self.keep_dialers();
+    }
+
+    fn run(&mut self, effect: Effect) {
+        match effect {
+            Effect::Reply { call, reply } => {
+                if let Some(answer) = self.calls.remove(&call) {
+                    let _ = answer.send(reply);
+                }
+            }
+            Effect::SendPeer { to, message } => self.send_peer(to, message),
+            Effect::SendAgent { link, messages } => self.send_agent(link, &messages),
+            Effect::Write { token, record } => self.disk.write(token, record),
+            Effect::CallReplica(replica_call) => {
+                let (answers, holder) = (self.replica_answers.clone(), self.settings.node.clone());
+                tokio::spawn(async move {
+                    let _ = answers.send(call(replica_call, &holder).await).await;
+                });
+            }
+        }
+    }
+
+    /// A peer that does not read loses its link; when it is up again, it gets a snapshot.
+    fn send_peer(&mut self, to: SocketAddrV4, message: Message) {
+        let Some((_, outbox)) = self.outboxes.get(&to) else { return };
+        if outbox.send(&[message]).is_err() {
+            log::warn!("2062 controller {to} does not read; its link is dialled anew");
+            self.outboxes.remove(&to);
+        }
+    }
+
+    fn send_agent(&mut self, link: LinkId, messages: &[Message]) {
+        let Some(Link::Agent(outbox)) = self.links.get(&link) else { return };
+        // An outbox takes nothing only where the link has ended; that is told by an event of its own.
+        let _ = outbox.send(messages);
+    }
+
+    fn issued(&mut self, issued: Issued) {
+        self.last_call += 1;
+        let call = CallId(self.last_call);
+        self.calls.insert(call, issued.answer);
+        self.step(Input::Call { call, command: issued.command });
+    }
+
+    fn link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { link, dialed: Some(peer), outbox } => {
+                let _ = outbox.send(&[Message::Hello(self.hello())]);
+                self.links.insert(link, Link::Dialed(peer));
+                self.outboxes.insert(peer, (link, outbox));
+                self.step(Input::PeerUp { peer });
+            }
+            LinkEvent::Up { link, dialed: None, outbox } => {
+                self.links.insert(link, Link::Unknown(outbox));
+            }
+            LinkEvent::Message { link, message } => self.message(link, *message),
+            LinkEvent::Flushed { link } => {
+                if matches!(self.links.get(&link), Some(Link::Agent(_))) {
+                    self.step(Input::AgentFlushed { link });
+                }
+            }
+            LinkEvent::Down { link, why } => self.down(link, &why),
+        }
+    }
+
+    fn message(&mut self, link: LinkId, message: Message) {
+        match (self.links.get(&link), message) {
+            (Some(Link::Peer(from)), message) => {
+                let from = *from;
+                self.step(Input::PeerMessage { from, message });
+            }
+            (Some(Link::Agent(_)), message) => self.step(Input::AgentMessage { link, message }),
+            (Some(Link::Unknown(_)), Message::Hello(hello)) => self.introduced(link, hello),
+            _ => {}
+        }
+    }
+
+    fn introduced(&mut self, link: LinkId, hello: Hello) {
+        let Some(Link::Unknown(outbox)) = self.links.remove(&link) else { return };
+        match (hello.role, hello.address.socket()) {
+            (Role::Controller, Some(address)) => {
+                self.links.insert(link, Link::Peer(address));
+            }
+            (Role::Agent, _) => {
+                self.links.insert(link, Link::Agent(outbox));
+                self.step(Input::AgentUp { link, hello });
+            }
+            _ => log::warn!("2063 a process that is neither controller nor agent was turned away"),
+        }
+    }
+
+    fn down(&mut self, link: LinkId, why: &links::LinkError) {
+        match self.links.remove(&link) {
+            Some(Link::Dialed(peer)) => {
+                if self.outboxes.get(&peer).is_some_and(|(current, _)| *current == link) {
+                    self.outboxes.remove(&peer);
+                }
+                log::info!("2064 link to controller {peer}: {why}");
+                self.step(Input::PeerDown { peer });
+            }
+            Some(Link::Agent(_)) => {
+                log::info!("2065 link from an agent: {why}");
+                self.step(Input::AgentDown { link });
+            }
+            _ => {}
+        }
+    }
+
+    /// Dials the controllers that are known now, and no others.
+    fn keep_dialers(&mut self) {
+        let wanted = self.machine.wanted_peers();
+        let unwanted: Vec<SocketAddrV4> =
+            self.dialers.keys().copied().filter(|address| !wanted.contains(address)).collect();
+        for address in unwanted {
+            self.dialers.remove(&address);
+            if let Some((link, _)) = self.outboxes.remove(&address) {
+                self.links.remove(&link);
+                self.step(Input::PeerDown { peer: address });
+            }
+        }
+        for address in wanted {
+            let events = self.link_events.clone();
+            self.dialers.entry(address).or_insert_with(|| dial(address, LINKS, rand::random(), events));
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            protocol: PROTOCOL,
+            role: Role::Controller,
+            machine: self.me.node.as_str().into(),
+            zone: self.me.zone.as_str().into(),
+            incarnation: self.incarnation,
+            address: self.me.peer.into(),
+            configuration: self.machine.view().configuration_version(),
+        }
+    }
+
+    fn reload(&mut self, settings: ProcessSettings) {
+        log::info!("2003 settings were read anew");
+        self.settings = settings;
+    }
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- a/crates/controller/src/values.rs
+++ b/crates/controller/src/values.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// The same, held on.
+    pub fn renewed(self) -> Self {
+        DutyValue { renewals: self.renewals + 1, ..self }
+    }
+
     /// The same, given up in favour of `successor`, if there is one.
     pub fn released(self, successor: Option<SocketAddrV4>) -> Self {
         let (ip, port) = successor.map_or((0, 0), |to| (u32::from(*to.ip()), to.port()));
--- /dev/null
+++ b/crates/controller/tests/support/cluster.rs
@@ -0,0 +1,434 @@
+//! The group, its links and its clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use catalog::State;
+use controller::command::{decode, Call, Command, Reply};
+use controller::duty::moves::ReplicaCall;
+use controller::machine::{CallId, Effect, Input, Machine, Moment, Timing};
+use links::LinkId;
+use membership::{Member, Membership};
+use peer::{Hello, Message, ReplicaState, Role, PROTOCOL};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use register::{Identity, RegisterNode};
+
+use super::disk::Disk;
+
+const SEEDS: usize = 3;
+const WALL_START_MS: u64 = 1_700_000_000_000;
+
+#[derive(Default)]
+struct Host {
+    machine: Option<Machine>,
+    disk: Disk,
+    started: u64,
+}
+
+struct Flight {
+    arrives: u64,
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+struct AgentState {
+    host: usize,
+    link: LinkId,
+    batches: Vec<Vec<Message>>,
+    reads: bool,
+    /// When the batch under way is flushed.
+    flush_at: Option<u64>,
+}
+
+/// What parties outside see, in order.
+enum Seen {
+    Replied(CallHandle),
+    Told { agent: usize, batch: usize },
+}
+
+/// A call that was issued.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallHandle(u64);
+
+/// A simulated agent.
+#[derive(Debug, Clone, Copy)]
+pub struct Agent(usize);
+
+pub struct Cluster {
+    pub now: u64,
+    random: SmallRng,
+    hosts: Vec<Host>,
+    cut: BTreeSet<(usize, usize)>,
+    up: BTreeSet<(usize, usize)>,
+    flights: Vec<Flight>,
+    last_arrival: BTreeMap<(usize, usize), u64>,
+    agents: Vec<AgentState>,
+    seen: Vec<Seen>,
+    replies: BTreeMap<CallHandle, Reply>,
+    next_call: u64,
+    /// Calls to replicas that controllers made, with the time and the controller.
+    pub replica_calls: Vec<(u64, usize, ReplicaCall)>,
+}
+
+fn address(host: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host as u8 + 1), 7640)
+}
+
+impl Cluster {
+    /// A group that starts for the first time.
+    pub fn new(seed: u64, size: usize) -> Cluster {
+        let mut cluster = Cluster {
+            now: 0,
+            random: SmallRng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            cut: BTreeSet::new(),
+            up: BTreeSet::new(),
+            flights: Vec::new(),
+            last_arrival: BTreeMap::new(),
+            agents: Vec::new(),
+            seen: Vec::new(),
+            replies: BTreeMap::new(),
+            next_call: 1,
+            replica_calls: Vec::new(),
+        };
+        for host in 0..size {
+            cluster.hosts.push(Host::default());
+            cluster.start(host, true);
+        }
+        cluster
+    }
+
+    /// Adds an empty machine at another address.
+    pub fn add(&mut self) -> usize {
+        self.hosts.push(Host::default());
+        self.start(self.hosts.len() - 1, false);
+        self.hosts.len() - 1
+    }
+
+    pub fn start(&mut self, host: usize, first_start: bool) {
+        let seeds: Vec<SocketAddrV4> = (0..SEEDS).map(address).collect();
+        let me = Member {
+            node: format!("core-{host}"),
+            peer: address(host),
+            control: SocketAddrV4::new(*address(host).ip(), 8169),
+            zone: format!("zone-{host}"),
+        };
+        let stored = self.hosts[host].disk.stored();
+        let identity = Identity { address: me.peer };
+        let register = RegisterNode::recover(stored, identity, &seeds, first_start, self.random.random());
+        let incarnation = WALL_START_MS + self.now;
+        let timing = membership::Timing::default();
+        let membership = Membership::new(0, me.clone(), incarnation, &seeds, timing, self.random.random());
+        let timing = Timing { beat_every_ms: 1_200, lease_ms: 3_000, reuse_after_ms: 2_000 };
+        self.hosts[host].started = self.now;
+        self.hosts[host].machine = Some(Machine::new(0, timing, me, register, membership));
+    }
+
+    /// Ends a machine without a word.
+    pub fn stop(&mut self, host: usize) {
+        self.hosts[host].machine = None;
+        self.flights.retain(|flight| flight.from != host && flight.to != host);
+        self.agents.iter_mut().filter(|agent| agent.host == host).for_each(|agent| agent.flush_at = None);
+    }
+
+    pub fn wipe(&mut self, host: usize) {
+        self.hosts[host].disk.wipe();
+    }
+
+    pub fn hang_disk(&mut self, host: usize) {
+        self.hosts[host].disk.hangs = true;
+    }
+
+    /// Cuts a machine off from all other controllers.
+    pub fn cut_off(&mut self, host: usize) {
+        for other in (0..self.hosts.len()).filter(|other| *other != host) {
+            self.cut.insert((host, other));
+            self.cut.insert((other, host));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn play(&mut self, for_ms: u64) {
+        for _ in 0..for_ms {
+            self.now += 1;
+            self.update_links();
+            self.deliver();
+            self.end_writes();
+            self.flush_agents();
+            self.tick();
+        }
+    }
+
+    fn update_links(&mut self) {
+        for from in 0..self.hosts.len() {
+            let wanted = self.hosts[from].machine.as_ref().map(Machine::wanted_peers).unwrap_or_default();
+            for to in (0..self.hosts.len()).filter(|to| *to != from) {
+                let alive = self.hosts[from].machine.is_some() && self.hosts[to].machine.is_some();
+                let cut = self.cut.contains(&(from, to));
+                let reachable = alive && !cut && wanted.contains(&address(to));
+                let peer = address(to);
+                if reachable && self.up.insert((from, to)) {
+                    self.step(from, Input::PeerUp { peer });
+                } else if !reachable && self.up.remove(&(from, to)) {
+                    self.step(from, Input::PeerDown { peer });
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<Flight>, Vec<Flight>) =
+            self.flights.drain(..).partition(|flight| flight.arrives <= now);
+        self.flights = later;
+        for flight in due {
+            if self.cut.contains(&(flight.from, flight.to)) {
+                continue;
+            }
+            let from = address(flight.from);
+            self.step(flight.to, Input::PeerMessage { from, message: flight.message });
+        }
+    }
+
+    fn end_writes(&mut self) {
+        for host in 0..self.hosts.len() {
+            for token in self.hosts[host].disk.end(self.now) {
+                self.step(host, Input::DiskDone { token, result: Ok(()) });
+            }
+        }
+    }
+
+    fn flush_agents(&mut self) {
+        for agent in 0..self.agents.len() {
+            let due = self.agents[agent].flush_at.is_some_and(|at| at <= self.now);
+            if due && self.agents[agent].reads {
+                self.agents[agent].flush_at = None;
+                let (host, link) = (self.agents[agent].host, self.agents[agent].link);
+                self.step(host, Input::AgentFlushed { link });
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        for host in 0..self.hosts.len() {
+            let local = self.now - self.hosts[host].started;
+            if self.hosts[host].machine.as_ref().is_some_and(|machine| machine.deadline() <= local) {
+                self.step(host, Input::Tick);
+            }
+        }
+    }
+
+    pub fn step(&mut self, host: usize, input: Input) {
+        let at = Moment { now: self.now - self.hosts[host].started, wall_ms: WALL_START_MS + self.now };
+        let Some(machine) = self.hosts[host].machine.as_mut() else { return };
+        let mut effects = Vec::new();
+        machine.step(at, input, &mut effects);
+        for effect in effects {
+            self.run(host, effect);
+        }
+    }
+
+    fn run(&mut self, host: usize, effect: Effect) {
+        match effect {
+            Effect::Reply { call, reply } => {
+                self.seen.push(Seen::Replied(CallHandle(call.0)));
+                self.replies.insert(CallHandle(call.0), reply);
+            }
+            Effect::SendPeer { to, message } => self.send(host, to, message),
+            Effect::SendAgent { link, messages } => self.tell(link, messages),
+            Effect::Write { token, record } => {
+                let done_at = self.now + self.random.random_range(1..4);
+                self.hosts[host].disk.start(token, record, done_at);
+            }
+            Effect::CallReplica(call) => self.replica_calls.push((self.now, host, call)),
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddrV4, message: Message) {
+        let to = usize::from(to.ip().octets()[3] - 1);
+        let last = self.last_arrival.entry((from, to)).or_default();
+        let arrives = (*last).max(self.now + self.random.random_range(1..4));
+        *last = arrives;
+        self.flights.push(Flight { arrives, from, to, message });
+    }
+
+    fn tell(&mut self, link: LinkId, messages: Vec<Message>) {
+        let place = self.agents.iter().position(|agent| agent.link == link).expect("an agent's link");
+        let agent = &mut self.agents[place];
+        assert!(agent.flush_at.is_none(), "one batch at a time");
+        agent.flush_at = Some(self.now + 1);
+        agent.batches.push(messages);
+        self.seen.push(Seen::Told { agent: place, batch: agent.batches.len() - 1 });
+    }
+
+    /// Issues a call; what the decoder refuses is answered at once.
+    pub fn issue(
+        &mut self,
+        host: usize,
+        method: &str,
+        path: &str,
+        based_on: Option<&str>,
+        body: &str,
+    ) -> CallHandle {
+        match decode(Call { method, path, based_on, body: body.as_bytes() }) {
+            Ok(command) => self.issue_command(host, command),
+            Err(reply) => {
+                let handle = self.next_handle();
+                self.replies.insert(handle, reply);
+                handle
+            }
+        }
+    }
+
+    fn next_handle(&mut self) -> CallHandle {
+        self.next_call += 1;
+        CallHandle(self.next_call)
+    }
+
+    fn issue_command(&mut self, host: usize, command: Command) -> CallHandle {
+        let handle = self.next_handle();
+        self.step(host, Input::Call { call: CallId(handle.0), command });
+        handle
+    }
+
+    /// Issues a call and waits for its answer, for a second at most.
+    pub fn call(
+        &mut self,
+        host: usize,
+        method: &str,
+        path: &str,
+        based_on: Option<&str>,
+        body: &str,
+    ) -> Option<Reply> {
+        let handle = self.issue(host, method, path, based_on, body);
+        for _ in 0..1_000 {
+            if self.replies.contains_key(&handle) {
+                break;
+            }
+            self.play(1);
+        }
+        self.reply(handle)
+    }
+
+    pub fn reply(&self, call: CallHandle) -> Option<Reply> {
+        self.replies.get(&call).cloned()
+    }
+
+    pub fn issue_heartbeat(&mut self, host: usize, id: &str, last: u8, state: &str, beat: u64) -> CallHandle {
+        self.issue_heartbeat_with(host, id, last, state, beat, 1)
+    }
+
+    pub fn issue_heartbeat_with(
+        &mut self,
+        host: usize,
+        id: &str,
+        last: u8,
+        state: &str,
+        beat: u64,
+        version: u64,
+    ) -> CallHandle {
+        let body = format!(
+            r#"{{"service":"reader","address":"10.1.0.{last}:8080","zone":"zone-0","version":"v1","free-slots":12,"state":"{state}","cold-left-ms":0,"stage":"both_ways","models":[{{"name":"m","version":{version},"adapters":[]}}],"call-count":{beat}}}"#
+        );
+        self.issue(host, "POST", &format!("/nodes/{id}/heartbeat"), None, &body)
+    }
+
+    pub fn heartbeat(&mut self, host: usize, id: &str, last: u8, state: &str, beat: u64) -> Option<Reply> {
+        let call = self.issue_heartbeat(host, id, last, state, beat);
+        self.reply(call)
+    }
+
+    pub fn state_at(&self, host: usize, id: &str) -> Option<State> {
+        let machine = self.hosts[host].machine.as_ref()?;
+        machine.view().replicas.get(id).map(|record| record.state)
+    }
+
+    pub fn connect_agent(&mut self, host: usize, name: &str) -> Agent {
+        let link = LinkId(1_000 + self.agents.len() as u64);
+        let agent = AgentState { host, link, batches: Vec::new(), reads: true, flush_at: None };
+        self.agents.push(agent);
+        let hello = Hello {
+            protocol: PROTOCOL,
+            role: Role::Agent,
+            machine: name.into(),
+            zone: "zone-0".into(),
+            incarnation: 1,
+            address: peer::Address::NONE,
+            configuration: 0,
+        };
+        self.step(host, Input::AgentUp { link, hello });
+        Agent(self.agents.len() - 1)
+    }
+
+    /// Hands in what an agent sends.
+    pub fn from_agent(&mut self, agent: Agent, message: Message) {
+        let (host, link) = (self.agents[agent.0].host, self.agents[agent.0].link);
+        self.step(host, Input::AgentMessage { link, message });
+    }
+
+    pub fn stop_reading(&mut self, agent: Agent) {
+        self.agents[agent.0].reads = false;
+    }
+
+    pub fn read_again(&mut self, agent: Agent) {
+        self.agents[agent.0].reads = true;
+    }
+
+    pub fn batches(&self, agent: Agent) -> usize {
+        self.agents[agent.0].batches.len()
+    }
+
+    pub fn messages(&self, agent: Agent) -> impl Iterator<Item = &Message> {
+        self.agents[agent.0].batches.iter().flatten()
+    }
+
+    pub fn configurations_told(&self, agent: Agent) -> Vec<peer::Configuration> {
+        let messages = self.messages(agent);
+        let configurations = messages.filter_map(|message| match message {
+            Message::Configuration(configuration) => Some(configuration.clone()),
+            _ => None,
+        });
+        configurations.collect()
+    }
+
+    /// Number of different replicas that an agent was told of.
+    pub fn replicas_told(&self, agent: Agent) -> usize {
+        let mut ids = BTreeSet::new();
+        for message in self.messages(agent) {
+            if let Message::Replicas(replicas) = message {
+                ids.extend(replicas.records.iter().map(|record| record.id.as_str().to_string()));
+            }
+        }
+        ids.len()
+    }
+
+    /// Whether an agent was told of a replica's state before a call was answered.
+    pub fn told_before_reply(&self, agent: Agent, id: &str, state: ReplicaState, call: CallHandle) -> bool {
+        for seen in &self.seen {
+            match seen {
+                Seen::Replied(replied) if *replied == call => return false,
+                Seen::Told { agent: told, batch } if *told == agent.0 => {
+                    if tells(&self.agents[agent.0].batches[*batch], id, state) {
+                        return true;
+                    }
+                }
+                _ => {}
+            }
+        }
+        false
+    }
+}
+
+fn tells(batch: &[Message], id: &str, state: ReplicaState) -> bool {
+    batch.iter().any(|message| match message {
+        Message::Replicas(replicas) => {
+            replicas.records.iter().any(|record| record.id.as_str() == id && record.state == state)
+        }
+        _ => false,
+    })
+}
