Agent: links to every controller, one merged view, one feed for its proxy

Cause: a proxy must not lose what it knows when a controller goes, nor hear an older configuration after a newer one. Change: crates/agent (state machine and program), crates/process (signals for all programs).

--- /dev/null
+++ b/crates/agent/src/machine.rs
@@ -0,0 +1,272 @@
+//! The agent as a state machine.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+use catalog::Limits;
+use feed::{record_to_wire, ConfigurationTaken, Subscriber, View};
+use links::LinkId;
+use peer::{Alive, Fleet, Hello, Message, Replicas, NEVER};
+
+use crate::Millis;
+
+/// What an agent is told.
+#[derive(Debug)]
+pub enum Input {
+    /// The link to a controller is up.
+    ControllerUp {
+        controller: SocketAddrV4,
+    },
+    ControllerDown {
+        controller: SocketAddrV4,
+    },
+    ControllerMessage {
+        controller: SocketAddrV4,
+        message: Message,
+    },
+    /// A proxy connected and said who it is.
+    ProxyUp {
+        link: LinkId,
+        hello: Hello,
+    },
+    ProxyMessage {
+        link: LinkId,
+        message: Message,
+    },
+    /// What was sent to a proxy is on its way.
+    ProxyFlushed {
+        link: LinkId,
+    },
+    ProxyDown {
+        link: LinkId,
+    },
+    /// Time went by.
+    Tick,
+}
+
+/// What an agent wants done.
+#[derive(Debug)]
+pub enum Effect {
+    SendController { to: SocketAddrV4, message: Message },
+    SendProxy { link: LinkId, messages: Vec<Message> },
+}
+
+/// What a controller said of itself and of the fleet.
+#[derive(Debug, Default)]
+struct Controller {
+    up: bool,
+    /// When it was up last.
+    seen: Millis,
+    fleet: Option<(BTreeSet<SocketAddrV4>, u32)>,
+    /// When it was in step with the majority, by its own word.
+    majority_at: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Proxy {
+    subscriber: Subscriber,
+    /// A batch is on its way; the next one waits for its end.
+    busy: bool,
+}
+
+/// Controllers that are linked at most.
+const MOST_CONTROLLERS: usize = 9;
+/// What a controller said counts for so long after its link went down.
+const REMEMBER_MS: Millis = 30_000;
+/// Time between clean-ups.
+const UPKEEP_EVERY_MS: Millis = 5_000;
+
+/// One agent.
+#[derive(Debug)]
+pub struct Machine {
+    seeds: Vec<SocketAddrV4>,
+    view: View,
+    controllers: BTreeMap<SocketAddrV4, Controller>,
+    proxies: BTreeMap<LinkId, Proxy>,
+    next_upkeep: Millis,
+}
+
+impl Machine {
+    /// An agent that knows the inner addresses of a few controllers.
+    pub fn new(now: Millis, seeds: Vec<SocketAddrV4>, limits: Limits) -> Machine {
+        Machine {
+            seeds,
+            view: View::new(limits),
+            controllers: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            next_upkeep: now + UPKEEP_EVERY_MS,
+        }
+    }
+
+    /// Takes one input; what is to be done is pushed to `out`.
+    pub fn step(&mut self, now: Millis, input: Input, out: &mut Vec<Effect>) {
+        match input {
+            Input::ControllerUp { controller } => {
+                let entry = self.controllers.entry(controller).or_default();
+                (entry.up, entry.seen) = (true, now);
+            }
+            Input::ControllerDown { controller } => {
+                if let Some(entry) = self.controllers.get_mut(&controller) {
+                    (entry.up, entry.seen) = (false, now);
+                }
+            }
+            Input::ControllerMessage { controller, message } => {
+                self.controller_message(now, controller, message, out);
+            }
+            Input::ProxyUp { link, hello } => {
+                let subscriber = Subscriber::new(hello.configuration);
+                self.proxies.insert(link, Proxy { subscriber, busy: false });
+            }
+            Input::ProxyMessage { link, message: Message::WantConfiguration } => {
+                if let Some(proxy) = self.proxies.get_mut(&link) {
+                    proxy.subscriber.wants_configuration();
+                }
+            }
+            Input::ProxyMessage { .. } => {}
+            Input::ProxyFlushed { link } => {
+                if let Some(proxy) = self.proxies.get_mut(&link) {
+                    proxy.busy = false;
+                }
+            }
+            Input::ProxyDown { link } => {
+                self.proxies.remove(&link);
+            }
+            Input::Tick => self.tick(now),
+        }
+        self.feed(now, out);
+    }
+
+    /// When the next [`Input::Tick`] is due.
+    pub fn deadline(&self) -> Millis {
+        let idle = self.proxies.values().filter(|proxy| !proxy.busy);
+        let feeds = idle.map(|proxy| proxy.subscriber.deadline());
+        feeds.chain([self.next_upkeep]).min().unwrap_or(self.next_upkeep)
+    }
+
+    /// The controllers to which links should be up: those that the linked ones name, and the seeds while none is
+    /// linked.
+    pub fn wanted_controllers(&self) -> BTreeSet<SocketAddrV4> {
+        let told = self.view.controllers().iter().copied();
+        let linked = self.controllers.values().any(|controller| controller.up && controller.fleet.is_some());
+        let seeds = self.seeds.iter().copied().filter(|_| !linked);
+        seeds.chain(told).take(MOST_CONTROLLERS).collect()
+    }
+
+    /// The settings name other seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.seeds = seeds;
+    }
+
+    /// What is known of the fleet.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    fn tick(&mut self, now: Millis) {
+        if now < self.next_upkeep {
+            return;
+        }
+        self.next_upkeep = now + UPKEEP_EVERY_MS;
+        // Only controllers pass judgement on silent replicas; here old ends are forgotten.
+        self.view.replicas.tick(now, false);
+        self.controllers.retain(|_, one| one.up || now.saturating_sub(one.seen) < REMEMBER_MS);
+        self.update_fleet();
+    }
+
+    fn controller_message(
+        &mut self,
+        now: Millis,
+        from: SocketAddrV4,
+        message: Message,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Configuration(configuration) => self.configuration(from, configuration, out),
+            Message::Replicas(replicas) => self.replicas(now, from, &replicas, out),
+            Message::Weights(weights) => {
+                self.view.take_weights_message(now, &weights);
+            }
+            Message::Fleet(fleet) => self.fleet(from, &fleet),
+            Message::Alive(alive) => self.alive(now, from, alive),
+            _ => {}
+        }
+    }
+
+    fn configuration(
+        &mut self,
+        from: SocketAddrV4,
+        configuration: peer::Configuration,
+        out: &mut Vec<Effect>,
+    ) {
+        let version = configuration.version;
+        match self.view.take_configuration_message(configuration) {
+            Ok(ConfigurationTaken::News) => log::info!("3020 configuration {version} is in force"),
+            Ok(ConfigurationTaken::Known) => {}
+            Ok(ConfigurationTaken::OtherBase) => {
+                out.push(Effect::SendController { to: from, message: Message::WantConfiguration });
+            }
+            Err(why) => {
+                log::error!("3021 configuration {version} from {from}: {why}");
+                out.push(Effect::SendController { to: from, message: Message::WantConfiguration });
+            }
+        }
+    }
+
+    /// What one controller calls lost is told to the others: one that is cut off from it may hear the replica.
+    fn replicas(&mut self, now: Millis, from: SocketAddrV4, replicas: &Replicas, out: &mut Vec<Effect>) {
+        let taken = self.view.take_replicas(now, replicas);
+        if taken.lost.is_empty() {
+            return;
+        }
+        let lost: Vec<_> = taken.lost.iter().map(record_to_wire).collect();
+        let others = self.controllers.iter().filter(|(address, one)| one.up && **address != from);
+        for (to, _) in others {
+            let message = Message::Replicas(Replicas::from(lost.clone()));
+            out.push(Effect::SendController { to: *to, message });
+        }
+    }
+
+    fn fleet(&mut self, from: SocketAddrV4, fleet: &Fleet) {
+        let told = fleet.controllers.iter().filter_map(|address| address.socket()).collect();
+        if let Some(controller) = self.controllers.get_mut(&from) {
+            controller.fleet = Some((told, fleet.proxies));
+        }
+        self.update_fleet();
+    }
+
+    /// All controllers that anyone names, and the greatest number of proxies: too small a share of a fixed
+    /// allowance wastes little, too large a one breaks it.
+    fn update_fleet(&mut self) {
+        let told = self.controllers.values().filter_map(|controller| controller.fleet.as_ref());
+        let (mut controllers, mut proxies) = (BTreeSet::new(), 0);
+        for (named, count) in told {
+            controllers.extend(named.iter().copied());
+            proxies = proxies.max(*count);
+        }
+        self.view.set_fleet(controllers.into_iter().collect(), proxies);
+    }
+
+    fn alive(&mut self, now: Millis, from: SocketAddrV4, alive: Alive) {
+        let Some(controller) = self.controllers.get_mut(&from) else { return };
+        let proved =
+            (alive.majority_age_ms != NEVER).then(|| now.saturating_sub(alive.majority_age_ms.into()));
+        controller.majority_at = controller.majority_at.max(proved);
+    }
+
+    /// Age of the newest proof of any controller that what it tells is the majority's.
+    fn majority_age(&self, now: Millis) -> u32 {
+        let newest = self.controllers.values().filter_map(|controller| controller.majority_at).max();
+        newest.map_or(NEVER, |at| now.saturating_sub(at).min(Millis::from(NEVER)) as u32)
+    }
+
+    fn feed(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let age = self.majority_age(now);
+        for (link, proxy) in self.proxies.iter_mut().filter(|(_, proxy)| !proxy.busy) {
+            let messages = proxy.subscriber.messages(now, &self.view, age);
+            if !messages.is_empty() {
+                proxy.busy = true;
+                out.push(Effect::SendProxy { link: *link, messages });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/program.rs
@@ -0,0 +1,233 @@
+//! Joins the state machine to sockets and the clock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+use catalog::Limits;
+use links::{accept, dial, Dialer, LinkEvent, LinkId, LinkTiming, Outbox};
+use peer::{Address, Hello, Message, Role, PROTOCOL};
+use process::Control;
+use settings::ProcessSettings;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+
+use crate::error::AgentError;
+use crate::machine::{Effect, Input, Machine};
+
+/// Events that may wait for the machine.
+const QUEUE: usize = 256;
+/// Times of links with controllers, which say every half second that they live.
+const CONTROLLERS: LinkTiming =
+    LinkTiming { unacknowledged: Duration::from_millis(1_500), silence: Some(Duration::from_millis(2_000)) };
+/// Times of links with proxies on this machine, which have little to say.
+const PROXIES: LinkTiming = LinkTiming { unacknowledged: Duration::from_secs(10), silence: None };
+
+/// Where a link leads.
+#[derive(Debug)]
+enum Link {
+    /// Nobody has said who they are yet.
+    Unknown(Outbox),
+    Proxy(Outbox),
+    Controller(SocketAddrV4),
+}
+
+struct Program {
+    settings: ProcessSettings,
+    incarnation: u64,
+    started: Instant,
+    machine: Machine,
+    links: BTreeMap<LinkId, Link>,
+    controllers: BTreeMap<SocketAddrV4, (LinkId, Outbox)>,
+    dialers: BTreeMap<SocketAddrV4, Dialer>,
+    link_events: mpsc::Sender<LinkEvent>,
+}
+
+/// Runs an agent until it is told to end.
+///
+/// # Errors
+/// The port for proxies can't be had.
+pub async fn run(settings: ProcessSettings, mut control: mpsc::Receiver<Control>) -> Result<(), AgentError> {
+    let address = settings.agent_address();
+    let listener = TcpListener::bind(address).await.map_err(|why| AgentError::Listen(address, why))?;
+    let (link_events, mut link_news) = mpsc::channel(QUEUE);
+    tokio::spawn(accept_proxies(listener, link_events.clone()));
+    log::info!("3001 agent of {} serves {address}", settings.node);
+    let mut program = Program::new(settings, link_events);
+    program.step(Input::Tick);
+    loop {
+        let wake = tokio::time::Instant::from_std(program.next_wake());
+        tokio::select! {
+            Some(event) = link_news.recv() => program.link_event(event),
+            told = control.recv() => match told {
+                Some(Control::Reload(settings)) => program.reload(*settings),
+                Some(Control::Terminate) | None => {
+                    log::info!("3002 agent ends");
+                    return Ok(());
+                }
+            },
+            () = sleep_until(wake) => program.step(Input::Tick),
+        }
+    }
+}
+
+async fn accept_proxies(listener: TcpListener, events: mpsc::Sender<LinkEvent>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(accept(stream, PROXIES, events.clone()));
+            }
+            Err(why) => {
+                log::warn!("3061 no connection taken: {why}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+impl Program {
+    fn new(settings: ProcessSettings, link_events: mpsc::Sender<LinkEvent>) -> Program {
+        let reuse_after_ms = (settings.bounds.reuse_after_s * 1_000.0) as u64;
+        let limits = Limits::for_beats(settings.beat_every_ms, reuse_after_ms);
+        Program {
+            machine: Machine::new(0, settings.seed_controllers(), limits),
+            settings,
+            incarnation: rand::random(),
+            started: Instant::now(),
+            links: BTreeMap::new(),
+            controllers: BTreeMap::new(),
+            dialers: BTreeMap::new(),
+            link_events,
+        }
+    }
+
+    fn next_wake(&self) -> Instant {
+        self.started + Duration::from_millis(self.machine.deadline())
+    }
+
+    fn step(&mut self, input: Input) {
+        let now = self.started.elapsed().as_millis() as u64;
+        let mut effects = Vec::new();
+        self.machine.step(now, input, &mut effects);
+        for effect in effects {
+            self.run(effect);
+        }
+        self.keep_dialers();
+    }
+
+    fn run(&mut self, effect: Effect) {
+        match effect {
+            Effect::SendController { to, message } => {
+                let Some((_, outbox)) = self.controllers.get(&to) else { return };
+                if outbox.send(&[message]).is_err() {
+                    self.controllers.remove(&to);
+                }
+            }
+            Effect::SendProxy { link, messages } => {
+                if let Some(Link::Proxy(outbox)) = self.links.get(&link) {
+                    // An outbox takes nothing only where the link has ended; that is told by an event of its own.
+                    let _ = outbox.send(&messages);
+                }
+            }
+        }
+    }
+
+    fn link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { link, dialed: Some(controller), outbox } => {
+                log::info!("3010 link to controller {controller} is up");
+                let _ = outbox.send(&[Message::Hello(self.hello())]);
+                self.links.insert(link, Link::Controller(controller));
+                self.controllers.insert(controller, (link, outbox));
+                self.step(Input::ControllerUp { controller });
+            }
+            LinkEvent::Up { link, dialed: None, outbox } => {
+                self.links.insert(link, Link::Unknown(outbox));
+            }
+            LinkEvent::Message { link, message } => self.message(link, *message),
+            LinkEvent::Flushed { link } => {
+                if matches!(self.links.get(&link), Some(Link::Proxy(_))) {
+                    self.step(Input::ProxyFlushed { link });
+                }
+            }
+            LinkEvent::Down { link, why } => self.down(link, &why),
+        }
+    }
+
+    fn message(&mut self, link: LinkId, message: Message) {
+        match (self.links.get(&link), message) {
+            (Some(Link::Controller(controller)), message) => {
+                let controller = *controller;
+                self.step(Input::ControllerMessage { controller, message });
+            }
+            (Some(Link::Proxy(_)), message) => self.step(Input::ProxyMessage { link, message }),
+            (Some(Link::Unknown(_)), Message::Hello(hello)) if hello.role == Role::Proxy => {
+                if let Some(Link::Unknown(outbox)) = self.links.remove(&link) {
+                    self.links.insert(link, Link::Proxy(outbox));
+                    log::info!("3011 the proxy is linked");
+                    self.step(Input::ProxyUp { link, hello });
+                }
+            }
+            (Some(Link::Unknown(_)), _) => {
+                log::warn!("3063 a process that is no proxy was turned away");
+                self.links.remove(&link);
+            }
+            (None, _) => {}
+        }
+    }
+
+    fn down(&mut self, link: LinkId, why: &links::LinkError) {
+        match self.links.remove(&link) {
+            Some(Link::Controller(controller)) => {
+                if self.controllers.get(&controller).is_some_and(|(current, _)| *current == link) {
+                    self.controllers.remove(&controller);
+                }
+                log::info!("3012 link to controller {controller}: {why}");
+                self.step(Input::ControllerDown { controller });
+            }
+            Some(Link::Proxy(_)) => {
+                log::info!("3013 link to the proxy: {why}");
+                self.step(Input::ProxyDown { link });
+            }
+            _ => {}
+        }
+    }
+
+    /// Dials the controllers that are known now, and no others.
+    fn keep_dialers(&mut self) {
+        let wanted = self.machine.wanted_controllers();
+        let unwanted: Vec<SocketAddrV4> =
+            self.dialers.keys().copied().filter(|address| !wanted.contains(address)).collect();
+        for controller in unwanted {
+            self.dialers.remove(&controller);
+            if let Some((link, _)) = self.controllers.remove(&controller) {
+                self.links.remove(&link);
+                self.step(Input::ControllerDown { controller });
+            }
+        }
+        for address in wanted {
+            let events = self.link_events.clone();
+            self.dialers.entry(address).or_insert_with(|| dial(address, CONTROLLERS, rand::random(), events));
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            protocol: PROTOCOL,
+            role: Role::Agent,
+            machine: self.settings.node.as_str().into(),
+            zone: self.settings.zone.as_str().into(),
+            incarnation: self.incarnation,
+            address: Address::NONE,
+            configuration: self.machine.view().configuration_version(),
+        }
+    }
+
+    fn reload(&mut self, settings: ProcessSettings) {
+        log::info!("3003 settings were read anew");
+        self.machine.set_seeds(settings.seed_controllers());
+        self.settings = settings;
+        self.keep_dialers();
+    }
+}
--- /dev/null
+++ b/crates/agent/tests/merging.rs
@@ -0,0 +1,249 @@
+//! What an agent makes of several controllers, played without sockets.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use agent::machine::{Effect, Input, Machine};
+use catalog::{Limits, State};
+use links::LinkId;
+use peer::{Address, Alive, Configuration, Fleet, Hello, Message, NamedVersion, ReplicaRecord, ReplicaState};
+use peer::{Replicas, Role, Weights, NEVER, PROTOCOL};
+use rstest::rstest;
+
+fn controller(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7640)
+}
+
+struct Bench {
+    machine: Machine,
+    now: u64,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let seeds = vec![controller(1), controller(2), controller(3)];
+        Bench { machine: Machine::new(0, seeds, Limits::for_beats(1_200, 2_000)), now: 0 }
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.machine.step(self.now, input, &mut out);
+        out
+    }
+
+    fn up(&mut self, number: u8) {
+        self.step(Input::ControllerUp { controller: controller(number) });
+    }
+
+    fn down(&mut self, number: u8) {
+        self.step(Input::ControllerDown { controller: controller(number) });
+    }
+
+    fn tell(&mut self, number: u8, message: Message) -> Vec<Effect> {
+        self.step(Input::ControllerMessage { controller: controller(number), message })
+    }
+
+    fn proxy(&mut self, configuration: u64) -> (LinkId, Vec<Message>) {
+        let link = LinkId(77);
+        let hello = Hello {
+            protocol: PROTOCOL,
+            role: Role::Proxy,
+            machine: "edge-1".into(),
+            zone: "north".into(),
+            incarnation: 1,
+            address: Address::NONE,
+            configuration,
+        };
+        let effects = self.step(Input::ProxyUp { link, hello });
+        (link, to_proxy(effects))
+    }
+
+    /// Lets a batch reach the proxy, and gives what comes next.
+    fn flush(&mut self, link: LinkId) -> Vec<Message> {
+        let effects = self.step(Input::ProxyFlushed { link });
+        to_proxy(effects)
+    }
+}
+
+fn to_proxy(effects: Vec<Effect>) -> Vec<Message> {
+    let batches = effects.into_iter().filter_map(|effect| match effect {
+        Effect::SendProxy { messages, .. } => Some(messages),
+        Effect::SendController { .. } => None,
+    });
+    batches.flatten().collect()
+}
+
+fn to_controllers(effects: &[Effect]) -> Vec<SocketAddrV4> {
+    let sends = effects.iter().filter_map(|effect| match effect {
+        Effect::SendController { to, .. } => Some(*to),
+        Effect::SendProxy { .. } => None,
+    });
+    sends.collect()
+}
+
+fn whole(version: u64, routes: &str) -> Message {
+    let body = format!(r#"{{"version":{version},"routes":[{routes}],"services":[],"customers":[]}}"#);
+    Message::Configuration(Configuration { base: 0, version, body: body.into_bytes().into() })
+}
+
+fn record(id: &str, beat: u64, state: ReplicaState) -> Message {
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 8080);
+    let mut record = ReplicaRecord::new(id, "reader", address.into(), "north");
+    record.beat = beat;
+    record.state = state;
+    Message::Replicas(Replicas::from(vec![record]))
+}
+
+fn version_told(messages: &[Message]) -> Option<(u64, u64)> {
+    messages.iter().find_map(|message| match message {
+        Message::Configuration(configuration) => Some((configuration.base, configuration.version)),
+        _ => None,
+    })
+}
+
+#[rstest]
+fn an_older_configuration_never_takes_the_place_of_a_newer_one() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.up(2);
+    bench.tell(1, whole(7, ""));
+    bench.tell(2, whole(5, ""));
+    assert_eq!(bench.machine.view().configuration_version(), 7);
+    bench.down(1);
+    bench.tell(2, whole(6, ""));
+    assert_eq!(bench.machine.view().configuration_version(), 7, "also when its teller is gone");
+}
+
+#[rstest]
+fn a_proxy_gets_a_snapshot_and_then_changes() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.tell(1, whole(1, r#"{"name":"a"},{"name":"b"},{"name":"c"}"#));
+    bench.tell(1, record("r", 1, ReplicaState::Ready));
+    let (link, snapshot) = bench.proxy(0);
+    assert_eq!(version_told(&snapshot), Some((0, 1)));
+    assert!(snapshot.iter().any(|message| matches!(message, Message::Replicas(_))));
+
+    assert!(bench.flush(link).is_empty(), "nothing is new");
+    let routes = r#"{"name":"a"},{"name":"b"},{"name":"c"},{"name":"d"},{"name":"e"},{"name":"f"},{"name":"g"},{"name":"h"},{"name":"i"},{"name":"j"},{"name":"k"}"#;
+    let told = to_proxy(bench.tell(1, whole(2, routes)));
+    assert_eq!(version_told(&told).map(|(_, version)| version), Some(2));
+}
+
+#[rstest]
+fn a_proxy_that_has_the_version_gets_no_configuration() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.tell(1, whole(4, ""));
+    let (_, snapshot) = bench.proxy(4);
+    assert_eq!(version_told(&snapshot), None);
+}
+
+#[rstest]
+fn changes_on_an_unknown_base_make_the_agent_ask_for_the_whole() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    let body = br#"{"version":9,"upsert":{},"remove":{}}"#.to_vec();
+    let changes = Message::Configuration(Configuration { base: 8, version: 9, body: body.into() });
+    let effects = bench.tell(1, changes);
+    assert_eq!(to_controllers(&effects), vec![controller(1)]);
+    assert_eq!(bench.machine.view().configuration_version(), 0);
+}
+
+#[rstest]
+fn the_loss_of_a_controller_loses_nothing() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.tell(1, record("r", 3, ReplicaState::Ready));
+    bench.down(1);
+    bench.now += 600_000;
+    bench.step(Input::Tick);
+    let known = bench.machine.view().replicas.get("r").map(|record| record.state);
+    assert_eq!(known, Some(State::Ready));
+}
+
+#[rstest]
+fn what_one_controller_calls_lost_is_told_to_the_others() {
+    let mut bench = Bench::new();
+    for number in 1..=3 {
+        bench.up(number);
+    }
+    bench.tell(1, record("r", 3, ReplicaState::Ready));
+    let effects = bench.tell(2, record("r", 3, ReplicaState::Lost));
+    assert_eq!(to_controllers(&effects), vec![controller(1), controller(3)]);
+    let effects = bench.tell(1, record("r", 6, ReplicaState::Ready));
+    assert!(to_controllers(&effects).is_empty());
+    assert_eq!(bench.machine.view().replicas.get("r").map(|record| record.state), Some(State::Ready));
+}
+
+#[rstest]
+fn the_greatest_number_of_proxies_holds_and_a_controller_that_started_lately_does_not_lower_it() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.up(2);
+    bench.tell(1, Message::Fleet(Fleet::new(vec![controller(1).into(), controller(4).into()], 7)));
+    bench.tell(2, Message::Fleet(Fleet::new(vec![controller(2).into()], 0)));
+    assert_eq!(bench.machine.view().proxies(), 7);
+    bench.down(1);
+    bench.now += 10_000;
+    bench.step(Input::Tick);
+    assert_eq!(bench.machine.view().proxies(), 7);
+    let wanted: BTreeSet<SocketAddrV4> = [1, 2, 4].into_iter().map(controller).collect();
+    assert_eq!(
+        bench.machine.wanted_controllers(),
+        wanted,
+        "those that were told; not the seed that nobody names"
+    );
+}
+
+#[rstest]
+fn the_age_of_the_majoritys_proof_grows_while_nothing_is_heard() {
+    let mut bench = Bench::new();
+    let (link, first) = bench.proxy(0);
+    let age = |messages: &[Message]| {
+        messages.iter().find_map(|message| match message {
+            Message::Alive(alive) => Some(alive.majority_age_ms),
+            _ => None,
+        })
+    };
+    assert_eq!(age(&first), Some(NEVER));
+    bench.up(1);
+    bench.now = 1_000;
+    bench.tell(1, Message::Alive(Alive { majority_age_ms: 100, configuration: 0 }));
+    bench.now = 1_400;
+    assert_eq!(age(&bench.flush(link)), Some(500));
+}
+
+#[rstest]
+fn named_weights_go_up_only_and_keep_their_age() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.now = 5_000;
+    let named = |version, age_ms| NamedVersion { model: "m".into(), version, age_ms };
+    bench.tell(1, Message::Weights(Weights::from(vec![named(2, 4_000)])));
+    bench.tell(1, Message::Weights(Weights::from(vec![named(1, 0)])));
+    bench.now = 6_000;
+    let (_, told) = bench.proxy(0);
+    let weights = told.iter().find_map(|message| match message {
+        Message::Weights(weights) => Some(weights.versions.clone()),
+        _ => None,
+    });
+    assert_eq!(weights, Some(vec![named(2, 5_000)]));
+}
+
+#[rstest]
+fn a_proxy_that_does_not_read_holds_one_batch() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    let (link, _) = bench.proxy(0);
+    for beat in 1..50 {
+        let effects = bench.tell(1, record(&format!("r{beat}"), beat, ReplicaState::Ready));
+        assert!(to_proxy(effects).is_empty());
+    }
+    let batch = bench.flush(link);
+    let records = batch.iter().map(|message| match message {
+        Message::Replicas(replicas) => replicas.records.len(),
+        _ => 0,
+    });
+    assert_eq!(records.sum::<usize>(), 49);
+}
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -7,6 +7,7 @@
 use links::{accept, dial, Dialer, LinkEvent, LinkId, LinkTiming, Outbox};
 use membership::{Member, Membership};
 use peer::{Hello, Message, Role, PROTOCOL};
+use process::Control;
 use register::{Identity, RegisterNode};
 use settings::ProcessSettings;
 use tokio::net::TcpListener;
@@ -32,15 +33,6 @@
 /// Agents have little to say.
 const AGENT_LINKS: LinkTiming = LinkTiming { silence: None, ..LINKS };
 
-/// What the process is told from outside.
-#[derive(Debug)]
-pub enum Control {
-    /// End, within the grace that the settings give.
-    Terminate,
-    /// The settings changed.
-    Reload(Box<ProcessSettings>),
-}
-
 /// Where a link leads.
 #[derive(Debug)]
 enum Link {
--- a/crates/controller/src/values.rs
+++ b/crates/controller/src/values.rs
@@ -128,7 +128,7 @@
         let mut models: Vec<NamedVersion> =
             self.models.iter().filter(|known| known.model != named.model).cloned().collect();
         models.push(named);
-        (models.len() <= MOST_MODELS).then(|| WeightsValue { model_count: models.len() as u16, models })
+        (models.len() <= MOST_MODELS).then_some(WeightsValue { model_count: models.len() as u16, models })
     }
 
     pub fn read(bytes: &[u8]) -> Result<Self, ValueError> {
@@ -206,7 +206,7 @@
 fn read<T: for<'a> DekuContainerRead<'a>>(register: &'static str, bytes: &[u8]) -> Result<T, ValueError> {
     let unreadable = |why: String| ValueError::Unreadable(register, why);
     match T::from_bytes((bytes, 0)) {
-        Ok(((rest, _), value)) if rest.is_empty() => Ok(value),
+        Ok((([], _), value)) => Ok(value),
         Ok(((rest, _), _)) => Err(unreadable(format!("{} bytes too many", rest.len()))),
         Err(why) => Err(unreadable(why.to_string())),
     }
--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,48 @@
+//! What a program of the router fleet is told from outside.
+
+use settings::{ProcessSettings, SettingsError};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+
+/// Words that may wait.
+const QUEUE: usize = 4;
+
+/// What a program is told.
+#[derive(Debug)]
+pub enum Control {
+    /// End, within the grace that the settings give.
+    Terminate,
+    /// The settings changed.
+    Reload(Box<ProcessSettings>),
+}
+
+/// Passes signals on: SIGTERM ends the process, SIGHUP has it read its settings anew. Needs a running runtime.
+pub fn signals() -> mpsc::Receiver<Control> {
+    let (tell, control) = mpsc::channel(QUEUE);
+    tokio::spawn(pass_on(tell));
+    control
+}
+
+async fn pass_on(tell: mpsc::Sender<Control>) -> std::io::Result<()> {
+    let mut end = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        let told = tokio::select! {
+            _ = end.recv() => Control::Terminate,
+            _ = reload.recv() => match reread() {
+                Ok(settings) => Control::Reload(Box::new(settings)),
+                Err(why) => {
+                    log::error!("2004 settings stay as they were: {why}");
+                    continue;
+                }
+            },
+        };
+        if tell.send(told).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+fn reread() -> Result<ProcessSettings, SettingsError> {
+    ProcessSettings::load(&ProcessSettings::path_from_environment()?)
+}
