--- /dev/null
+++ b/crates/controller/tests/duty.rs
@@ -0,0 +1,183 @@
+//! Controllers played together from one seed: replicas are moved to named weights by one holder at a time.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use controller::command::Reply;
+use controller::duty::holder::{Circumstances, Holder};
+use controller::machine::Input;
+use controller::values::DutyValue;
+use rstest::rstest;
+use support::Cluster;
+
+const LEASE_MS: u64 = 3_000;
+
+fn started(seed: u64, replicas: u8) -> Cluster {
+    let mut cluster = Cluster::new(seed, 3);
+    cluster.play(1_000);
+    for number in 1..=replicas {
+        cluster.replicas.add(&format!("r{number}"), number, 1, cluster.now + u64::from(number) * 37);
+    }
+    cluster.play(1_500);
+    cluster
+}
+
+fn name(cluster: &mut Cluster, host: usize, version: u64) -> Option<u16> {
+    let body = format!(r#"{{"model":"m","version":{version}}}"#);
+    cluster.call(host, "POST", "/version-put", None, &body).map(|reply: Reply| reply.status)
+}
+
+fn all_at(cluster: &Cluster, version: u64) -> bool {
+    cluster.replicas.all.values().all(|replica| replica.version == version)
+}
+
+/// What the rules ask of orders: fences of one holder only, never lower later, and a lease between holders.
+fn check_orders(cluster: &Cluster) {
+    let orders = &cluster.replicas.orders;
+    for pair in orders.windows(2) {
+        assert!(pair[0].fence <= pair[1].fence, "a lower fence came later: {pair:?}");
+        if pair[0].host != pair[1].host {
+            assert!(pair[0].fence < pair[1].fence, "two holders with one fence: {pair:?}");
+            assert!(pair[1].at >= pair[0].at + LEASE_MS, "turns within a lease: {pair:?}");
+        }
+    }
+}
+
+#[rstest]
+fn all_replicas_move_a_few_at_a_time_with_one_order_each(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut cluster = started(seed, 18);
+    assert_eq!(name(&mut cluster, 1, 2), Some(200));
+    cluster.play(6_000);
+    assert!(all_at(&cluster, 2));
+    assert_eq!(cluster.replicas.orders.len(), 18, "{:?}", cluster.replicas.orders);
+    assert!(cluster.replicas.most_loading <= 3);
+    assert!(cluster.replicas.reports <= 18 * 3, "{} reports", cluster.replicas.reports);
+    check_orders(&cluster);
+}
+
+#[rstest]
+fn a_version_is_named_once_and_never_goes_back() {
+    let mut cluster = started(5, 3);
+    assert_eq!(name(&mut cluster, 0, 3), Some(200));
+    assert_eq!(name(&mut cluster, 1, 3), Some(200), "the same again");
+    assert_eq!(name(&mut cluster, 2, 2), Some(200), "passed already");
+    cluster.play(5_000);
+    assert!(all_at(&cluster, 3));
+    assert!(cluster.replicas.orders.iter().all(|order| order.version == 3));
+}
+
+#[rstest]
+#[case::zero(r#"{"model":"m","version":0}"#)]
+#[case::no_model(r#"{"version":2}"#)]
+#[case::no_json("x")]
+fn a_version_that_makes_no_sense_is_refused(#[case] body: &str) {
+    let mut cluster = Cluster::new(1, 3);
+    let reply = cluster.call(0, "POST", "/version-put", None, body);
+    assert_eq!(reply.map(|reply| reply.status), Some(400));
+}
+
+#[rstest]
+fn a_replica_that_comes_back_with_older_weights_is_moved_again() {
+    let mut cluster = started(6, 4);
+    name(&mut cluster, 0, 2);
+    cluster.play(5_000);
+    assert!(all_at(&cluster, 2));
+    cluster.replicas.all.remove("r1");
+    cluster.replicas.add("r9", 1, 1, cluster.now + 2_500);
+    cluster.play(7_000);
+    assert!(all_at(&cluster, 2));
+    check_orders(&cluster);
+}
+
+#[rstest]
+fn the_death_of_the_holder_hands_the_duty_on_after_a_lease(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut cluster = started(seed, 12);
+    name(&mut cluster, 0, 2);
+    cluster.play(700);
+    let holder = cluster.replicas.orders.last().expect("an order").host;
+    cluster.stop(holder);
+    cluster.play(12_000);
+    assert!(all_at(&cluster, 2));
+    check_orders(&cluster);
+    assert!(cluster.replicas.orders.iter().any(|order| order.host != holder));
+}
+
+#[rstest]
+fn a_holder_that_is_cut_off_stops_and_another_goes_on(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut cluster = started(seed, 12);
+    name(&mut cluster, 0, 2);
+    cluster.play(700);
+    let holder = cluster.replicas.orders.last().expect("an order").host;
+    cluster.cut_off(holder);
+    let cut_at = cluster.now;
+    cluster.play(9_000);
+    cluster.heal();
+    cluster.play(6_000);
+    assert!(all_at(&cluster, 2));
+    check_orders(&cluster);
+    let late = cluster.replicas.orders.iter().filter(|order| order.host == holder && order.at > cut_at);
+    assert!(late.clone().all(|order| order.at <= cut_at + LEASE_MS / 3 + 10 || order.at > cut_at + 9_000));
+}
+
+#[rstest]
+fn a_holder_that_ends_names_its_successor(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = started(seed, 12);
+    name(&mut cluster, 0, 2);
+    cluster.play(700);
+    let holder = cluster.replicas.orders.last().expect("an order").host;
+    cluster.step(holder, Input::Terminate);
+    cluster.play(200);
+    cluster.stop(holder);
+    cluster.play(8_000);
+    assert!(all_at(&cluster, 2));
+    check_orders(&cluster);
+}
+
+fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7640)
+}
+
+fn work(now: u64) -> Circumstances {
+    Circumstances { now, has_work: true, rank: 0, holder_alive: false }
+}
+
+#[rstest]
+fn orders_stop_when_the_last_renewal_is_old() {
+    let mut holder = Holder::new(0, address(1), LEASE_MS);
+    assert!(holder.consider(work(10)).is_some());
+    assert_eq!(holder.may_order(10), None, "not before it is decided");
+    holder.settled(900, true);
+    assert_eq!(holder.may_order(900), Some(1), "counted from when the renewal began");
+    assert_eq!(holder.may_order(10 + LEASE_MS / 3), None);
+}
+
+#[rstest]
+fn a_successor_waits_a_lease_and_the_formers_window() {
+    let mut holder = Holder::new(0, address(2), LEASE_MS);
+    holder.learn(500, Some(DutyValue::held_by(address(1), 4, 9)));
+    assert!(holder.consider(work(500 + LEASE_MS)).is_none());
+    let proposal = holder.consider(work(500 + LEASE_MS + LEASE_MS / 3 + 400)).expect("free now");
+    assert_eq!((proposal.value.holder(), proposal.value.fence), (address(2), 5));
+}
+
+#[rstest]
+fn a_renewal_by_the_holder_makes_a_successor_wait_anew() {
+    let mut holder = Holder::new(0, address(2), LEASE_MS);
+    let value = DutyValue::held_by(address(1), 4, 9);
+    holder.learn(0, Some(value));
+    holder.learn(4_000, Some(value.renewed()));
+    assert!(holder.consider(work(4_500)).is_none());
+}
+
+#[rstest]
+fn a_holder_without_work_gives_the_duty_up() {
+    let mut holder = Holder::new(0, address(1), LEASE_MS);
+    holder.consider(work(0));
+    holder.settled(5, true);
+    let idle = |now| Circumstances { has_work: false, ..work(now) };
+    assert!(holder.consider(idle(100)).is_none());
+    let proposal = holder.consider(idle(1_200)).expect("idle for long");
+    assert!(proposal.value.is_released());
+    assert_eq!(holder.may_order(1_200), None);
+}
--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -15,6 +15,7 @@
 use register::{Identity, RegisterNode};
 
 use super::disk::Disk;
+use super::replicas::Replicas;
 
 const SEEDS: usize = 3;
 const WALL_START_MS: u64 = 1_700_000_000_000;
@@ -68,8 +69,9 @@
     seen: Vec<Seen>,
     replies: BTreeMap<CallHandle, Reply>,
     next_call: u64,
-    /// Calls to replicas that controllers made, with the time and the controller.
-    pub replica_calls: Vec<(u64, usize, ReplicaCall)>,
+    pub replicas: Replicas,
+    /// Calls to replicas that are on their way, with when they arrive and who made them.
+    replica_calls: Vec<(u64, usize, ReplicaCall)>,
 }
 
 fn address(host: usize) -> SocketAddrV4 {
@@ -91,6 +93,7 @@
             seen: Vec::new(),
             replies: BTreeMap::new(),
             next_call: 1,
+            replicas: Replicas { load_ms: 300, ..Replicas::default() },
             replica_calls: Vec::new(),
         };
         for host in 0..size {
@@ -160,6 +163,7 @@
             self.deliver();
             self.end_writes();
             self.flush_agents();
+            self.play_replicas();
             self.tick();
         }
     }
@@ -214,6 +218,24 @@
         }
     }
 
+    /// Heartbeats go to the first controller that runs; calls are answered after a moment.
+    fn play_replicas(&mut self) {
+        let hears = self.hosts.iter().position(|host| host.machine.is_some());
+        for (id, last, beat, version) in self.replicas.due(self.now) {
+            if let Some(host) = hears {
+                self.issue_heartbeat_with(host, &id, last, "ready", beat, version);
+            }
+        }
+        let now = self.now;
+        let (due, later) = self.replica_calls.drain(..).partition(|(arrives, ..)| *arrives <= now);
+        self.replica_calls = later;
+        let due: Vec<(u64, usize, ReplicaCall)> = due;
+        for (_, host, call) in due {
+            let answer = self.replicas.take(now, host, &call);
+            self.step(host, answer);
+        }
+    }
+
     fn tick(&mut self) {
         for host in 0..self.hosts.len() {
             let local = self.now - self.hosts[host].started;
@@ -245,7 +267,7 @@
                 let done_at = self.now + self.random.random_range(1..4);
                 self.hosts[host].disk.start(token, record, done_at);
             }
-            Effect::CallReplica(call) => self.replica_calls.push((self.now, host, call)),
+            Effect::CallReplica(call) => self.replica_calls.push((self.now + 2, host, call)),
         }
     }
 
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod disk;
+mod replicas;
 
 pub use cluster::Cluster;
 
--- /dev/null
+++ b/crates/controller/tests/support/replicas.rs
@@ -0,0 +1,117 @@
+//! Simulated replicas: they send heartbeats, take orders and answer questions.
+
+use std::collections::BTreeMap;
+
+use catalog::ModelVersion;
+use controller::duty::moves::{ReplicaCall, Report};
+use controller::machine::Input;
+
+const BEAT_EVERY_MS: u64 = 1_200;
+/// A report shows things as they stood so long ago.
+const REPORT_LAG_MS: u64 = 200;
+
+pub struct SimReplica {
+    pub version: u64,
+    pub beat: u64,
+    pub last: u8,
+    pub next_beat: u64,
+    loading: Option<(u64, u64)>,
+    orders: u64,
+    /// Version as it was shown in reports, with since when.
+    history: Vec<(u64, u64)>,
+}
+
+/// An order that a replica got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ordered {
+    pub at: u64,
+    pub host: usize,
+    pub replica: String,
+    pub fence: u64,
+    pub version: u64,
+    pub status: u16,
+}
+
+#[derive(Default)]
+pub struct Replicas {
+    pub all: BTreeMap<String, SimReplica>,
+    pub orders: Vec<Ordered>,
+    /// How long new weights take.
+    pub load_ms: u64,
+    /// Most loads that were under way at a time.
+    pub most_loading: usize,
+    /// Number of `GET /report` calls.
+    pub reports: usize,
+}
+
+impl Replicas {
+    pub fn add(&mut self, id: &str, last: u8, version: u64, now: u64) {
+        let history = vec![(0, version)];
+        let replica =
+            SimReplica { version, beat: 0, last, next_beat: now, loading: None, orders: 0, history };
+        self.all.insert(id.to_string(), replica);
+    }
+
+    /// Replicas whose heartbeat is due: id, last byte of the address, number and version.
+    pub fn due(&mut self, now: u64) -> Vec<(String, u8, u64, u64)> {
+        let mut due = Vec::new();
+        for (id, replica) in &mut self.all {
+            if let Some((version, done)) = replica.loading {
+                if now >= done {
+                    replica.version = version;
+                    replica.loading = None;
+                    replica.history.push((now, version));
+                }
+            }
+            if now >= replica.next_beat {
+                replica.next_beat = now + BEAT_EVERY_MS;
+                replica.beat += 1;
+                due.push((id.clone(), replica.last, replica.beat, replica.version));
+            }
+        }
+        due
+    }
+
+    /// Takes a call; what the controller is told.
+    pub fn take(&mut self, now: u64, host: usize, call: &ReplicaCall) -> Input {
+        match call {
+            ReplicaCall::Order { replica, version, fence, expected, .. } => {
+                let status = self.order(now, replica, *version, *expected);
+                if let Some(status) = status {
+                    let (replica, fence, version) = (replica.clone(), *fence, *version);
+                    self.orders.push(Ordered { at: now, host, replica, fence, version, status });
+                }
+                Input::Ordered { replica: replica.clone(), status }
+            }
+            ReplicaCall::Report { replica, .. } => {
+                self.reports += 1;
+                Input::Reported { replica: replica.clone(), report: self.report(now, replica) }
+            }
+        }
+    }
+
+    fn order(&mut self, now: u64, id: &str, version: u64, expected: Option<u64>) -> Option<u16> {
+        let load_ms = self.load_ms;
+        let replica = self.all.get_mut(id)?;
+        if replica.version == version {
+            return Some(200);
+        }
+        if replica.loading.is_some() || expected.is_some_and(|expected| expected != replica.orders) {
+            return Some(409);
+        }
+        replica.orders += 1;
+        replica.loading = Some((version, now + load_ms));
+        let loading = self.all.values().filter(|replica| replica.loading.is_some()).count();
+        self.most_loading = self.most_loading.max(loading);
+        Some(202)
+    }
+
+    fn report(&self, now: u64, id: &str) -> Option<Report> {
+        let replica = self.all.get(id)?;
+        let shown_at = now.saturating_sub(REPORT_LAG_MS);
+        let shown = replica.history.iter().rev().find(|(since, _)| *since <= shown_at);
+        let version = shown.map_or(replica.version, |(_, version)| *version);
+        let models = vec![ModelVersion { name: "m".to_string(), version }];
+        Some(Report { models, busy: replica.loading.is_some(), call_count: replica.orders })
+    }
+}
