--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -1,6 +1,6 @@
 //! One machine of the group: acceptor, proposer, learner and replacement together.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 
 use quick_error::quick_error;
@@ -118,6 +118,7 @@
     pub(crate) last_round: [u64; RegisterKey::COUNT],
     pub(crate) joiners: BTreeMap<SocketAddrV4, Joiner>,
     pub(crate) suspected_since: BTreeMap<SocketAddrV4, Millis>,
+    pub(crate) reachable: BTreeSet<SocketAddrV4>,
     pub(crate) local: VecDeque<RegisterMessage>,
     pub(crate) upkeep_at: Millis,
     pub(crate) sealed_seen: bool,
@@ -160,6 +161,7 @@
             last_round: [0; RegisterKey::COUNT],
             joiners: BTreeMap::new(),
             suspected_since: BTreeMap::new(),
+            reachable: BTreeSet::new(),
             local: VecDeque::new(),
             upkeep_at: 0,
             sealed_seen: false,
--- a/crates/register/src/rules.rs
+++ b/crates/register/src/rules.rs
@@ -12,27 +12,37 @@
 /// For how long members are suspected, by address. Members that are not listed are taken as reachable.
 pub type Suspicions = BTreeMap<SocketAddrV4, Millis>;
 
-/// The members that should follow `current`; `None` if they should stay or a change would leave too few
-/// reachable.
+/// Sets of this size or more may drop a member.
+const DROP_FROM: usize = 4;
+
+/// The members that should follow `current`; `None` if they should stay, if too few are there to decide, or if
+/// a change would leave too few reachable.
 ///
 /// * A joiner at the address of a member has taken its machine over with an empty disk: it replaces the
 ///   member at once.
 /// * Another joiner replaces a member that has been suspected for [`REPLACE_AFTER_MILLIS`], the longest
-///   suspected first, or makes the set larger if nobody is suspected.
-/// * A set of even size drops a member that has been suspected for that long: the smaller set bears as many
-///   losses.
+///   suspected first.
+/// * If nobody is suspected, two further joiners make the set larger. One alone does not: a set of even size
+///   bears no more losses than the odd one below it, and one less while the newcomer may be lost.
+/// * A set of even size drops a member that has been suspected for that long, for the same reason.
 pub fn next_members(
     current: &AcceptorSet,
     suspicions: &Suspicions,
     joiners: &[Member],
 ) -> Option<Vec<Member>> {
+    if !can_decide(current, suspicions, joiners) {
+        return None;
+    }
     let mut members = current.members.clone();
     let mut suspicions = suspicions.clone();
     let newcomers = joiners.iter().filter(|joiner| !current.contains(joiner.id));
-    for joiner in newcomers {
-        place(&mut members, &mut suspicions, *joiner);
+    let waiting: Vec<Member> =
+        newcomers.filter(|joiner| !replaces(&mut members, &mut suspicions, **joiner)).copied().collect();
+    let is_anyone_suspected = members.iter().any(|member| suspicions.contains_key(&member.address));
+    if !is_anyone_suspected {
+        grow(&mut members, &waiting);
     }
-    if members.len() % 2 == 0 {
+    if members.len() % 2 == 0 && members.len() >= DROP_FROM {
         if let Some(index) = longest_suspected(&members, &suspicions) {
             members.remove(index);
         }
@@ -44,17 +54,33 @@
     is_worth_it.then_some(next.members)
 }
 
-fn place(members: &mut Vec<Member>, suspicions: &mut Suspicions, joiner: Member) {
+/// Whether a majority of `current` seems to be there. A proposal that finds none would seal its own acceptor,
+/// and could be decided much later, when its newcomers may be gone.
+fn can_decide(current: &AcceptorSet, suspicions: &Suspicions, joiners: &[Member]) -> bool {
+    let lost_its_disk = |member: &Member| {
+        joiners.iter().any(|joiner| joiner.address == member.address && joiner.id != member.id)
+    };
+    let is_there = |member: &&Member| !suspicions.contains_key(&member.address) && !lost_its_disk(member);
+    current.members.iter().filter(is_there).count() >= current.majority()
+}
+
+/// Puts the joiner in the place of a member that is gone; `false` if there is none.
+fn replaces(members: &mut [Member], suspicions: &mut Suspicions, joiner: Member) -> bool {
     let same_address = members.iter().position(|member| member.address == joiner.address);
-    if let Some(index) = same_address.or_else(|| longest_suspected(members, suspicions)) {
-        suspicions.remove(&members[index].address);
-        members[index] = joiner;
-        return;
-    }
-    let is_anyone_suspected = members.iter().any(|member| suspicions.contains_key(&member.address));
-    if !is_anyone_suspected && members.len() < MAX_MEMBERS {
-        members.push(joiner);
-    }
+    let Some(index) = same_address.or_else(|| longest_suspected(members, suspicions)) else {
+        return false;
+    };
+    suspicions.remove(&members[index].address);
+    members[index] = joiner;
+    true
+}
+
+/// Adds as many of `waiting` as make the size odd.
+fn grow(members: &mut Vec<Member>, waiting: &[Member]) {
+    let room = MAX_MEMBERS.saturating_sub(members.len());
+    let most = waiting.len().min(room);
+    let is_even = (members.len() + most) % 2 == 0;
+    members.extend(&waiting[..most - usize::from(is_even && most > 0)]);
 }
 
 fn longest_suspected(members: &[Member], suspicions: &Suspicions) -> Option<usize> {
--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -16,6 +16,9 @@
 /// Machines outside the set that are remembered as asking to join.
 const MAX_JOINERS: usize = 16;
 
+/// Reachable machines that are remembered as able to tell the present set.
+const MAX_REACHABLE: usize = 16;
+
 /// What an acceptor answered to a proposal.
 enum Reaction {
     Promised(Report),
@@ -40,8 +43,12 @@
             Input::Tick => self.upkeep(now, out),
             Input::PeerReachable { address } => {
                 self.suspected_since.remove(&address);
+                if self.reachable.len() < MAX_REACHABLE {
+                    self.reachable.insert(address);
+                }
             }
             Input::PeerSuspected { address } => {
+                self.reachable.remove(&address);
                 self.suspected_since.entry(address).or_insert(now);
             }
         }
--- a/crates/register/src/upkeep.rs
+++ b/crates/register/src/upkeep.rs
@@ -1,5 +1,6 @@
 //! What a node does by itself as time goes by.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
 use crate::ballot::Ballot;
@@ -16,12 +17,13 @@
 const UPKEEP_MILLIS: Millis = 300;
 
 /// How long a joiner counts after it asked last.
-const JOINER_MILLIS: Millis = 1_500;
+const JOINER_MILLIS: Millis = 1_000;
 
 /// How much longer each further member waits before it proposes the next set.
 const RANK_MILLIS: Millis = 400;
 
-/// How long without an answer of a majority until the seeds are asked for the present set.
+/// How long without an answer of a majority until the seeds and other reachable machines are asked for
+/// the present set.
 const CONTACT_MILLIS: Millis = 2_000;
 
 /// How long the node's own proposals may take.
@@ -49,7 +51,7 @@
         self.confirm_registers(now);
     }
 
-    /// Whether the members known may all be gone, so that only the seeds can tell the present set.
+    /// Whether the members known may all be gone, so that only others can tell the present set.
     fn is_out_of_contact(&self, now: Millis) -> bool {
         let confirmed = self.confirmed_at(now);
         !self.acceptor.is_member() || confirmed.is_none_or(|at| now > at + CONTACT_MILLIS)
@@ -57,9 +59,10 @@
 
     fn ask_for_set(&mut self, out: &mut Vec<Effect>) {
         let epoch = self.acceptor.epoch();
-        let others: Vec<_> = self.seeds.iter().copied().filter(|seed| *seed != self.address).collect();
-        for seed in others {
-            self.send(seed, RegisterMessage::Behind { epoch }, out);
+        let mut others: BTreeSet<SocketAddrV4> = self.seeds.iter().chain(&self.reachable).copied().collect();
+        others.remove(&self.address);
+        for to in others {
+            self.send(to, RegisterMessage::Behind { epoch }, out);
         }
     }
 
