--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -3,8 +3,9 @@
 //! The acceptor changes its state in memory and marks the slots that differ from the disk. Its answers leave
 //! only when the disk holds what they tell ([`crate::durability`]).
 //!
-//! Accepting a value of [`RegisterKey::Members`] seals the acceptor: it takes part in no other round of the
-//! epoch any more. Knowing a newer decided set seals it as well.
+//! Knowing a newer decided set seals the acceptor: it takes part in no round of the older epoch any more, and
+//! only then gives its registers to members of the newer set. Having accepted a next set that may never be
+//! decided seals nothing, so a change of sets that gets stuck holds no caller up.
 
 use std::collections::BTreeSet;
 
@@ -107,13 +108,13 @@
         self.state.registers[key.index()].promised
     }
 
-    /// Whether it takes part in the newest epoch known, or is sealed in it.
+    /// Whether it takes part in the newest epoch known.
     pub fn is_installed(&self) -> bool {
         self.state.data_epoch.is_some() && self.state.data_epoch == self.known().map(|known| known.set.epoch)
     }
 
-    /// Whether it has accepted a next set in this epoch.
-    pub fn is_sealed(&self) -> bool {
+    /// Whether it has accepted a next set that it does not know to be decided.
+    pub fn has_open_next_set(&self) -> bool {
         self.accepted(RegisterKey::Members).is_some()
     }
 
@@ -140,9 +141,6 @@
         if call.to != self.id() || !self.is_installed() {
             return None;
         }
-        if self.is_sealed() && call.key != RegisterKey::Members {
-            return Some(self.refusal(call, Refusal::Sealed));
-        }
         match kind {
             CallKind::Prepare { held } => Some(self.prepare(call, held)),
             CallKind::Accept { value } => Some(self.accept(call, value)),
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -3,7 +3,7 @@
 //! A small fixed set of registers ([`RegisterKey`]) is kept by a group of acceptors. A change runs in two
 //! rounds at a majority, in the manner of CASPaxos: the first round learns the newest accepted value, a
 //! function of the caller decides what follows it, the second round has it accepted. The acceptor set is
-//! replaceable: set `e + 1` is decided by the acceptors of set `e`, which seals them ([`set`], [`acceptor`],
+//! replaceable: set `e + 1` is decided by the acceptors of set `e`, which are sealed by knowing it ([`set`], [`acceptor`],
 //! [`transfer`]).
 //!
 //! Everything here is a state machine. [`RegisterNode::step`] takes an [`Input`] with the time of a
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -44,11 +44,8 @@
     /// It promised a higher ballot.
     #[deku(id = 0)]
     Promised(Ballot),
-    /// It accepted a next set and is sealed in this epoch.
-    #[deku(id = 1)]
-    Sealed,
     /// The value was left out and the acceptor does not hold it.
-    #[deku(id = 2)]
+    #[deku(id = 1)]
     ValueMissing,
 }
 
@@ -128,7 +125,7 @@
     pub from: AcceptorId,
     /// The newest epoch it knows, [`NO_EPOCH`] if none.
     pub epoch: u32,
-    /// 1 if the sender takes part in `epoch` as an unsealed acceptor.
+    /// 1 if the sender takes part in `epoch`.
     pub active: u8,
     /// Names this digest among those of its sender.
     pub stamp: u64,
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -121,7 +121,6 @@
     pub(crate) reachable: BTreeSet<SocketAddrV4>,
     pub(crate) local: VecDeque<RegisterMessage>,
     pub(crate) upkeep_at: Millis,
-    pub(crate) sealed_seen: bool,
     pub(crate) wants_next_set_since: Option<Millis>,
 }
 
@@ -164,7 +163,6 @@
             reachable: BTreeSet::new(),
             local: VecDeque::new(),
             upkeep_at: 0,
-            sealed_seen: false,
             wants_next_set_since: None,
         }
     }
@@ -192,7 +190,7 @@
 
     /// Whether this machine's acceptor takes part in the newest set known.
     pub fn is_active(&self) -> bool {
-        self.acceptor.is_installed() && !self.acceptor.is_sealed()
+        self.acceptor.is_installed()
     }
 
     /// The newest time such that digests sent then or later were answered by a majority of the acceptors:
--- a/crates/register/src/rules.rs
+++ b/crates/register/src/rules.rs
@@ -54,8 +54,8 @@
     is_worth_it.then_some(next.members)
 }
 
-/// Whether a majority of `current` seems to be there. A proposal that finds none would seal its own acceptor,
-/// and could be decided much later, when its newcomers may be gone.
+/// Whether a majority of `current` seems to be there. A proposal that is accepted by too few could be
+/// decided much later, when its newcomers may be gone.
 fn can_decide(current: &AcceptorSet, suspicions: &Suspicions, joiners: &[Member]) -> bool {
     let lost_its_disk = |member: &Member| {
         joiners.iter().any(|joiner| joiner.address == member.address && joiner.id != member.id)
--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -95,8 +95,7 @@
             }
             RegisterMessage::Accepted { reply } => self.react(now, reply, Reaction::Accepted, out),
             RegisterMessage::Refused { reply, refusal } => {
-                self.sealed_seen |= refusal == Refusal::Sealed;
-                self.react(now, reply, Reaction::Refused(refusal), out);
+                self.react(now, reply, Reaction::Refused(refusal), out)
             }
             RegisterMessage::Set { known } => self.adopt(now, known, out),
             RegisterMessage::Behind { epoch } => self.send_set(from, epoch, out),
@@ -252,7 +251,6 @@
         if known.set.members.is_empty() || !self.acceptor.adopt(known.clone()) {
             return;
         }
-        self.sealed_seen = false;
         self.wants_next_set_since = None;
         self.transfer = Transfer::default();
         self.running.retain(|running| running.purpose != Purpose::NextSet);
--- a/crates/register/src/upkeep.rs
+++ b/crates/register/src/upkeep.rs
@@ -113,7 +113,7 @@
             return;
         }
         let next = self.next_set(now);
-        if next.is_none() && !self.sealed_seen && !self.acceptor.is_sealed() {
+        if next.is_none() && !self.acceptor.has_open_next_set() {
             self.wants_next_set_since = None;
             return;
         }
@@ -122,7 +122,6 @@
             return;
         }
         self.wants_next_set_since = None;
-        self.sealed_seen = false;
         let work = Work::NextSet(next.map(|set| set.to_value()));
         let proposal = Proposal::new(RegisterKey::Members, work, now + OWN_DEADLINE_MILLIS);
         self.start(Purpose::NextSet, proposal);
