--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -1,6 +1,6 @@
 //! One machine of the group: acceptor, proposer, learner and replacement together.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 
 use quick_error::quick_error;
@@ -118,9 +118,9 @@
     pub(crate) last_round: [u64; RegisterKey::COUNT],
     pub(crate) joiners: BTreeMap<SocketAddrV4, Joiner>,
     pub(crate) suspected_since: BTreeMap<SocketAddrV4, Millis>,
+    pub(crate) reachable: BTreeSet<SocketAddrV4>,
     pub(crate) local: VecDeque<RegisterMessage>,
     pub(crate) upkeep_at: Millis,
-    pub(crate) sealed_seen: bool,
     pub(crate) wants_next_set_since: Option<Millis>,
 }
 
@@ -160,9 +160,9 @@
             last_round: [0; RegisterKey::COUNT],
             joiners: BTreeMap::new(),
             suspected_since: BTreeMap::new(),
+            reachable: BTreeSet::new(),
             local: VecDeque::new(),
             upkeep_at: 0,
-            sealed_seen: false,
             wants_next_set_since: None,
         }
     }
@@ -190,7 +190,7 @@
 
     /// Whether this machine's acceptor takes part in the newest set known.
     pub fn is_active(&self) -> bool {
-        self.acceptor.is_installed() && !self.acceptor.is_sealed()
+        self.acceptor.is_installed()
     }
 
     /// The newest time such that digests sent then or later were answered by a majority of the acceptors:
--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -16,6 +16,9 @@
 /// Machines outside the set that are remembered as asking to join.
 const MAX_JOINERS: usize = 16;
 
+/// Reachable machines that are remembered as able to tell the present set.
+const MAX_REACHABLE: usize = 16;
+
 /// What an acceptor answered to a proposal.
 enum Reaction {
     Promised(Report),
@@ -40,8 +43,12 @@
             Input::Tick => self.upkeep(now, out),
             Input::PeerReachable { address } => {
                 self.suspected_since.remove(&address);
+                if self.reachable.len() < MAX_REACHABLE {
+                    self.reachable.insert(address);
+                }
             }
             Input::PeerSuspected { address } => {
+                self.reachable.remove(&address);
                 self.suspected_since.entry(address).or_insert(now);
             }
         }
@@ -88,8 +95,7 @@
             }
             RegisterMessage::Accepted { reply } => self.react(now, reply, Reaction::Accepted, out),
             RegisterMessage::Refused { reply, refusal } => {
-                self.sealed_seen |= refusal == Refusal::Sealed;
-                self.react(now, reply, Reaction::Refused(refusal), out);
+                self.react(now, reply, Reaction::Refused(refusal), out)
             }
             RegisterMessage::Set { known } => self.adopt(now, known, out),
             RegisterMessage::Behind { epoch } => self.send_set(from, epoch, out),
@@ -245,7 +251,6 @@
         if known.set.members.is_empty() || !self.acceptor.adopt(known.clone()) {
             return;
         }
-        self.sealed_seen = false;
         self.wants_next_set_since = None;
         self.transfer = Transfer::default();
         self.running.retain(|running| running.purpose != Purpose::NextSet);
