--- /dev/null
+++ b/crates/dispatch/src/call.rs
@@ -0,0 +1,244 @@
+//! One client's request on its way: what was sent, what is proven, what may still be sent.
+
+use evidence::Ms;
+use prefix_index::{PartKey, ReplicaNumber};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What may be repeated on a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+pub enum Kind {
+    /// May run more than once.
+    ReadOnly,
+    /// May run at most once.
+    Writing,
+    /// Answers with events; as writing, unless it may be resumed.
+    Streaming,
+}
+
+/// What a route allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rules {
+    /// What may be repeated.
+    pub kind: Kind,
+    /// A stream may go on at another replica.
+    pub can_resume: bool,
+    /// Most replicas that a request may be sent to.
+    pub tries: u32,
+}
+
+impl Rules {
+    /// Whether a request that may have run may be sent again.
+    pub fn is_idempotent(&self) -> bool {
+        match self.kind {
+            Kind::ReadOnly => true,
+            Kind::Writing => false,
+            Kind::Streaming => self.can_resume,
+        }
+    }
+}
+
+/// The tenant of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TenantName {
+    /// Its name.
+    pub name: Rc<str>,
+    /// It shares no part of a prompt with others.
+    pub is_isolated: bool,
+}
+
+/// A request to be dispatched.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The service of its route.
+    pub service: Rc<str>,
+    /// What its route allows.
+    pub rules: Rules,
+    /// `Model`, if it names one.
+    pub model: Option<String>,
+    /// `Prompt-Prefix`, if it has one.
+    pub prompt: Option<String>,
+    /// Its tenant, if it has one.
+    pub tenant: Option<TenantName>,
+    /// When it is given up.
+    pub deadline: Ms,
+}
+
+/// Where and how to send a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Target {
+    /// The replica.
+    pub replica: ReplicaNumber,
+    /// Its id, for `Expected-Node`.
+    pub id: Rc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// `Expect-Version`, for requests that name a model.
+    pub version: Option<u64>,
+    /// `Cache-Salt`, for requests that name a model.
+    pub salt: Option<String>,
+}
+
+/// How a send ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// No byte of the request was written.
+    Unreached,
+    /// The replica proved that the request has not run and won't: it is full or can't take it.
+    Full {
+        /// When to come back, if it told, ms.
+        retry_after: Option<Ms>,
+    },
+    /// Proof as well: another replica has the address.
+    Elsewhere,
+    /// Proof as well: its weights are of another version.
+    OtherVersion,
+    /// The connection broke, or what came is no answer to this request.
+    Broken,
+    /// Nothing whole came by the deadline.
+    Expired,
+    /// A sound answer that the replica failed; the request counts as run.
+    Failed,
+    /// A sound answer.
+    Answered,
+    /// The client has left, or a twin won.
+    Abandoned,
+}
+
+impl Outcome {
+    /// Whether it is certain that the request neither ran nor will.
+    fn is_proof(self) -> bool {
+        matches!(self, Outcome::Unreached | Outcome::Full { .. } | Outcome::Elsewhere | Outcome::OtherVersion)
+    }
+}
+
+/// What follows the end of a send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Next {
+    /// Send again: [`crate::Dispatcher::send`] tells where.
+    Repeat,
+    /// Pass the replica's answer on.
+    PassOn,
+    /// Give the final answer.
+    Answer(Final),
+    /// Nothing: another send of the same call is out.
+    Wait,
+}
+
+/// Why a request was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Cause {
+    /// The service has no replica that is ready.
+    NoReplica,
+    /// All replicas are full.
+    AllFull,
+    /// No replica has the weights yet that the request must run on.
+    NoWeights,
+    /// It was sent as often as its route allows.
+    NoTries,
+    /// The retry budget is spent.
+    NoBudget,
+    /// No replica could be reached.
+    Unreached,
+    /// It may have run and may not be repeated.
+    InDoubt,
+    /// Its time is over.
+    Expired,
+}
+
+/// The final answer of a request that was given up.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Final {
+    /// The status.
+    pub status: u16,
+    /// `Retry-After`, ms: only where the request has not run and won't.
+    pub retry_after: Option<Ms>,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// A send that is out.
+#[derive(Debug, Clone)]
+pub(crate) struct Out {
+    pub replica: ReplicaNumber,
+    pub at: Ms,
+    /// Prompt tokens that the replica did not keep.
+    pub unread: f64,
+    /// Counted among the tokens that the replica has yet to read.
+    pub is_pending: bool,
+    pub parts: Vec<PartKey>,
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Call {
+    pub(crate) ask: Ask,
+    /// Replicas that it was sent to, or that could not be reached.
+    pub(crate) tried: Vec<ReplicaNumber>,
+    /// Sends that counted, so far.
+    pub(crate) sends: u32,
+    /// Replicas that could not be reached.
+    pub(crate) unreached: u32,
+    /// Some send may have run.
+    pub(crate) is_in_doubt: bool,
+    /// When a replica that was full wants it back, ms from its answer.
+    pub(crate) retry_after: Option<Ms>,
+    pub(crate) out: Vec<Out>,
+}
+
+impl Call {
+    pub(crate) fn new(ask: Ask) -> Call {
+        Call {
+            ask,
+            tried: Vec::new(),
+            sends: 0,
+            unreached: 0,
+            is_in_doubt: false,
+            retry_after: None,
+            out: Vec::new(),
+        }
+    }
+
+    /// What it asks.
+    pub fn ask(&self) -> &Ask {
+        &self.ask
+    }
+
+    /// Whether a send may have run without an answer.
+    pub fn is_in_doubt(&self) -> bool {
+        self.is_in_doubt
+    }
+
+    /// Sends so far that reached a replica or may have.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Notes how a send ended.
+    pub(crate) fn note(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Unreached => {
+                self.sends = self.sends.saturating_sub(1);
+                self.unreached += 1;
+            }
+            Outcome::Full { retry_after } => self.retry_after = retry_after.or(self.retry_after),
+            _ => {}
+        }
+        self.is_in_doubt |= !outcome.is_proof();
+    }
+
+    /// Whether what has happened so far forbids another send.
+    pub(crate) fn is_unrepeatable(&self) -> bool {
+        self.is_in_doubt && !self.ask.rules.is_idempotent()
+    }
+
+    /// The answer when all is given up.
+    pub(crate) fn give_up(&self, cause: Cause, retry_after: Ms) -> Final {
+        match cause {
+            Cause::Expired if self.is_in_doubt => Final { status: 504, retry_after: None, cause },
+            _ if self.is_in_doubt => Final { status: 502, retry_after: None, cause },
+            _ => Final { status: 503, retry_after: Some(self.retry_after.unwrap_or(retry_after)), cause },
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/choose.rs
@@ -0,0 +1,73 @@
+//! The choice of a replica: the longest start kept, then the fewest calls out, unless reading the start again
+//! elsewhere costs less than waiting.
+
+use evidence::Ms;
+use prefix_index::ReplicaNumber;
+use rand::rngs::SmallRng;
+use rand::Rng;
+
+/// How much cheaper another replica must be before it is taken over one that keeps the longest start, ms.
+const SWITCH_MARGIN: Ms = 20.0;
+
+/// Prompt tokens that a replica reads in a ms.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct ReadRate(pub f64);
+
+/// A replica that may get the request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// The replica.
+    pub replica: ReplicaNumber,
+    /// This proxy's calls that are out there.
+    pub out: u32,
+    /// Tokens of the prompt's start that it keeps.
+    pub kept: u32,
+    /// How long the request would wait there before its prompt is read, ms.
+    pub wait: Ms,
+}
+
+impl Candidate {
+    /// The time until the prompt is read there, ms.
+    fn cost(&self, prompt_tokens: u32, rate: ReadRate) -> Ms {
+        self.wait + f64::from(prompt_tokens.saturating_sub(self.kept)) / rate.0
+    }
+}
+
+/// Picks one of `candidates`; `None` if there are none. Among those that keep the longest start, the one with the
+/// fewest calls out, ties at random; if some other replica is cheaper by a margin, the cheapest.
+pub fn pick(
+    candidates: &[Candidate],
+    prompt_tokens: u32,
+    rate: ReadRate,
+    random: &mut SmallRng,
+) -> Option<Candidate> {
+    let longest = candidates.iter().map(|candidate| candidate.kept).max()?;
+    let keeping = candidates.iter().filter(|candidate| candidate.kept == longest);
+    let first = least_by(keeping, |candidate| f64::from(candidate.out), random)?;
+    let cheapest = least_by(candidates.iter(), |candidate| candidate.cost(prompt_tokens, rate), random)?;
+    let saved = first.cost(prompt_tokens, rate) - cheapest.cost(prompt_tokens, rate);
+    Some(if saved > SWITCH_MARGIN { cheapest } else { first })
+}
+
+/// The candidate with the least value, ties at random.
+fn least_by<'a>(
+    candidates: impl Iterator<Item = &'a Candidate>,
+    value: impl Fn(&Candidate) -> f64,
+    random: &mut SmallRng,
+) -> Option<Candidate> {
+    let mut least: Option<(f64, Candidate)> = None;
+    let mut ties = 0;
+    for candidate in candidates {
+        let this = value(candidate);
+        match least {
+            Some((known, _)) if this > known => continue,
+            Some((known, _)) if this == known => ties += 1,
+            _ => ties = 1,
+        }
+        // Each of n that tie is kept with probability 1/n.
+        if ties == 1 || random.random_range(0..ties) == 0 {
+            least = Some((this, *candidate));
+        }
+    }
+    least.map(|(_, candidate)| candidate)
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,29 @@
+//! The design on the ordinary path: a request goes whole to one replica of its route's service; candidates are the
+//! ready replicas that keep the longest start of its prompt; a first send takes the candidate with the fewest of this
+//! proxy's calls out. What may be sent again, and what the client is told when all is given up, is decided here.
+//!
+//! No I/O, no clock, no randomness of its own: the time and the generator's seed are handed in.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod budget;
+mod call;
+mod choose;
+mod dispatcher;
+mod health;
+mod replica;
+mod salt;
+mod speed;
+mod weights;
+
+pub use budget::{BudgetLimits, RetryBudget};
+pub use call::{Ask, Call, Cause, Final, Kind, Next, Outcome, Rules, Target, TenantName};
+pub use choose::{pick, Candidate, ReadRate};
+pub use dispatcher::{Bounds, Dispatcher};
+pub use evidence::Ms;
+pub use health::Health;
+pub use prefix_index::ReplicaNumber;
+pub use replica::{ModelVersion, ReplicaRecord, ReplicaState};
+pub use salt::{isolation_digest, Salts};
+pub use weights::Weights;
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -87,6 +87,6 @@
 /// The id that an event carries.
 fn event_id(event: &[u8]) -> Option<&str> {
     let lines = event.split(|byte| *byte == b'\n');
-    let values = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    values.last().and_then(|value| std::str::from_utf8(value.trim_ascii()).ok())
+    let mut values = lines.rev().filter_map(|line| line.strip_prefix(b"id:"));
+    values.next().and_then(|value| std::str::from_utf8(value.trim_ascii()).ok())
 }
