dispatch and prefix-index take replicas and part names from the inner protocol

Cause: the peer crate has come with its own records and part keys; two of each would be written twice. Change: ReplicaRecord, ReplicaState and part_key are peer's; what a route allows is two plain fields.

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -2,42 +2,18 @@
 
 use evidence::Ms;
 use prefix_index::{PartKey, ReplicaNumber};
-use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-/// What may be repeated on a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-pub enum Kind {
-    /// May run more than once.
-    ReadOnly,
-    /// May run at most once.
-    Writing,
-    /// Answers with events; as writing, unless it may be resumed.
-    Streaming,
-}
-
 /// What a route allows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rules {
-    /// What may be repeated.
-    pub kind: Kind,
-    /// A stream may go on at another replica.
-    pub can_resume: bool,
+    /// A request that may have run may be sent again.
+    pub is_idempotent: bool,
     /// Most replicas that a request may be sent to.
     pub tries: u32,
 }
 
-impl Rules {
-    /// Whether a request that may have run may be sent again.
-    pub fn is_idempotent(&self) -> bool {
-        match self.kind {
-            Kind::ReadOnly => true,
-            Kind::Writing => false,
-            Kind::Streaming => self.can_resume,
-        }
-    }
-}
-
 /// The tenant of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TenantName {
@@ -72,7 +48,7 @@
     /// Its id, for `Expected-Node`.
     pub id: Rc<str>,
     /// Its address.
-    pub address: SocketAddr,
+    pub address: SocketAddrV4,
     /// `Expect-Version`, for requests that name a model.
     pub version: Option<u64>,
     /// `Cache-Salt`, for requests that name a model.
@@ -230,7 +206,7 @@
 
     /// Whether what has happened so far forbids another send.
     pub(crate) fn is_unrepeatable(&self) -> bool {
-        self.is_in_doubt && !self.ask.rules.is_idempotent()
+        self.is_in_doubt && !self.ask.rules.is_idempotent
     }
 
     /// The answer when all is given up.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,11 +3,12 @@
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::call::{Ask, Call, Cause, Final, Next, Out, Outcome, Target};
 use crate::choose::{pick, Candidate};
-use crate::replica::{Replica, ReplicaRecord, ReplicaState};
+use crate::replica::Replica;
 use crate::salt::Salts;
 use crate::speed::Speed;
 use crate::weights::Weights;
 use evidence::Ms;
+use peer::{ReplicaRecord, ReplicaState};
 use prefix_index::{Kept, Part, PrefixIndex, ReplicaNumber, Source};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -99,7 +100,8 @@
 
     /// Takes news of a replica.
     pub fn update_replica(&mut self, record: ReplicaRecord) {
-        if let Some(number) = self.numbers.get(&record.id).copied() {
+        let id = record.id.as_str();
+        if let Some(number) = self.numbers.get(id).copied() {
             if record.state == ReplicaState::Gone {
                 return self.remove(number);
             }
@@ -112,10 +114,12 @@
             return;
         }
         let number = ReplicaNumber(self.next_number);
+        let (id, service) = (id.to_string(), record.service.to_string());
+        let Some(replica) = Replica::new(number, record) else { return };
         self.next_number += 1;
-        self.numbers.insert(record.id.clone(), number);
-        self.services.entry(record.service.clone()).or_default().replicas.push(number);
-        self.replicas.insert(number, Replica::new(number, record));
+        self.numbers.insert(id, number);
+        self.services.entry(service).or_default().replicas.push(number);
+        self.replicas.insert(number, replica);
     }
 
     /// Forgets replicas that `keep` does not name.
@@ -129,8 +133,8 @@
 
     fn remove(&mut self, number: ReplicaNumber) {
         let Some(replica) = self.replicas.remove(&number) else { return };
-        self.numbers.remove(&replica.record.id);
-        if let Some(service) = self.services.get_mut(&replica.record.service) {
+        self.numbers.remove(&*replica.id);
+        if let Some(service) = self.services.get_mut(replica.record.service.as_str()) {
             service.replicas.retain(|known| *known != number);
         }
         self.index.forget(number);
@@ -228,7 +232,7 @@
         let replica = self.replicas.get_mut(&number).expect("a candidate is known");
         replica.out += 1;
         replica.pending_tokens += unread;
-        Target { replica: number, id: replica.id.clone(), address: replica.record.address, version, salt }
+        Target { replica: number, id: replica.id.clone(), address: replica.address, version, salt }
     }
 
     /// The version that a request for a model should expect at a replica.
@@ -310,7 +314,7 @@
         let others = if self.proxies == FIRST_PROXIES { 0.0 } else { others };
         let candidate = |(number, kept): (&ReplicaNumber, &u32)| {
             let replica = &self.replicas[number];
-            let slots = f64::from(replica.record.slots.max(1));
+            let slots = f64::from(replica.record.free_slots.max(1));
             let queued = (f64::from(replica.out) + others - slots).max(0.0);
             let wait = replica.pending_tokens / speed.rate().0
                 + queued / slots * speed.duration()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,12 +18,11 @@
 mod weights;
 
 pub use budget::{BudgetLimits, RetryBudget};
-pub use call::{Ask, Call, Cause, Final, Kind, Next, Outcome, Rules, Target, TenantName};
+pub use call::{Ask, Call, Cause, Final, Next, Outcome, Rules, Target, TenantName};
 pub use choose::{pick, Candidate, ReadRate};
 pub use dispatcher::{Bounds, Dispatcher};
 pub use evidence::Ms;
 pub use health::Health;
 pub use prefix_index::ReplicaNumber;
-pub use replica::{ModelVersion, ReplicaRecord, ReplicaState};
 pub use salt::{isolation_digest, Salts};
 pub use weights::Weights;
--- a/crates/prefix-index/src/part.rs
+++ b/crates/prefix-index/src/part.rs
@@ -1,23 +1,17 @@
 //! Parts of prompts and their keys.
 
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
-
 /// Most parts of a prompt that are looked at.
 const MOST_PARTS: usize = 64;
 
-/// A part's id under its salt and model, as a hash. Two parts with one key cost a wrong guess, nothing more.
+/// A part under its salt and model, as the fleet names it ([`peer::part_key`]). Two parts with one key cost a wrong
+/// guess, nothing more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct PartKey(u64);
+pub struct PartKey(pub u64);
 
 impl PartKey {
     /// The key of the part `id` (hexadecimal, as in `Prompt-Prefix`) kept under this salt and model.
     pub fn new(salt: &str, model: &str, id: &str) -> PartKey {
-        let mut hasher = DefaultHasher::new();
-        salt.hash(&mut hasher);
-        model.hash(&mut hasher);
-        id.trim_start_matches('0').hash(&mut hasher);
-        PartKey(hasher.finish())
+        PartKey(peer::part_key(model, salt, id))
     }
 }
 
