--- /dev/null
+++ b/crates/dispatch/src/replica.rs
@@ -0,0 +1,75 @@
+//! Replicas as the fleet tells of them, with this proxy's record of calls.
+
+use crate::health::Health;
+use evidence::Ms;
+use peer::{ModelVersion, ReplicaRecord, ReplicaState};
+use prefix_index::ReplicaNumber;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// A replica and this proxy's calls to it.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub number: ReplicaNumber,
+    pub id: Rc<str>,
+    pub address: SocketAddrV4,
+    pub record: ReplicaRecord,
+    pub health: Health,
+    /// Calls of this proxy that are out.
+    pub out: u32,
+    /// Prompt tokens of calls out that have not begun to answer.
+    pub pending_tokens: f64,
+    /// Versions of models that answers told of, later than the record.
+    heard: Vec<(String, u64)>,
+}
+
+impl Replica {
+    /// `None` if the record holds no address.
+    pub fn new(number: ReplicaNumber, record: ReplicaRecord) -> Option<Replica> {
+        let id = Rc::from(record.id.as_str());
+        let address = record.address.socket()?;
+        let health = Health::default();
+        Some(Replica { number, id, address, record, health, out: 0, pending_tokens: 0.0, heard: Vec::new() })
+    }
+
+    /// Takes a later record of the same life.
+    pub fn update(&mut self, record: ReplicaRecord) {
+        if !record.supersedes(&self.record) {
+            return;
+        }
+        if record.beat > self.record.beat {
+            // What answers told stands while the beat tells less: a beat is older than it looks.
+            self.heard.retain(|(model, heard)| told(&record, model).is_some_and(|told| told < *heard));
+        }
+        self.record = record;
+    }
+
+    /// An answer told the version of a model.
+    pub fn hear_version(&mut self, model: &str, version: u64) {
+        match self.heard.iter_mut().find(|(known, _)| known == model) {
+            Some((_, heard)) => *heard = version,
+            None => self.heard.push((model.to_string(), version)),
+        }
+    }
+
+    /// The version of a model's weights here, as far as is known.
+    pub fn version(&self, model: &str) -> Option<u64> {
+        let heard = self.heard.iter().find(|(known, _)| known == model).map(|(_, version)| *version);
+        heard.or_else(|| told(&self.record, model))
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.record.state == ReplicaState::Ready
+    }
+
+    /// Whether requests may go there as far as evidence tells.
+    pub fn is_well(&self, now: Ms) -> bool {
+        !self.health.is_avoided(now)
+    }
+}
+
+/// The version of a model's weights that a record tells.
+fn told(record: &ReplicaRecord, model: &str) -> Option<u64> {
+    let known: Option<&ModelVersion> = record.models.iter().find(|known| known.name.as_str() == model);
+    known.map(|known| known.version)
+}
