crates/proxy: the whole request path, against stand-in replicas and agent

Cause: the fleet needs its data plane: clients' requests to one replica each, answers back, on the agent's view. Change: one thread, a task a connection; plans, heads, passages and the phases of life are decided without I/O. Writing requests in doubt end 502 or 504 without a second send; refusals with proof go elsewhere within tries and budget; streams pass event by event and go on at another replica where the route allows it; SIGTERM answers what was read. Left: bodies of requests are held whole, within a bound on memory; twins are not sent yet.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,8 +8,8 @@
 use crate::speed::Speed;
 use crate::weights::Weights;
 use evidence::Ms;
-use peer::{ReplicaRecord, ReplicaState};
-use prefix_index::{Kept, Part, PrefixIndex, ReplicaNumber, Source};
+use peer::{Prefixes, ReplicaRecord, ReplicaState};
+use prefix_index::{Kept, Part, PartKey, PrefixIndex, ReplicaNumber, Source};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::collections::HashMap;
@@ -145,9 +145,19 @@
         self.numbers.get(id).copied()
     }
 
-    /// The index of kept parts, for the news that comes of it.
-    pub fn index(&mut self) -> &mut PrefixIndex {
-        &mut self.index
+    /// Takes news of what a replica keeps.
+    pub fn take_prefixes(&mut self, replica: ReplicaNumber, news: &Prefixes) {
+        if news.reset != 0 {
+            self.index.forget(replica);
+        }
+        self.index.epoch(replica, news.epoch);
+        for change in &news.changes {
+            let part = PartKey(change.part);
+            match change.tokens {
+                0 => self.index.drop_part(replica, part),
+                tokens => self.index.keep(replica, part, tokens, Source::Reported),
+            }
+        }
     }
 
     /// Replicas that take requests, of all services.
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -12,11 +12,18 @@
     last_id: Option<String>,
     /// Whole events that have come.
     count: u64,
+    /// The id that the next event must have: the stream was taken up anew.
+    must_be: Option<u64>,
 }
 
-/// An event grew past the limit: the stream can't be cut into events.
+/// Why a stream can't be cut into events, or not be joined to the one before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EventTooLong;
+pub enum EventError {
+    /// An event grew past the limit.
+    TooLong,
+    /// The stream does not go on with the event that is due.
+    NotNext,
+}
 
 impl Events {
     /// A stream that goes on after the event with this id.
@@ -27,14 +34,18 @@
     /// Takes bytes in and appends the events that are whole now.
     ///
     /// # Errors
-    /// Tells that an event is longer than is held.
-    pub fn read(&mut self, data: &[u8], whole: &mut Vec<u8>) -> Result<(), EventTooLong> {
+    /// Tells that an event is longer than is held, or not the one that is due.
+    pub fn read(&mut self, data: &[u8], whole: &mut Vec<u8>) -> Result<(), EventError> {
         let searched = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(data);
         let mut start = 0;
         let mut from = searched;
         while let Some(end) = event_end(&self.partial, from) {
             if let Some(id) = event_id(&self.partial[start..end]) {
+                let must_be = self.must_be.take();
+                if must_be.is_some_and(|due| id.parse() != Ok(due)) {
+                    return Err(EventError::NotNext);
+                }
                 self.last_id = Some(id.to_string());
             }
             self.count += 1;
@@ -43,7 +54,7 @@
         whole.extend_from_slice(&self.partial[..start]);
         self.partial.drain(..start);
         if self.partial.len() > EVENT_LIMIT {
-            return Err(EventTooLong);
+            return Err(EventError::TooLong);
         }
         Ok(())
     }
@@ -63,9 +74,16 @@
         !self.partial.is_empty()
     }
 
-    /// Forgets the part of an event that has come: its stream broke off.
-    pub fn drop_partial(&mut self) {
+    /// The stream broke off and another one goes on after the last whole event: forgets the part of an event that has
+    /// come. Where ids are numbers, the next must be one more than the last.
+    pub fn resume(&mut self) {
         self.partial.clear();
+        self.must_be = self.last_id.as_ref().and_then(|id| id.parse().ok()).map(|last: u64| last + 1);
+    }
+
+    /// The bytes behind the last whole event: the stream ended with them.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.partial)
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,6 @@
 mod message;
 
 pub use body::{BodyReader, BodyWriter};
-pub use events::{EventTooLong, Events};
+pub use events::{EventError, Events};
 pub use head::{HeadError, Lines, RequestHead, ResponseFraming, ResponseHead};
 pub use message::*;
--- a/crates/http/tests/bodies.rs
+++ b/crates/http/tests/bodies.rs
@@ -1,6 +1,6 @@
 //! Bodies and event streams that come in pieces of any size.
 
-use http::{BodyReader, BodyWriter, EventTooLong, Events, Framing};
+use http::{BodyReader, BodyWriter, EventError, Events, Framing};
 use quickcheck::{Gen, QuickCheck};
 use rstest::rstest;
 
@@ -81,8 +81,10 @@
         }
         assert_eq!(whole, &stream.as_bytes()[..whole_part], "pieces of {size}");
         assert_eq!((events.last_id(), events.count(), events.has_partial()), (Some("2"), 2, true));
-        events.drop_partial();
-        assert!(!events.has_partial());
+        assert_eq!(
+            events.take_rest(),
+            b"id: 3".iter().chain(end.as_bytes()).chain(b"data: d").copied().collect::<Vec<u8>>()
+        );
     }
 }
 
@@ -90,5 +92,22 @@
 fn an_event_without_end_is_not_held_for_ever() {
     let (mut events, mut whole) = (Events::default(), Vec::new());
     let read = (0..1000).try_for_each(|_| events.read(&[b'x'; 1000], &mut whole));
-    assert_eq!(read, Err(EventTooLong));
+    assert_eq!(read, Err(EventError::TooLong));
+}
+
+#[rstest]
+#[case::next("id: 3\n\n", Ok(()))]
+#[case::comment_first(": again\n\nid: 3\n\nid: 9\n\n", Ok(()))]
+#[case::twice("id: 2\n\n", Err(EventError::NotNext))]
+#[case::missing("id: 4\n\n", Err(EventError::NotNext))]
+fn a_stream_taken_up_goes_on_with_the_event_that_is_due(
+    #[case] more: &str,
+    #[case] expected: Result<(), EventError>,
+) {
+    let (mut events, mut whole) = (Events::default(), Vec::new());
+    events.read(b"id: 1\n\nid: 2\n\nid: 3\ndata: cut o", &mut whole).expect("sound");
+    events.resume();
+    whole.clear();
+    assert_eq!(events.read(more.as_bytes(), &mut whole), expected);
+    assert_eq!(whole, if expected.is_ok() { more } else { "" }.as_bytes());
 }
--- /dev/null
+++ b/crates/proxy/src/event.rs
@@ -0,0 +1,86 @@
+//! The numbered events that the proxy logs; `docs/events.md` is their catalogue.
+
+use std::cell::Cell;
+use std::fmt::Arguments;
+
+/// What happened; the number is the event's in the catalogue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u16)]
+pub enum Event {
+    /// It listens.
+    Listening = 1000,
+    /// It is linked to its agent.
+    AgentLinked = 1010,
+    /// The link to its agent broke.
+    AgentLost = 1011,
+    /// A message of its agent can't be used.
+    AgentMessage = 1012,
+    /// A configuration is in force.
+    Configured = 1020,
+    /// A configuration can't be used.
+    ConfigurationUnusable = 1021,
+    /// A client's connection can't be taken.
+    AcceptFailed = 1030,
+    /// A client's request is no sound HTTP.
+    ClientMalformed = 1031,
+    /// A request was given up.
+    GivenUp = 1100,
+    /// An answer was cut off.
+    CutOff = 1101,
+    /// A replica could not be reached.
+    Unreached = 1102,
+    /// A replica's answer is no answer to its request.
+    BadAnswer = 1103,
+    /// A stream went on at another replica.
+    Resumed = 1104,
+    /// It was told to end.
+    Ending = 1200,
+    /// It has ended.
+    Ended = 1201,
+    /// The settings were read anew.
+    SettingsRead = 1210,
+    /// The settings can't be read anew.
+    SettingsUnusable = 1211,
+}
+
+impl Event {
+    /// The number in the catalogue.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Logs the event as part of ordinary work.
+    pub fn info(self, what: Arguments) {
+        log::info!("{} {self}: {what}", self.number());
+    }
+
+    /// Logs the event as one that somebody should look at.
+    pub fn warn(self, what: Arguments) {
+        log::warn!("{} {self}: {what}", self.number());
+    }
+}
+
+/// Most events of requests logged in a second: a fleet in trouble must not spend its time on logs.
+const MOST_A_SECOND: u32 = 10;
+
+/// Bounds the events of single requests.
+#[derive(Debug, Default)]
+pub(crate) struct EventLimit {
+    second: Cell<u64>,
+    count: Cell<u32>,
+}
+
+impl EventLimit {
+    /// Logs an event of a request, unless this second (of the caller's clock, ms) has had enough.
+    pub fn warn(&self, now: f64, event: Event, what: Arguments) {
+        let second = (now / 1000.0) as u64;
+        if self.second.replace(second) != second {
+            self.count.set(0);
+        }
+        self.count.set(self.count.get() + 1);
+        if self.count.get() <= MOST_A_SECOND {
+            event.warn(what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange.rs
@@ -0,0 +1,123 @@
+//! One client's request from its plan to its final answer.
+
+use crate::answer::{own, passed_head};
+use crate::attempt::Answer;
+use crate::connection::Connection;
+use crate::event::Event;
+use crate::plan::Plan;
+use crate::relay::Passage;
+use crate::shared::Shared;
+use dispatch::{Call, Final, Next, Outcome};
+use http::RequestHead;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// The client's connection can't go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ClientGone;
+
+/// A request on its way.
+pub(crate) struct Exchange<'a> {
+    pub shared: &'a Rc<Shared>,
+    pub client: &'a mut Connection,
+    pub head: &'a RequestHead,
+    pub body: &'a [u8],
+    pub plan: &'a Plan,
+    pub call: Call,
+    pub passage: Passage,
+    close: bool,
+}
+
+impl<'a> Exchange<'a> {
+    /// A request that has just been read. The connection closes after its answer if `close`.
+    pub fn new(
+        shared: &'a Rc<Shared>,
+        client: &'a mut Connection,
+        (head, body): (&'a RequestHead, &'a [u8]),
+        plan: &'a Plan,
+        close: bool,
+    ) -> Exchange<'a> {
+        let call = shared.view.borrow_mut().dispatcher.begin(plan.ask.clone(), shared.now());
+        let resumable = plan.is_stream && plan.ask.rules.is_idempotent;
+        let passage = Passage::new(close, resumable, head.lines.get("last-event-id"));
+        Exchange { shared, client, head, body, plan, call, passage, close }
+    }
+
+    /// When the request is given up.
+    pub fn deadline(&self) -> Instant {
+        self.shared.instant(self.plan.ask.deadline)
+    }
+
+    /// Sends the request until it is answered or given up.
+    ///
+    /// # Errors
+    /// The client's connection can't go on.
+    pub async fn run(&mut self) -> Result<(), ClientGone> {
+        loop {
+            let sent = self.shared.view.borrow_mut().dispatcher.send(&mut self.call, self.shared.now());
+            let target = match sent {
+                Ok(target) => target,
+                Err(last) => return self.give_up(last).await,
+            };
+            let ended = self.attempt(&target).await;
+            let mut outcome = ended.outcome;
+            if !self.passage.can_go_on() && !matches!(outcome, Outcome::Answered | Outcome::Abandoned) {
+                outcome = Outcome::Expired;
+            }
+            let now = self.shared.now();
+            let next =
+                self.shared.view.borrow_mut().dispatcher.ended(&mut self.call, target.replica, outcome, now);
+            match next {
+                Next::PassOn => return self.pass_on(ended.answer).await,
+                Next::Answer(last) => return self.give_up(last).await,
+                Next::Wait => return Err(ClientGone),
+                Next::Repeat if self.passage.has_begun() => {
+                    self.passage.resume();
+                    let after = self.passage.last_event_id().unwrap_or("none");
+                    let what = format_args!("attempt {} after event {after}", self.plan.attempt_id);
+                    self.shared.event_limit.warn(now, Event::Resumed, what);
+                }
+                Next::Repeat => {}
+            }
+        }
+    }
+
+    /// Passes a whole answer on, unless that has been done piece by piece.
+    async fn pass_on(&mut self, answer: Option<Answer>) -> Result<(), ClientGone> {
+        let Some(Answer { head, body }) = answer else { return Ok(()) };
+        if self.passage.has_begun() {
+            return self.cut_off();
+        }
+        let mut bytes = Vec::with_capacity(512 + body.len());
+        let writer = passed_head(&head, self.close, &mut bytes);
+        writer.piece(&body, &mut bytes);
+        writer.end(&mut bytes);
+        self.write(&bytes).await
+    }
+
+    /// Tells the client that the request is given up.
+    async fn give_up(&mut self, last: Final) -> Result<(), ClientGone> {
+        let (status, cause, sends) = (last.status, last.cause, self.call.sends());
+        let what = format_args!("attempt {} with {status}: {cause}, {sends} sends", self.plan.attempt_id);
+        self.shared.event_limit.warn(self.shared.now(), Event::GivenUp, what);
+        if self.passage.has_begun() {
+            return self.cut_off();
+        }
+        let bytes = own(status, last.retry_after, Some(&self.plan.attempt_id), self.close);
+        self.write(&bytes).await
+    }
+
+    /// Ends an answer that has begun so that it does not look whole.
+    fn cut_off(&mut self) -> Result<(), ClientGone> {
+        let what = format_args!("attempt {}", self.plan.attempt_id);
+        self.shared.event_limit.warn(self.shared.now(), Event::CutOff, what);
+        self.client.reset_on_close();
+        Err(ClientGone)
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), ClientGone> {
+        let idle = self.shared.limits().idle_ms.0 as f64;
+        let until = self.shared.instant(self.shared.now() + idle);
+        self.client.write_by(bytes, until).await.map_err(|_| ClientGone)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,35 @@
+//! The proxy of the router fleet: it takes clients' requests, sends each to a replica of its route's service, and
+//! passes the answer back. One process on every edge machine; its view of the fleet comes from the agent beside it.
+//!
+//! One thread, a task for each connection. What is decided is decided in [`dispatch`], [`View`] and [`Plan`], which do
+//! no I/O; the tasks here move bytes.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod answer;
+mod attempt;
+mod client;
+mod connection;
+mod error;
+mod event;
+mod exchange;
+mod lifecycle;
+mod link;
+mod outgoing;
+mod plan;
+mod pool;
+mod readiness;
+mod relay;
+mod run;
+mod shared;
+mod upstream;
+mod view;
+
+pub use error::ProxyError;
+pub use event::Event;
+pub use lifecycle::{Lifecycle, Phase};
+pub use outgoing::request_bytes;
+pub use plan::{Plan, Refusal};
+pub use run::{run, serve, Sockets};
+pub use view::{View, ViewAnswer};
--- /dev/null
+++ b/crates/proxy/src/link.rs
@@ -0,0 +1,88 @@
+//! The link to the agent of this machine: for ever made anew; without it the proxy serves on its last view.
+
+use crate::event::Event;
+use crate::shared::Shared;
+use crate::view::ViewAnswer;
+use peer::{encode, Address, FrameReader, Hello, Message, Role, PROTOCOL};
+use std::io;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Pause before the link is made anew.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Room for one read, bytes.
+const READ_ROOM: usize = 64 * 1024;
+
+/// Keeps the link.
+pub(crate) async fn keep(shared: Rc<Shared>, agent: SocketAddrV4, incarnation: u64) {
+    loop {
+        if let Ok(mut stream) = TcpStream::connect(agent).await {
+            Event::AgentLinked.info(format_args!("agent at {agent}"));
+            let why = follow(&shared, &mut stream, incarnation).await;
+            Event::AgentLost.warn(format_args!(
+                "agent at {agent}: {}",
+                why.err().map_or("closed".into(), |e| e.to_string())
+            ));
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Takes the agent's messages until the link breaks.
+async fn follow(shared: &Rc<Shared>, stream: &mut TcpStream, incarnation: u64) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.write_all(&frame(&hello(shared, incarnation))?).await?;
+    let mut reader = FrameReader::default();
+    let mut room = Vec::with_capacity(READ_ROOM);
+    loop {
+        room.clear();
+        if stream.read_buf(&mut room).await? == 0 {
+            return Ok(());
+        }
+        reader.push(&room);
+        while let Some(message) = reader.next_message().map_err(io::Error::other)? {
+            if let Some(answer) = take(shared, message) {
+                stream.write_all(&frame(&answer)?).await?;
+            }
+        }
+    }
+}
+
+fn frame(message: &Message) -> io::Result<Vec<u8>> {
+    encode(message).map_err(io::Error::other)
+}
+
+fn hello(shared: &Rc<Shared>, incarnation: u64) -> Message {
+    let settings = shared.settings.borrow();
+    Message::Hello(Hello {
+        protocol: PROTOCOL,
+        role: Role::Proxy,
+        machine: settings.node.as_str().into(),
+        zone: settings.zone.as_str().into(),
+        incarnation,
+        address: Address::NONE,
+        configuration: shared.view.borrow().version(),
+    })
+}
+
+/// Takes a message; tells what to answer.
+fn take(shared: &Rc<Shared>, message: Message) -> Option<Message> {
+    let answer = shared.view.borrow_mut().take(message, shared.now());
+    let version = shared.view.borrow().version();
+    match answer {
+        ViewAnswer::Taken => None,
+        ViewAnswer::WantConfiguration => Some(Message::WantConfiguration),
+        ViewAnswer::Configured => {
+            Event::Configured.info(format_args!("version {version}"));
+            None
+        }
+        ViewAnswer::Unusable(why) => {
+            Event::ConfigurationUnusable.warn(format_args!("version {version} stays: {why}"));
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/run.rs
@@ -0,0 +1,170 @@
+//! The process: its sockets, signals and tasks.
+
+use crate::error::ProxyError;
+use crate::event::Event;
+use crate::lifecycle::Phase;
+use crate::shared::Shared;
+use crate::{client, link, readiness};
+use settings::ProcessSettings;
+use std::future::Future;
+use std::hash::{BuildHasher, Hasher};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Descriptors that are no sockets of clients or replicas.
+const RESERVED_FILES: u64 = 256;
+/// How often the phase of life is looked at once the process ends.
+const ENDING_STEP: Duration = Duration::from_millis(50);
+/// How often resting connections are cleaned up.
+const CLEANING: Duration = Duration::from_secs(1);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Where a proxy listens, and where its agent does.
+#[derive(Debug)]
+pub struct Sockets {
+    /// For clients.
+    pub front: TcpListener,
+    /// For the platform's questions.
+    pub ready: TcpListener,
+    /// The agent.
+    pub agent: SocketAddrV4,
+}
+
+/// Runs the proxy until SIGTERM and what is under way has ended.
+///
+/// # Errors
+/// Tells why it can't run.
+pub fn run(settings: ProcessSettings) -> Result<(), ProxyError> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(ProxyError::Runtime)?;
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, async move {
+        let sockets = listen(&settings)?;
+        let mut terminate = signal(SignalKind::terminate()).map_err(ProxyError::Runtime)?;
+        let hang_up = signal(SignalKind::hangup()).map_err(ProxyError::Runtime)?;
+        let reread = settings_read_anew(hang_up);
+        let end = async move {
+            terminate.recv().await;
+        };
+        serve(settings, sockets, end, reread).await;
+        Ok(())
+    })
+}
+
+fn listen(settings: &ProcessSettings) -> Result<Sockets, ProxyError> {
+    let front = settings.listen_on.front.ok_or(ProxyError::NoAddress("listen-on.front"))?;
+    let ready = settings.listen_on.ready.ok_or(ProxyError::NoAddress("listen-on.ready"))?;
+    let agent = settings.agent_address();
+    Ok(Sockets { front: listener(front)?, ready: listener(ready)?, agent })
+}
+
+fn listener(address: SocketAddr) -> Result<TcpListener, ProxyError> {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|why| ProxyError::Listen(address, why))
+}
+
+/// A source of settings that were read anew, one for each SIGHUP.
+fn settings_read_anew(mut hang_up: Signal) -> impl AsyncFnMut() -> Option<ProcessSettings> {
+    async move || loop {
+        hang_up.recv().await?;
+        let read = ProcessSettings::path_from_environment().and_then(|path| ProcessSettings::load(&path));
+        match read {
+            Ok(settings) => return Some(settings),
+            Err(why) => Event::SettingsUnusable.warn(format_args!("the former stay: {why}")),
+        }
+    }
+}
+
+/// Serves on these sockets until `end` comes and what is under way has ended. Must run in a [`LocalSet`].
+pub async fn serve(
+    settings: ProcessSettings,
+    sockets: Sockets,
+    end: impl Future<Output = ()> + 'static,
+    mut reread: impl AsyncFnMut() -> Option<ProcessSettings> + 'static,
+) {
+    let seed = std::hash::RandomState::new().build_hasher().finish();
+    let most_clients = settings.caps.open_files.saturating_sub(RESERVED_FILES) / 2;
+    let shared = Rc::new(Shared::new(settings, seed));
+    let Sockets { front, ready, agent } = sockets;
+    let addresses = (front.local_addr().ok(), ready.local_addr().ok());
+    Event::Listening.info(format_args!("front {:?}, ready {:?}", addresses.0, addresses.1));
+    let permits = Arc::new(Semaphore::new(usize::try_from(most_clients).unwrap_or(usize::MAX).max(1)));
+    let front_closed = Rc::new(Notify::new());
+    spawn_local(link::keep(shared.clone(), agent, seed));
+    spawn_local(accept_clients(shared.clone(), front, permits, front_closed.clone()));
+    spawn_local(accept_askers(shared.clone(), ready));
+    spawn_local(clean(shared.clone()));
+    let for_settings = shared.clone();
+    spawn_local(async move {
+        while let Some(settings) = reread().await {
+            for_settings.take_settings(settings);
+            Event::SettingsRead.info(format_args!("bounds are in force"));
+        }
+    });
+    end.await;
+    Event::Ending.info(format_args!("{} requests under way", shared.under_way.get()));
+    shared.end();
+    while shared.phase() != Phase::Over {
+        if shared.phase() == Phase::Finishing {
+            front_closed.notify_one();
+        }
+        sleep(ENDING_STEP).await;
+        shared.phase_changed.notify_waiters();
+    }
+    Event::Ended.info(format_args!("{} requests under way", shared.under_way.get()));
+}
+
+async fn accept_clients(shared: Rc<Shared>, front: TcpListener, permits: Arc<Semaphore>, closed: Rc<Notify>) {
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        let accepted = tokio::select! {
+            accepted = front.accept() => accepted,
+            () = closed.notified() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = client::serve(shared.clone(), stream);
+                spawn_local(async move {
+                    serving.await;
+                    drop(permit);
+                });
+            }
+            Err(why) => {
+                shared.event_limit.warn(shared.now(), Event::AcceptFailed, format_args!("{why}"));
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept_askers(shared: Rc<Shared>, ready: TcpListener) {
+    loop {
+        match ready.accept().await {
+            Ok((stream, _)) => drop(spawn_local(readiness::serve(shared.clone(), stream))),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn clean(shared: Rc<Shared>) {
+    loop {
+        sleep(CLEANING).await;
+        let view = shared.view.borrow();
+        shared.pool.borrow_mut().clean(shared.now(), |replica| view.is_ready(replica));
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/view.rs
@@ -0,0 +1,127 @@
+//! The proxy's view of the fleet, built from its agent's messages. No I/O.
+
+use configuration::{Changes, Configuration, ConfigurationError, Document, KeyTable, Router};
+use dispatch::{isolation_digest, Bounds, Dispatcher, Ms, ReplicaNumber};
+use peer::{Message, NEVER};
+use std::rc::Rc;
+
+/// Bytes that the index of kept parts may take.
+const INDEX_BYTES: usize = 32 << 20;
+
+/// What a message asks for.
+#[derive(Debug)]
+pub enum ViewAnswer {
+    /// Nothing.
+    Taken,
+    /// A configuration is in force now.
+    Configured,
+    /// The changes don't build on what is here: the whole is needed.
+    WantConfiguration,
+    /// The configuration can't be used; the one before stays in force.
+    Unusable(ConfigurationError),
+}
+
+/// A configuration with its look-up tables.
+#[derive(Debug)]
+pub struct InForce {
+    /// The configuration in types.
+    pub configuration: Configuration,
+    /// Routes by host and path.
+    pub router: Router,
+    /// Tenants by key.
+    pub keys: KeyTable,
+    document: Document,
+}
+
+/// The view.
+#[derive(Debug)]
+pub struct View {
+    /// What decides where requests go.
+    pub dispatcher: Dispatcher,
+    in_force: Option<Rc<InForce>>,
+    has_replicas: bool,
+}
+
+impl View {
+    /// Nothing is known yet.
+    pub fn new(bounds: Bounds, seed: u64, now: Ms) -> View {
+        let dispatcher = Dispatcher::new(bounds, INDEX_BYTES, seed, now);
+        View { dispatcher, in_force: None, has_replicas: false }
+    }
+
+    /// The configuration in force.
+    pub fn in_force(&self) -> Option<Rc<InForce>> {
+        self.in_force.clone()
+    }
+
+    /// The version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |in_force| in_force.document.version)
+    }
+
+    /// Whether clients can be served: there is a configuration and a list of replicas.
+    pub fn is_complete(&self) -> bool {
+        self.in_force.is_some() && self.has_replicas
+    }
+
+    /// Takes a message of the agent.
+    pub fn take(&mut self, message: Message, now: Ms) -> ViewAnswer {
+        match message {
+            Message::Configuration(message) => return self.configure(&message),
+            Message::Replicas(replicas) => {
+                self.has_replicas = true;
+                replicas.records.into_iter().for_each(|record| self.dispatcher.update_replica(record));
+            }
+            Message::Weights(weights) => {
+                for named in weights.versions {
+                    let age = if named.age_ms == NEVER { Ms::INFINITY } else { f64::from(named.age_ms) };
+                    self.dispatcher.name_version(named.model.as_str(), named.version, now - age);
+                }
+            }
+            Message::Fleet(fleet) if fleet.proxies > 0 => self.dispatcher.set_proxies(fleet.proxies),
+            Message::Prefixes(prefixes) => self.take_prefixes(&prefixes),
+            _ => {}
+        }
+        ViewAnswer::Taken
+    }
+
+    fn configure(&mut self, message: &peer::Configuration) -> ViewAnswer {
+        if message.version <= self.version() {
+            return ViewAnswer::Taken;
+        }
+        if message.base != 0 && message.base != self.version() {
+            return ViewAnswer::WantConfiguration;
+        }
+        match self.read(message) {
+            Ok(in_force) => {
+                let isolated = in_force.configuration.customers.iter().filter(|customer| customer.isolated);
+                let digest = isolation_digest(isolated.map(|customer| customer.name.as_str()));
+                self.dispatcher.set_isolation(digest);
+                self.in_force = Some(Rc::new(in_force));
+                ViewAnswer::Configured
+            }
+            Err(why) => ViewAnswer::Unusable(why),
+        }
+    }
+
+    fn read(&self, message: &peer::Configuration) -> Result<InForce, ConfigurationError> {
+        let body = &message.body.bytes;
+        let document = match &self.in_force {
+            Some(in_force) if message.base != 0 => in_force.document.with(&Changes::read(body)?),
+            _ => Document::read(body)?,
+        };
+        let configuration = document.typed()?;
+        let (router, keys) = (Router::new(&configuration), KeyTable::new(&configuration));
+        Ok(InForce { configuration, router, keys, document })
+    }
+
+    fn take_prefixes(&mut self, prefixes: &peer::Prefixes) {
+        let Some(replica) = self.dispatcher.replica_number(prefixes.replica.as_str()) else { return };
+        self.dispatcher.take_prefixes(replica, prefixes);
+    }
+
+    /// Whether a replica still takes requests.
+    pub fn is_ready(&self, replica: ReplicaNumber) -> bool {
+        self.dispatcher.is_ready(replica)
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/support/mod.rs
@@ -0,0 +1,348 @@
+//! Stand-ins on loopback: a fleet of replicas, an agent, clients. Nothing sleeps: tests wait for what comes.
+#![allow(dead_code)]
+
+use http::{BodyReader, Framing, RequestHead, ResponseFraming, ResponseHead};
+use peer::{encode, Fleet, FrameReader, Message, ModelVersion, ReplicaRecord, ReplicaState, Replicas};
+use proxy::{serve, Sockets};
+use settings::ProcessSettings;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+
+/// The key of the tenant of tests.
+pub const KEY: &str = "secret-key-1";
+/// The model of the streaming service.
+pub const MODEL: &str = "m1";
+
+/// Runs a test's future on one thread.
+pub fn play<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test());
+}
+
+/// A configuration with a route of each kind.
+pub const CONFIGURATION: &str = r#"{"version":7,"routes":[
+{"name":"read","host":"h.example","path-start":"/read/","kind":"read_only","give-up-ms":5000,"service":"s","tries":2},
+{"name":"write","host":"h.example","path-start":"/write/","kind":"writing","give-up-ms":5000,"service":"s","tries":2,"priority":3},
+{"name":"stream","host":"h.example","path-start":"/stream/","kind":"streaming","give-up-ms":5000,"service":"s","tries":2},
+{"name":"resume","host":"h.example","path-start":"/resume/","kind":"streaming","give-up-ms":5000,"service":"s","tries":2,"can-resume":true},
+{"name":"public","host":"h.example","path-start":"/public/","kind":"read_only","give-up-ms":5000,"service":"s","public":true},
+{"name":"empty","host":"h.example","path-start":"/empty/","kind":"read_only","give-up-ms":5000,"service":"none"}
+],"services":[{"name":"s","max-conns":100,"engine":{"free-slots":4,"models":[{"name":"m1"}]}},{"name":"none"}],
+"caps":{"max-header-bytes":2048,"max-body-bytes":100000,"header-wait-ms":3000,"idle-ms":15000},
+"customers":[{"name":"tenant-1","api-keys":["secret-key-1"],"priority":1},{"name":"tenant-2","api-keys":["k2"],"isolated":true}]}"#;
+
+/// A proxy under test with its surroundings.
+pub struct Fixture {
+    /// Where clients connect.
+    pub front: SocketAddr,
+    ready: SocketAddr,
+    /// The agent's side of the link.
+    pub agent: TcpStream,
+    end: Rc<Notify>,
+    /// The proxy's life.
+    pub life: JoinHandle<()>,
+}
+
+impl Fixture {
+    /// A proxy that has the configuration and these replicas.
+    pub async fn new(replicas: &[&Replica]) -> Fixture {
+        Fixture::with(CONFIGURATION, replicas.iter().map(|replica| replica.record()).collect()).await
+    }
+
+    /// A proxy with a configuration and records of replicas.
+    pub async fn with(configuration: &str, records: Vec<ReplicaRecord>) -> Fixture {
+        let mut fixture = Fixture::bare().await;
+        fixture.tell(Message::Configuration(whole(configuration))).await;
+        fixture.tell(Message::Fleet(Fleet::new(Vec::new(), 1))).await;
+        fixture.tell(Message::Replicas(Replicas::from(records))).await;
+        while fixture.readiness().await != 200 {}
+        fixture
+    }
+
+    /// A proxy that was told nothing.
+    pub async fn bare() -> Fixture {
+        let listen = || async { TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port") };
+        let (front, ready, agent) = (listen().await, listen().await, listen().await);
+        let address = |listener: &TcpListener| listener.local_addr().expect("bound");
+        let SocketAddr::V4(at) = address(&agent) else { unreachable!("bound to IPv4") };
+        let (front_at, ready_at) = (address(&front), address(&ready));
+        let end = Rc::new(Notify::new());
+        let ended = end.clone();
+        let sockets = Sockets { front, ready, agent: at };
+        let serving = serve(settings(), sockets, async move { ended.notified().await }, async || None);
+        let life = spawn_local(serving);
+        let (mut agent, _) = agent.accept().await.expect("the proxy's link");
+        let hello = next_message(&mut agent).await;
+        assert!(matches!(hello, Message::Hello(_)), "{hello:?}");
+        Fixture { front: front_at, ready: ready_at, agent, end, life }
+    }
+
+    /// Sends the proxy a message of its agent.
+    pub async fn tell(&mut self, message: Message) {
+        self.agent.write_all(&encode(&message).expect("short")).await.expect("linked");
+    }
+
+    /// Asks whether the proxy is ready.
+    pub async fn readiness(&self) -> u16 {
+        let mut asker = Peer::connect(self.ready).await;
+        asker.write("GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        asker.answer().await.0.status
+    }
+
+    /// What SIGTERM does.
+    pub fn terminate(&self) {
+        self.end.notify_one();
+    }
+
+    /// A client's new connection.
+    pub async fn client(&self) -> Peer {
+        Peer::connect(self.front).await
+    }
+}
+
+fn settings() -> ProcessSettings {
+    let text = "node: n\nrole: r\nip: 127.0.0.1\ninner-ports: [1, 2]\nseeds: [\"127.0.0.1:1\"]\nzone: z\n\
+        caps: {open-files: 400, memory-mb: 100}\n\
+        bounds: {grace-s: 8, retry-ratio: 10, retry-window-s: 10, extra-tries: 50, version-ms: 6000}\n";
+    ProcessSettings::read(text).expect("sound settings")
+}
+
+/// A whole configuration as a message.
+pub fn whole(json: &str) -> peer::Configuration {
+    let version = json.split("\"version\":").nth(1).and_then(|rest| rest.split(',').next());
+    let version = version.and_then(|digits| digits.parse().ok()).expect("a version");
+    peer::Configuration { base: 0, version, body: json.as_bytes().to_vec().into() }
+}
+
+/// The next message of the proxy.
+pub async fn next_message(link: &mut TcpStream) -> Message {
+    let mut reader = FrameReader::default();
+    loop {
+        if let Some(message) = reader.next_message().expect("sound") {
+            return message;
+        }
+        let mut byte = [0];
+        link.read_exact(&mut byte).await.expect("linked");
+        reader.push(&byte);
+    }
+}
+
+/// A replica that does what the test says.
+pub struct Replica {
+    listener: TcpListener,
+    pub id: String,
+}
+
+impl Replica {
+    pub async fn new(id: &str) -> Replica {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+        Replica { listener, id: id.into() }
+    }
+
+    /// What the fleet tells of it.
+    pub fn record(&self) -> ReplicaRecord {
+        record(&self.id, self.address())
+    }
+
+    pub fn address(&self) -> SocketAddrV4 {
+        match self.listener.local_addr().expect("bound") {
+            SocketAddr::V4(address) => address,
+            SocketAddr::V6(_) => unreachable!("bound to IPv4"),
+        }
+    }
+
+    /// The next connection.
+    pub async fn accept(&self) -> Peer {
+        let (stream, _) = self.listener.accept().await.expect("a connection");
+        Peer::new(stream)
+    }
+
+    /// The next connection and its first request.
+    pub async fn request(&self) -> (Peer, Request) {
+        let mut peer = self.accept().await;
+        let request = peer.request().await;
+        (peer, request)
+    }
+}
+
+/// A ready replica's record.
+pub fn record(id: &str, address: SocketAddrV4) -> ReplicaRecord {
+    let models = vec![ModelVersion { name: MODEL.into(), version: 1 }];
+    let mut record = ReplicaRecord::new(id, "s", address.into(), "z").with_models(models);
+    (record.free_slots, record.beat, record.state) = (4, 1, ReplicaState::Ready);
+    record
+}
+
+/// Whichever of two replicas gets a request first, then the other one.
+pub async fn first_of<'a>(one: &'a Replica, two: &'a Replica) -> (Peer, Request, &'a Replica) {
+    tokio::select! {
+        (peer, request) = one.request() => (peer, request, two),
+        (peer, request) = two.request() => (peer, request, one),
+    }
+}
+
+/// A request as a replica got it.
+pub struct Request {
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines.get(name)
+    }
+}
+
+/// One side of a connection.
+pub struct Peer {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        Peer { stream, input: Vec::new() }
+    }
+
+    pub async fn connect(address: SocketAddr) -> Peer {
+        Peer::new(TcpStream::connect(address).await.expect("somebody listens"))
+    }
+
+    pub async fn write(&mut self, text: impl AsRef<[u8]>) {
+        self.stream.write_all(text.as_ref()).await.expect("open");
+    }
+
+    /// Reads more; false at the end, however it came.
+    async fn more(&mut self) -> bool {
+        matches!(self.stream.read_buf(&mut self.input).await, Ok(count) if count > 0)
+    }
+
+    /// Waits for the connection's end.
+    pub async fn ended(&mut self) {
+        while self.more().await {}
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(std::time::Duration::ZERO)).expect("settable");
+    }
+
+    pub async fn request(&mut self) -> Request {
+        loop {
+            if let Some((head, length)) = RequestHead::read(&self.input, 1 << 20).expect("a sound request") {
+                self.input.drain(..length);
+                let body = self.body(head.framing).await.expect("a whole body");
+                return Request { head, body };
+            }
+            assert!(self.more().await, "the connection ended before a request");
+        }
+    }
+
+    /// The whole body, if it comes whole.
+    async fn body(&mut self, framing: Framing) -> Option<Vec<u8>> {
+        let (mut reader, mut body) = (BodyReader::new(framing), Vec::new());
+        loop {
+            let used = reader.read(&self.input, &mut body).ok()?;
+            self.input.drain(..used);
+            if reader.is_done() {
+                return Some(body);
+            }
+            if !self.more().await {
+                return None;
+            }
+        }
+    }
+
+    /// The head of the next answer.
+    pub async fn head(&mut self) -> ResponseHead {
+        loop {
+            if let Some((head, length)) = ResponseHead::read(&self.input).expect("a sound answer") {
+                self.input.drain(..length);
+                return head;
+            }
+            assert!(self.more().await, "the connection ended before an answer");
+        }
+    }
+
+    /// The next answer, whole.
+    pub async fn answer(&mut self) -> (ResponseHead, String) {
+        let (head, body) = self.answer_or_cut().await;
+        (head, body.expect("a whole body"))
+    }
+
+    /// The next answer; no body if it was cut off.
+    pub async fn answer_or_cut(&mut self) -> (ResponseHead, Option<String>) {
+        let head = self.head().await;
+        let ResponseFraming::Framed(framing) = head.framing else { panic!("no framing") };
+        let body = self.body(framing).await;
+        (head, body.map(|body| String::from_utf8(body).expect("text")))
+    }
+
+    /// Waits until so much text has come, and takes it.
+    pub async fn text(&mut self, expected: &str) {
+        while self.input.len() < expected.len() {
+            assert!(
+                self.more().await,
+                "the connection ended within {:?}",
+                String::from_utf8_lossy(&self.input)
+            );
+        }
+        let come: Vec<u8> = self.input.drain(..expected.len()).collect();
+        assert_eq!(String::from_utf8_lossy(&come), expected);
+    }
+
+    /// Whether anything has come that was not taken.
+    pub fn has_rest(&self) -> bool {
+        !self.input.is_empty()
+    }
+}
+
+/// A request of a client to a route of [`CONFIGURATION`].
+pub fn ask(route: &str, id: &str, more: &str) -> String {
+    format!(
+        "POST /{route}/x?y=1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Left: 4000\r\n\
+         Authorization: Bearer {KEY}\r\n{more}Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+/// A sound answer of a replica.
+pub fn success(id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal-{id}\r\nKeep-Alive: timeout=9\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The head of a stream.
+pub fn stream_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: seal-{id}\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// An event of a stream, as a chunk.
+pub fn event(id: u32) -> String {
+    let event = event_text(id);
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+/// An event's text.
+pub fn event_text(id: u32) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+/// The end of a stream.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// A replica's refusal with proof.
+pub fn not_run(id: &str) -> String {
+    format!("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
