Add the admin listener with its readiness call

Operators had no address to call: `/ready` on the clients' address is the front's and waits behind a crowd. `admin_addr` or $LB_ADMIN_ADDR now names one, served in the one loop after the fronts.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,13 @@
 //! The coordinator: reads its configuration, wires the parts together and runs the loop.
 
 use clap::Parser;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use steppick::cli::{self, Cli, Command};
+use steppick::net::admin::Admin;
 use steppick::net::{run, Clock, Front, Loop, ServeError};
+use steppick::settings::ConfigError;
 use steppick::{opensearch, platform};
 
 fn serve(cli: Cli) -> Result<(), ServeError> {
@@ -27,9 +30,11 @@
         std::fs::read_to_string(path).map_err(|why| ServeError::File { path: path.to_path_buf(), why })
     };
     let mut fronts = Vec::new();
+    let mut admin_address = admin_variable()?;
     if let Some(path) = platform_file {
         let config = platform::config::Config::read(&read(&path)?)
             .map_err(|why| ServeError::Config { path: path.clone(), why })?;
+        admin_address = admin_address.or(config.admin());
         let server = config.server(&event_loop, clock, fronts.len(), count)?;
         let (name, served, coordinator) = ("platform", Box::new(server), config.name().to_string());
         fronts.push(Front { name, path, coordinator, placement: cli.placement.clone(), served });
@@ -44,7 +49,23 @@
         fronts.push(Front { name, path, coordinator, placement: cli.placement.clone(), served });
     }
     fronts.iter_mut().try_for_each(Front::place)?;
-    run(event_loop, clock, fronts)
+    let admin = admin_address.map(|address| listen_for_operators(&event_loop, fronts.len(), address));
+    run(event_loop, clock, fronts, admin.transpose()?)
+}
+
+/// The address that the environment names for operators, which goes before that of the configuration.
+fn admin_variable() -> Result<Option<SocketAddr>, ServeError> {
+    let value = std::env::var("LB_ADMIN_ADDR").ok().filter(|value| !value.is_empty());
+    let address = value.map(|value| ConfigError::address("admin_addr", &value));
+    address.transpose().map_err(ServeError::AdminAddress)
+}
+
+fn listen_for_operators(event_loop: &Loop, number: usize, address: SocketAddr) -> Result<Admin, ServeError> {
+    let refused = |why| ServeError::Admin { address, why };
+    let admin = Admin::listen(event_loop, number, address).map_err(refused)?;
+    let listens = admin.local_addr().map_err(refused)?;
+    tracing::info!("answers operators on {listens}");
+    Ok(admin)
 }
 
 fn main() -> ExitCode {
--- a/src/net/fault.rs
+++ b/src/net/fault.rs
@@ -26,6 +26,12 @@
     Placement { path: PathBuf, why: placement::Fault },
     #[error("can't listen on {address}: {why}; free the address or name another in `listen`")]
     Listen { address: SocketAddr, why: io::Error },
+    #[error(
+        "can't listen for operators on {address}: {why}; free the address or name another in `admin_addr`"
+    )]
+    Admin { address: SocketAddr, why: io::Error },
+    #[error("LB_ADMIN_ADDR: {0}")]
+    AdminAddress(ConfigError),
     #[error("the system refused {what}: {why}; check the limits on descriptors and memory")]
     System { what: &'static str, why: String },
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: the loop gathers what is ready, makes one step of the core and carries out its effects.
 
+pub mod admin;
 pub mod client;
 mod fault;
 pub mod http;
@@ -13,6 +14,7 @@
 use crate::core::{Counters, Failure, NewQuery, Send};
 use crate::interface::*;
 use crate::settings::ConfigError;
+use admin::Admin;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -183,6 +185,8 @@
     fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError>;
     /// Takes in what a placement says of this coordinator, or that there is none any more.
     fn favour(&mut self, favour: Option<Favour>);
+    /// Whether clients that connect now are served.
+    fn takes_clients(&self) -> bool;
     /// Begins an orderly end: what was taken is answered, and new connections are still served for a while.
     fn end(&mut self, now: Ms);
     /// Whether the orderly end is complete.
@@ -246,11 +250,16 @@
 const LONGEST_SLEEP: Ms = 1000.0;
 
 /// Runs the loop over all fronts until they have ended in order. `SIGTERM` and `SIGINT` begin the end;
-/// `SIGHUP` has the files read anew; `SIGUSR1` prints the counters.
+/// `SIGHUP` has the files read anew; `SIGUSR1` prints the counters. Operators' calls are answered until the end.
 ///
 /// # Errors
 /// Tells what the system refused.
-pub fn run(mut event_loop: Loop, clock: Clock, mut fronts: Vec<Front>) -> Result<(), ServeError> {
+pub fn run(
+    mut event_loop: Loop,
+    clock: Clock,
+    mut fronts: Vec<Front>,
+    mut admin: Option<Admin>,
+) -> Result<(), ServeError> {
     let system = |what| move |error: calloop::Error| ServeError::System { what, why: error.to_string() };
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
         .map_err(|error| ServeError::System { what: "signals", why: error.to_string() })?;
@@ -262,6 +271,7 @@
     loop {
         let now = clock.now();
         let due = fronts.iter().filter_map(|front| front.served.next_due(now));
+        let due = due.chain(admin.as_ref().and_then(Admin::next_due));
         let due = due.fold(now + LONGEST_SLEEP, f64::min);
         let sleep = Duration::from_micros(((due - now).max(0.0) * 1000.0).ceil() as u64);
         event_loop.dispatch(sleep, &mut gathered).map_err(system("the event loop"))?;
@@ -277,6 +287,9 @@
             front.served.turn(now, &gathered.ready);
             front.served.turned(clock.now());
         }
+        if let Some(admin) = &mut admin {
+            admin.turn(now, &gathered.ready, &fronts);
+        }
         gathered.ready.clear();
         let ended = fronts.iter().all(|front| front.served.has_ended(now));
         if ended || signals.contains(&Signal::SIGUSR1) {
--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -4,7 +4,7 @@
 use crate::core::Input;
 use crate::interface::*;
 use crate::net::client::{ClientConn, ClientState};
-use crate::net::{http, read_all, Dialect, Key, Take, Watched};
+use crate::net::{http, read_all, Dialect, Key, Served, Take, Watched};
 use std::cmp::Ordering;
 use std::io::{self, Write};
 use std::net::Shutdown;
@@ -129,7 +129,7 @@
 
     /// Takes the whole requests that have come; tells whether there were any.
     fn take_requests(&mut self, key: u64, now: Ms) -> bool {
-        let closing = self.is_closing(now);
+        let (closing, can_serve) = (self.is_closing(now), self.takes_clients());
         let mut took = false;
         while let Some(client) = self.clients.get_mut(&key) {
             let Some(request) = client.conn.next_request() else { break };
@@ -144,7 +144,6 @@
             };
             let id = self.core.new_id();
             let at = client.conn.request_at;
-            let can_serve = self.core.can_serve() && self.ending_since.is_none();
             match self.dialect.take(id, &request, at, can_serve) {
                 Take::Query(mut query) => {
                     // What is not answered when the platform kills the program is lost.
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -405,6 +405,10 @@
         self.follow();
     }
 
+    fn takes_clients(&self) -> bool {
+        self.core.can_serve() && self.ending_since.is_none()
+    }
+
     fn end(&mut self, now: Ms) {
         if self.ending_since.replace(self.ending_since.unwrap_or(now)).is_none() {
             // What is not answered when the platform kills the program is lost.
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -218,6 +218,10 @@
         self.server.favour(favour);
     }
 
+    fn takes_clients(&self) -> bool {
+        self.server.takes_clients()
+    }
+
     fn end(&mut self, now: Ms) {
         self.server.end(now);
     }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -14,6 +14,7 @@
     name: String,
     listen: String,
     discovery: String,
+    admin_addr: Option<String>,
     seed: String,
     limits: Limits,
     known: List,
@@ -31,6 +32,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    admin: Option<SocketAddr>,
     seed: u64,
     sockets: usize,
     known: List,
@@ -51,6 +53,7 @@
         Ok(Config {
             listen: ConfigError::address("listen", &file.listen)?,
             discovery: ConfigError::address("discovery", &file.discovery)?,
+            admin: file.admin_addr.map(|value| ConfigError::address("admin_addr", &value)).transpose()?,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
             sockets: file.limits.sockets,
             known: file.known,
@@ -71,6 +74,11 @@
         self.discovery
     }
 
+    /// Where operators call, if anywhere.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.admin
+    }
+
     /// The server that this configuration describes, one of so many fronts of the process.
     ///
     /// # Errors
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -107,7 +107,11 @@
     }
 
     fn spawn(mut command: Command, config: Option<&PathBuf>, level: Option<&str>) -> Program {
-        command.env_remove("LB_CONFIG").env_remove("STEPPICK_LOG").stderr(Stdio::piped());
+        command
+            .env_remove("LB_CONFIG")
+            .env_remove("LB_ADMIN_ADDR")
+            .env_remove("STEPPICK_LOG")
+            .stderr(Stdio::piped());
         if let Some(level) = level {
             command.env("STEPPICK_LOG", level);
         }
