Two processes of one coordinator share what they hold; a replaced one leaves early

Cause: both count as one coordinator for descriptors, open queries, credit of cold nodes and the budget of further attempts, and the older one ended as if nobody took its place. Each writes a checked file into TMPDIR ten times a second and reads the other's. The replaced one ends each answer's connection from SIGTERM, closes its listener after its queue was empty for 100 ms, and leaves when nothing is owed. Ruled out: halving everything (a process that starts beside a full one would have to wait, and the older one to shed work).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -187,6 +187,9 @@
     wake_at: Option<Ms>,
     /// Mean time of the attempts that were served lately.
     answer_time: Ms,
+    /// Queries and parts of another process that counts as one coordinator with this one, and how many such there are.
+    open_elsewhere: usize,
+    processes: usize,
     /// Events for the next step: outcomes of this one's own doing, parts of a second step.
     pending: Vec<Event>,
     /// What is counted.
@@ -209,6 +212,8 @@
             replicas: BTreeMap::new(),
             wake_at: None,
             answer_time: limits.dial_timeout,
+            open_elsewhere: 0,
+            processes: 1,
             pending: Vec::new(),
             counters: Counters::default(),
         }
@@ -245,6 +250,20 @@
         self.queries.len()
     }
 
+    /// Queries and parts that are held.
+    pub fn open(&self) -> usize {
+        self.queries.len() + self.parts.len()
+    }
+
+    /// So many processes count as one coordinator from now on, and the others hold so many queries and parts.
+    pub fn share(&mut self, processes: usize, open_elsewhere: usize) {
+        self.open_elsewhere = open_elsewhere;
+        if self.processes != processes {
+            self.processes = processes;
+            self.module.set = self.set.shared_by(processes);
+        }
+    }
+
     /// When the next step is due without any input.
     pub fn next_step(&self) -> Option<Ms> {
         if !self.pending.is_empty() {
@@ -339,7 +358,7 @@
     ) {
         self.counters.queries += 1;
         // More than this is refused before the module sees it, as the settings state.
-        if self.queries.len() + self.parts.len() >= self.limits.max_open {
+        if self.open() + self.open_elsewhere >= self.limits.max_open {
             self.counters.refused += 1;
             self.counters.refused_full += 1;
             tracing::debug!(query = id.0, class = ask.class, how = "refused_full", "final answer");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -130,6 +130,14 @@
         (few / self.siblings.max(1) as f64).min(1.0)
     }
 
+    /// The settings of one of several processes that count as one aggregator: what may be sent within a window is split
+    /// evenly. Each can't know in time what the others have just sent.
+    pub fn shared_by(&self, processes: usize) -> Settings {
+        let part = 1.0 / processes.max(1) as f64;
+        let budget = self.budget.map(|budget| Budget { free: budget.free * part, ..budget });
+        Settings { fall_multiple: self.fall_multiple * part, budget, ..self.clone() }
+    }
+
     /// Work that may be sent to a replica within the window of the rule on overload, so long after its start: its
     /// registered size counts as cores, one at least. `None` once it is warm.
     pub fn cold_room(&self, age: Ms, size: f64) -> Option<Ms> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -30,7 +30,10 @@
     if let Some(path) = platform_file {
         let config = platform::config::Config::read(&read(&path)?)
             .map_err(|why| ServeError::Config { path: path.clone(), why })?;
-        let server = config.server(&event_loop, clock, fronts.len(), count)?;
+        let mut server = config.server(&event_loop, clock, fronts.len(), count)?;
+        if let Some(folder) = std::env::var_os("TMPDIR") {
+            server.share(Path::new(&folder), clock);
+        }
         let (name, served, coordinator) = ("platform", Box::new(server), config.name().to_string());
         fronts.push(Front { name, path, coordinator, placement: cli.placement.clone(), served });
     }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -16,23 +16,34 @@
 /// began to listen. Where there is one alone, the system finds no such place and chooses the one that is there.
 const NEWEST: u32 = 1;
 
-/// Listens at an address, beside another process of the same user that does. The listener does not block.
+/// A listener, and whether the system directs new connections to the newest listener at its address; else it spreads them
+/// over all.
+#[derive(Debug)]
+pub struct Listening {
+    /// The listener; it does not block.
+    pub socket: TcpListener,
+    /// New connections are directed.
+    pub is_directed: bool,
+}
+
+/// Listens at an address, beside another process of the same user that does.
 ///
 /// # Errors
 /// Passes on what the system says.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr) -> io::Result<Listening> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     setsockopt(&socket, sockopt::ReusePort, &true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
-    if let Err(why) = direct_to_newest(&socket) {
+    let directed = direct_to_newest(&socket);
+    if let Err(why) = &directed {
         tracing::warn!(
             "{address}: {why}; while a process replaces another, connections are spread over both"
         );
     }
-    Ok(socket.into())
+    Ok(Listening { socket: socket.into(), is_directed: directed.is_ok() })
 }
 
 /// Hands the system a program of one instruction, which names the place of the listener for each new connection.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod listen;
 pub mod node;
 mod server;
+pub mod shared;
 pub mod trail;
 
 pub use fault::{PeerError, ServeError};
--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -11,17 +11,18 @@
 
 impl<D: Dialect> Server<D> {
     pub(super) fn accept(&mut self, now: Ms) {
-        loop {
-            let full = self.clients.len() >= self.sockets.clients;
+        let most = self.allowed().clients;
+        while let Some(listener) = &self.listener {
+            let full = self.clients.len() >= most;
             if full && self.spare_client(now).is_none() {
                 return;
             }
-            match self.listener.socket.accept() {
+            match listener.socket.accept() {
                 Ok((socket, _)) => {
                     self.refused = false;
                     // Closing between requests is allowed; only a client that is there already makes it needed.
                     for _ in 0..self.clients.len() {
-                        let full = self.clients.len() >= self.sockets.clients;
+                        let full = self.clients.len() >= most;
                         let Some(spare) = self.spare_client(now).filter(|_| full) else { break };
                         self.close_idle(spare, now);
                     }
@@ -144,7 +145,8 @@
             };
             let id = self.core.new_id();
             let at = client.conn.request_at;
-            let can_serve = self.core.can_serve() && self.ending_since.is_none();
+            // Where another process has taken its place, the coordinator does not end.
+            let can_serve = self.core.can_serve() && (self.ending_since.is_none() || self.is_replaced);
             match self.dialect.take(id, &request, at, can_serve) {
                 Take::Query(mut query) => {
                     // What is not answered when the platform kills the program is lost.
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -1,5 +1,6 @@
 //! One server: a listener with its clients, the pool of node connections, the roster's stream and a core.
 
+mod beside;
 mod clients;
 mod nodes;
 mod roster;
@@ -139,7 +140,10 @@
     core: Core<D::Value>,
     limits: Transport,
     sockets: Sockets,
-    listener: Watched<TcpListener>,
+    /// Where clients connect, and what listens there until a process that was replaced has emptied its queue.
+    address: SocketAddr,
+    listener: Option<Watched<TcpListener>>,
+    is_directed: bool,
     accept_again: bool,
     clients: BTreeMap<u64, Client>,
     asked: HashMap<RequestId, u64>,
@@ -161,6 +165,9 @@
     next_key: u64,
     ending: Ending,
     ending_since: Option<Ms>,
+    beside: Option<beside::Beside>,
+    /// It was ordered to end, and another process has taken its place.
+    is_replaced: bool,
 }
 
 impl<D: Dialect> Server<D> {
@@ -182,7 +189,9 @@
     ) -> io::Result<Self> {
         let handle = event_loop.handle();
         let slow_reader = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-        let listener = Watched::new(&handle, number, Key::Listener, net::listen::listen(listen)?)?;
+        let listening = net::listen::listen(listen)?;
+        let address = listening.socket.local_addr()?;
+        let listener = Some(Watched::new(&handle, number, Key::Listener, listening.socket)?);
         let mut server = Server {
             number,
             handle,
@@ -191,7 +200,9 @@
             core,
             limits,
             sockets,
+            address,
             listener,
+            is_directed: listening.is_directed,
             accept_again: true,
             clients: BTreeMap::new(),
             asked: HashMap::new(),
@@ -208,6 +219,8 @@
             inputs: Vec::new(),
             next_key: 1,
             ending_since: None,
+            beside: None,
+            is_replaced: false,
         };
         known.into_iter().for_each(|news| server.take_news(news));
         // Whoever connects first finds a server that knows its nodes.
@@ -216,16 +229,13 @@
     }
 
     /// Where clients connect.
-    ///
-    /// # Errors
-    /// Passes on what the system says.
-    pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.listener.socket.local_addr()
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
     }
 
     /// Whether an orderly end has come to the point where clients' connections are let go.
     fn is_closing(&self, now: Ms) -> bool {
-        self.ending_since.is_some_and(|since| now - since >= self.ending.last_call)
+        self.is_replaced || self.ending_since.is_some_and(|since| now - since >= self.ending.last_call)
     }
 
     fn retire_after(&self) -> Ms {
@@ -269,6 +279,7 @@
             quiet.into_iter().for_each(|key| self.close_idle(key, now));
         }
         self.watch_clients(now);
+        self.keep_to_share(now);
         let lingers = |client: &Client| match client.conn.state() {
             ClientState::Lingering(since) => now - since < LINGER_CLOSE,
             _ => true,
@@ -408,6 +419,7 @@
         if self.ending_since.replace(self.ending_since.unwrap_or(now)).is_none() {
             // What is not answered when the platform kills the program is lost.
             self.core.end_by(now + self.ending.last_answer);
+            self.exchange(now);
         }
     }
 
@@ -422,12 +434,12 @@
         let leaves = |client: &Client| matches!(client.conn.state(), ClientState::Lingering(_));
         let settled = |c: &Client| c.conn.may_go(now - STALE_REQUEST) && !fresh(c) && !leaves(c);
         let over = self.clients.is_empty() || self.is_closing(now) && self.clients.values().all(settled);
-        over && now - since >= LINGER
+        over && if self.is_replaced { self.listener.is_none() } else { now - since >= LINGER }
     }
 
     fn next_due(&self, now: Ms) -> Option<Ms> {
         // A client that waits to be accepted, in a turn that has made room since it last looked.
-        let room = || self.clients.len() < self.sockets.clients || self.spare_client(now).is_some();
+        let room = || self.clients.len() < self.allowed().clients || self.spare_client(now).is_some();
         let waits = self.accept_again && !self.refused && room();
         if !self.inputs.is_empty() || !self.unread.is_empty() || waits {
             return Some(now);
@@ -455,6 +467,7 @@
             .chain(lingering)
             .chain(roster)
             .chain(ending)
+            .chain(self.exchange_due())
             .chain(self.core.next_step())
             .min_by(f64::total_cmp)
     }
@@ -471,9 +484,13 @@
                 Key::Roster(_) => self.serve_roster(now),
             }
         }
+        if self.exchange_due().is_some_and(|at| at <= now) {
+            self.exchange(now);
+        }
         if self.accept_again {
             self.accept(now);
         }
+        self.close_listener(now);
         self.watch_time(now);
         if self.ending_since.is_none() {
             self.warm_up(now);
--- a/src/net/server/nodes.rs
+++ b/src/net/server/nodes.rs
@@ -30,7 +30,7 @@
         if best.is_some() && held >= MOST_SILENT {
             return best.map(|(key, _)| key);
         }
-        if self.nodes.len() >= self.sockets.nodes {
+        if self.nodes.len() >= self.allowed().nodes {
             let idle = self.nodes.iter().find(|(_, node)| node.conn.is_idle()).map(|(key, _)| *key);
             let Some(idle) = idle else { return best.map(|(key, _)| key) };
             self.close_node(idle, "making room");
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -152,7 +152,7 @@
         );
         let refused = |why| ServeError::Listen { address: self.listen, why };
         let server = server.map_err(refused)?;
-        let listen = server.local_addr().map_err(refused)?;
+        let listen = server.local_addr();
         tracing::info!("serves OpenSearch queries on {listen}");
         Ok(Front { server, records, path, text, service: self.service, looked_at: 0.0 })
     }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -102,7 +102,7 @@
         );
         let refused = |why| ServeError::Listen { address: self.listen, why };
         let server = server.map_err(refused)?;
-        let listen = server.local_addr().map_err(refused)?;
+        let listen = server.local_addr();
         tracing::info!("{} serves the platform on {listen}", self.name);
         Ok(server)
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -193,7 +193,7 @@
 
 /// The decisions of one aggregator.
 pub struct Aggregator {
-    set: Settings,
+    pub(crate) set: Settings,
     rng: SmallRng,
     now: Ms,
     replicas: BTreeMap<ReplicaId, Replica>,
--- a/tests/support/driven.rs
+++ b/tests/support/driven.rs
@@ -23,7 +23,7 @@
     }
 
     pub fn address(&self) -> SocketAddr {
-        self.server.local_addr().expect("an address")
+        self.server.local_addr()
     }
 
     /// One turn, so much later, in which these are ready and nothing else is known to be.
