--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,8 +4,10 @@
 pub mod client;
 mod fault;
 pub mod http;
+mod listen;
 pub mod node;
 mod server;
+pub mod shared;
 pub mod trail;
 
 pub use fault::{PeerError, ServeError};
