--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,13 +3,13 @@
 pub mod admin;
 pub mod client;
 mod fault;
-pub mod http;
 mod listen;
 pub mod node;
 mod server;
 pub mod shared;
 pub mod trail;
 
+pub use ::http;
 pub use fault::{PeerError, ServeError};
 pub use server::{Ending, Server, Sockets};
 
