--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -107,7 +107,11 @@
     }
 
     fn spawn(mut command: Command, config: Option<&PathBuf>, level: Option<&str>) -> Program {
-        command.env_remove("LB_CONFIG").env_remove("STEPPICK_LOG").stderr(Stdio::piped());
+        command
+            .env_remove("LB_CONFIG")
+            .env_remove("LB_ADMIN_ADDR")
+            .env_remove("STEPPICK_LOG")
+            .stderr(Stdio::piped());
         if let Some(level) = level {
             command.env("STEPPICK_LOG", level);
         }
@@ -121,6 +125,13 @@
         Program { child, lines }
     }
 
+    /// The same with a folder for temporary files that other processes of the same coordinator share.
+    pub fn start_beside(folder: &Folder, config: &PathBuf) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_steppick"));
+        command.env("TMPDIR", &folder.0);
+        Program::spawn(command, Some(config), None)
+    }
+
     /// The same with a limit on descriptors that the system holds it to.
     pub fn start_limited(config: &PathBuf, descriptors: usize) -> Program {
         let mut command = Command::new("sh");
