Controller on its disk; three controllers on real sockets

Cause: the socket test found that an accepted controller link ended at once, since its outbox was dropped.

--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -16,7 +16,7 @@
 
 use crate::command::Reply;
 use crate::control_api::{serve, Issued};
-use crate::disk::Disk;
+use crate::disk::{Disk, Opened};
 use crate::error::ControllerError;
 use crate::machine::{CallId, Effect, Input, Machine, Moment, Timing};
 use crate::replica_calls::call;
@@ -38,8 +38,11 @@
 enum Link {
     /// Nobody has said who they are yet.
     Unknown(Outbox),
-    /// Another controller dialled.
-    Peer(SocketAddrV4),
+    /// Another controller dialled. Nothing is sent on this link, but the outbox keeps it up.
+    Peer {
+        address: SocketAddrV4,
+        _outbox: Outbox,
+    },
     Agent(Outbox),
     /// This side dialled.
     Dialed(SocketAddrV4),
@@ -65,7 +68,7 @@
 
 /// Runs a controller until it is told to end.
 pub async fn run(
-    settings: ProcessSettings,
+    mut settings: ProcessSettings,
     mut control: mpsc::Receiver<Control>,
 ) -> Result<(), ControllerError> {
     let me = member(&settings)?;
@@ -74,7 +77,9 @@
     let (issue, mut issued) = mpsc::channel(QUEUE);
     let (link_events, mut link_news) = mpsc::channel(QUEUE);
     let (replica_answers, mut replica_news) = mpsc::channel(QUEUE);
-    let (disk, stored, mut disk_news) = Disk::open(settings.data_dir.as_deref())?;
+    let Opened { disk, stored, was_damaged, ends: mut disk_news } =
+        Disk::open(settings.data_dir.as_deref()).await?;
+    settings.first_start &= !was_damaged;
     let api = tokio::spawn(serve(control_listener, issue));
     let inner = tokio::spawn(accept_links(peer_listener, link_events.clone()));
     log::info!("2001 controller {} serves {} and {}", me.node, me.control, me.peer);
@@ -255,7 +260,7 @@
 
     fn message(&mut self, link: LinkId, message: Message) {
         match (self.links.get(&link), message) {
-            (Some(Link::Peer(from)), message) => {
+            (Some(Link::Peer { address: from, .. }), message) => {
                 let from = *from;
                 self.step(Input::PeerMessage { from, message });
             }
@@ -269,7 +274,7 @@
         let Some(Link::Unknown(outbox)) = self.links.remove(&link) else { return };
         match (hello.role, hello.address.socket()) {
             (Role::Controller, Some(address)) => {
-                self.links.insert(link, Link::Peer(address));
+                self.links.insert(link, Link::Peer { address, _outbox: outbox });
             }
             (Role::Agent, _) => {
                 self.links.insert(link, Link::Agent(outbox));
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -1,5 +1,5 @@
-//! A group of controllers with simulated links, disks and clocks, played from one seed.
-#![allow(dead_code)]
+//! A group of controllers with simulated links, disks and clocks, played from one seed. Not every test uses all.
+#![allow(dead_code, unused_imports)]
 
 mod cluster;
 mod disk;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -142,6 +142,14 @@
     }
 }
 
+/// Moves a damaged store in `directory` out of the way, so that an empty one can be made. One that was moved away
+/// earlier is replaced.
+pub fn move_away(directory: &Path) -> std::io::Result<()> {
+    let path = directory.join(FILE_NAME);
+    std::fs::rename(&path, directory.join(format!("{FILE_NAME}.damaged")))?;
+    std::fs::File::open(directory)?.sync_all()
+}
+
 fn open_backend(backend: SharedBackend) -> Result<Database, redb::DatabaseError> {
     let mut builder = Builder::new();
     builder.set_cache_size(CACHE_BYTES);
