--- /dev/null
+++ b/crates/agent/src/event.rs
@@ -0,0 +1,38 @@
+//! The numbered events that the agent logs; `docs/events.md` is their catalogue.
+
+use process::Event;
+
+/// What happened; the number is the event's in the catalogue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u16)]
+pub enum AgentEvent {
+    /// It serves.
+    Started = 3001,
+    /// It was told to end.
+    Ending = 3002,
+    /// Its settings were read anew.
+    SettingsRead = 3003,
+    /// The link to a controller is up.
+    ControllerLinked = 3010,
+    /// The proxy is linked.
+    ProxyLinked = 3011,
+    /// The link to a controller ended.
+    ControllerLost = 3012,
+    /// The link to the proxy ended.
+    ProxyLost = 3013,
+    /// A configuration is in force.
+    ConfigurationTaken = 3020,
+    /// A configuration can't be used; the whole is asked for.
+    ConfigurationUnusable = 3021,
+    /// A connection of a proxy can't be taken.
+    LinkRefused = 3061,
+    /// A process that is no proxy was turned away.
+    Stranger = 3063,
+}
+
+impl Event for AgentEvent {
+    fn number(self) -> u16 {
+        self as u16
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,6 +2,7 @@
 //! over loopback. What it knows never goes back within its life, whichever controllers come and go.
 
 mod error;
+pub mod event;
 pub mod machine;
 pub mod program;
 
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -1,5 +1,6 @@
 //! The agent as a state machine.
 
+use process::Event;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
@@ -8,6 +9,7 @@
 use links::LinkId;
 use peer::{Alive, Fleet, Hello, Message, Replicas, NEVER};
 
+use crate::event::AgentEvent;
 use crate::Millis;
 
 /// What an agent is told.
@@ -200,13 +202,16 @@
     ) {
         let version = configuration.version;
         match self.view.take_configuration_message(configuration) {
-            Ok(ConfigurationTaken::News) => log::info!("3020 configuration {version} is in force"),
+            Ok(ConfigurationTaken::News) => {
+                AgentEvent::ConfigurationTaken.info(format_args!("configuration {version} is in force"))
+            }
             Ok(ConfigurationTaken::Known) => {}
             Ok(ConfigurationTaken::OtherBase) => {
                 out.push(Effect::SendController { to: from, message: Message::WantConfiguration });
             }
             Err(why) => {
-                log::error!("3021 configuration {version} from {from}: {why}");
+                AgentEvent::ConfigurationUnusable
+                    .error(format_args!("configuration {version} from {from}: {why}"));
                 out.push(Effect::SendController { to: from, message: Message::WantConfiguration });
             }
         }
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -1,5 +1,6 @@
 //! Joins the state machine to sockets and the clock.
 
+use process::Event;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -14,6 +15,7 @@
 use tokio::time::sleep_until;
 
 use crate::error::AgentError;
+use crate::event::AgentEvent;
 use crate::machine::{Effect, Input, Machine};
 
 /// Events that may wait for the machine.
@@ -53,7 +55,7 @@
     let listener = TcpListener::bind(address).await.map_err(|why| AgentError::Listen(address, why))?;
     let (link_events, mut link_news) = mpsc::channel(QUEUE);
     tokio::spawn(accept_proxies(listener, link_events.clone()));
-    log::info!("3001 agent of {} serves {address}", settings.node);
+    AgentEvent::Started.info(format_args!("agent of {} serves {address}", settings.node));
     let mut program = Program::new(settings, link_events);
     program.step(Input::Tick);
     loop {
@@ -63,7 +65,7 @@
             told = control.recv() => match told {
                 Some(Control::Reload(settings)) => program.reload(*settings),
                 Some(Control::Terminate) | None => {
-                    log::info!("3002 agent ends");
+                    AgentEvent::Ending.info(format_args!("agent ends"));
                     return Ok(());
                 }
             },
@@ -79,7 +81,7 @@
                 tokio::spawn(accept(stream, PROXIES, events.clone()));
             }
             Err(why) => {
-                log::warn!("3061 no connection taken: {why}");
+                AgentEvent::LinkRefused.warn(format_args!("no connection taken: {why}"));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -136,7 +138,7 @@
     fn link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up { link, dialed: Some(controller), outbox } => {
-                log::info!("3010 link to controller {controller} is up");
+                AgentEvent::ControllerLinked.info(format_args!("link to controller {controller} is up"));
                 let _ = outbox.send(&[Message::Hello(self.hello())]);
                 self.links.insert(link, Link::Controller(controller));
                 self.controllers.insert(controller, (link, outbox));
@@ -165,12 +167,12 @@
             (Some(Link::Unknown(_)), Message::Hello(hello)) if hello.role == Role::Proxy => {
                 if let Some(Link::Unknown(outbox)) = self.links.remove(&link) {
                     self.links.insert(link, Link::Proxy(outbox));
-                    log::info!("3011 the proxy is linked");
+                    AgentEvent::ProxyLinked.info(format_args!("the proxy is linked"));
                     self.step(Input::ProxyUp { link, hello });
                 }
             }
             (Some(Link::Unknown(_)), _) => {
-                log::warn!("3063 a process that is no proxy was turned away");
+                AgentEvent::Stranger.warn(format_args!("a process that is no proxy was turned away"));
                 self.links.remove(&link);
             }
             (None, _) => {}
@@ -183,11 +185,11 @@
                 if self.controllers.get(&controller).is_some_and(|(current, _)| *current == link) {
                     self.controllers.remove(&controller);
                 }
-                log::info!("3012 link to controller {controller}: {why}");
+                AgentEvent::ControllerLost.info(format_args!("link to controller {controller}: {why}"));
                 self.step(Input::ControllerDown { controller });
             }
             Some(Link::Proxy(_)) => {
-                log::info!("3013 link to the proxy: {why}");
+                AgentEvent::ProxyLost.info(format_args!("link to the proxy: {why}"));
                 self.step(Input::ProxyDown { link });
             }
             _ => {}
@@ -225,7 +227,7 @@
     }
 
     fn reload(&mut self, settings: ProcessSettings) {
-        log::info!("3003 settings were read anew");
+        AgentEvent::SettingsRead.info(format_args!("settings were read anew"));
         self.machine.set_seeds(settings.seed_controllers());
         self.settings = settings;
         self.keep_dialers();
--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -1,5 +1,6 @@
 //! Sockets of the control API: reads calls, hands them over as commands, writes the answers.
 
+use process::Event;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::command::{decode, too_large, Call, Command, Reply, MOST_BODY_BYTES};
+use crate::event::ControllerEvent;
 
 /// Longest head of a call, bytes.
 const MOST_HEAD_BYTES: usize = 16 * 1024;
@@ -70,7 +72,7 @@
                 });
             }
             Err(why) => {
-                log::warn!("2060 control API: no connection taken: {why}");
+                ControllerEvent::CallRefused.warn(format_args!("control API: no connection taken: {why}"));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -1,5 +1,6 @@
 //! The register's disk: a storage thread, or memory where the machine has no disk.
 
+use process::Event;
 use std::path::Path;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::error::ControllerError;
+use crate::event::ControllerEvent;
 
 /// Time between attempts to open a disk that is full or refuses.
 const OPEN_AGAIN: Duration = Duration::from_millis(200);
@@ -71,8 +73,8 @@
 }
 
 fn ended(end: &Done) -> DiskDone {
-    let result = end.result.as_ref().map(|()| ()).map_err(|why| {
-        log::warn!("2071 {why}");
+    let result = end.result.clone().map_err(|why| {
+        ControllerEvent::DiskRefused.warn(format_args!("{why}"));
         WriteFailed::Failed
     });
     DiskDone { token: WriteToken(end.token), result }
@@ -87,22 +89,25 @@
             Ok((store, entries)) => match state(entries) {
                 Ok(stored) => return Ok((store, stored, was_damaged)),
                 Err(why) => {
-                    log::error!("2070 {}: {why}; the file is moved away", folder.display());
+                    ControllerEvent::DiskDamaged
+                        .error(format_args!("{}: {why}; the file is moved away", folder.display()));
                     drop(store);
                 }
             },
             // A former process of this machine may still be ending.
             Err(why) if why.may_pass() || matches!(why, StoreError::InUse { .. }) => {
-                log::warn!("2071 {why}");
+                ControllerEvent::DiskRefused.warn(format_args!("{why}"));
                 sleep(OPEN_AGAIN).await;
                 continue;
             }
-            Err(why @ StoreError::Damaged { .. }) => log::error!("2070 {why}; the file is moved away"),
+            Err(why @ StoreError::Damaged { .. }) => {
+                ControllerEvent::DiskDamaged.error(format_args!("{why}; the file is moved away"))
+            }
             Err(why) => return Err(ControllerError::Disk(folder.to_path_buf(), why.to_string())),
         }
         was_damaged = true;
         if let Err(why) = store::move_away(folder) {
-            log::warn!("2071 {}: {why}", folder.display());
+            ControllerEvent::DiskRefused.warn(format_args!("{}: {why}", folder.display()));
             sleep(OPEN_AGAIN).await;
         }
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -10,6 +10,7 @@
 mod disk;
 pub mod duty;
 mod error;
+pub mod event;
 pub mod machine;
 pub mod program;
 mod replica_calls;
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -1,5 +1,6 @@
 //! Calls of replicas and operators.
 
+use process::Event;
 use std::sync::Arc;
 
 use catalog::{home_of, Controller, Heard, Record, State};
@@ -8,6 +9,7 @@
 
 use crate::change::{ConfigurationOrder, Verdict, WeightsOrder, WeightsVerdict};
 use crate::command::{too_large, Command, Reply};
+use crate::event::ControllerEvent;
 use crate::machine::{CallId, Effect, Machine, Moment};
 use crate::values::{ConfigurationValue, ValueError, WeightsValue};
 use crate::Millis;
@@ -49,7 +51,7 @@
             }
             Command::Leave { id } => {
                 if self.view.replicas.leave(at.now, &id) {
-                    log::info!("2031 replica {id} left");
+                    ControllerEvent::ReplicaLeft.info(format_args!("replica {id} left"));
                 }
                 self.replies.push(Effect::Reply { call, reply: Reply::empty(200) });
             }
@@ -67,8 +69,10 @@
         let (id, zone, state) = (record.id.clone(), record.zone.clone(), record.state);
         match self.view.replicas.heartbeat(now, record) {
             Heard::Full => return Reply::later(503, "too many replicas; raise the limit", 1_000),
-            Heard::News if state == State::Draining => log::info!("2032 replica {id} drains"),
-            Heard::News => log::debug!("2030 news of replica {id}"),
+            Heard::News if state == State::Draining => {
+                ControllerEvent::ReplicaDrains.info(format_args!("replica {id} drains"))
+            }
+            Heard::News => ControllerEvent::ReplicaNews.debug(format_args!("news of replica {id}")),
             Heard::Same | Heard::Late => {}
         }
         let reply = HeartbeatReply { beat_to: self.home(&id, &zone) };
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -1,10 +1,12 @@
 //! The duty of moving replicas to named weights, joined to the register and the catalogue.
 
 use feed::NamedWeights;
+use process::Event;
 use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
 
 use crate::duty::holder::{Circumstances, Proposal};
 use crate::duty::moves::Report;
+use crate::event::ControllerEvent;
 use crate::machine::calls::Pending;
 use crate::machine::{Effect, Machine, Moment};
 use crate::values::{DutyValue, WeightsValue};
@@ -17,7 +19,7 @@
     pub(crate) fn learned_weights(&mut self, at: Moment, bytes: &[u8]) {
         let value = match WeightsValue::read(bytes) {
             Ok(value) => value,
-            Err(why) => return log::error!("2022 {why}"),
+            Err(why) => return ControllerEvent::WeightsUnreadable.error(format_args!("{why}")),
         };
         let named = value.models.iter().map(|one| NamedWeights {
             model: one.model().to_string(),
@@ -25,7 +27,8 @@
             named_at: at.now as i64 - at.wall_ms.saturating_sub(one.named_at_ms) as i64,
         });
         if self.view.take_weights(named.collect()) {
-            log::info!("2023 versions of weights are named for {} models", value.models.len());
+            ControllerEvent::WeightsNamed
+                .info(format_args!("versions of weights are named for {} models", value.models.len()));
         }
         self.weights = value;
         self.next_upkeep = at.now;
@@ -34,7 +37,7 @@
     pub(crate) fn learned_duty(&mut self, at: Moment, bytes: &[u8]) {
         match DutyValue::read(bytes) {
             Ok(value) => self.holder.learn(at.now, Some(value)),
-            Err(why) => log::error!("2024 {why}"),
+            Err(why) => ControllerEvent::DutyUnreadable.error(format_args!("{why}")),
         }
     }
 
@@ -110,7 +113,7 @@
             self.send_membership(send, out);
         }
         if let Some(proposal) = self.holder.release(at.now, successor) {
-            log::info!("2051 the duty is handed to {successor:?}");
+            ControllerEvent::DutyHandedOn.info(format_args!("the duty is handed to {successor:?}"));
             self.propose_duty(at, proposal, out);
         }
     }
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -5,6 +5,7 @@
 mod duties;
 mod peers;
 
+use process::Event;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
@@ -18,6 +19,7 @@
 use crate::command::{Command, Reply};
 use crate::duty::holder::Holder;
 use crate::duty::moves::{Moves, ReplicaCall, Report};
+use crate::event::ControllerEvent;
 use crate::values::{ConfigurationValue, WeightsValue};
 use crate::Millis;
 
@@ -268,7 +270,11 @@
                 RegisterEffect::Answer { request, outcome } => self.request_ended(at, request, outcome),
                 RegisterEffect::Learned { key, value } => self.learned(at, key, &value),
                 RegisterEffect::SetChanged { set } => {
-                    log::info!("2010 acceptor set of epoch {}: {} members", set.epoch, set.members.len());
+                    ControllerEvent::AcceptorSet.info(format_args!(
+                        "acceptor set of epoch {}: {} members",
+                        set.epoch,
+                        set.members.len()
+                    ));
                 }
             }
         }
@@ -288,11 +294,13 @@
     fn learned_configuration(&mut self, bytes: &[u8]) {
         let value = match ConfigurationValue::read(bytes) {
             Ok(value) => value,
-            Err(why) => return log::error!("2021 {why}"),
+            Err(why) => return ControllerEvent::ConfigurationUnreadable.error(format_args!("{why}")),
         };
         match self.view.take_configuration(value.version, value.body) {
-            Ok(_) => log::info!("2020 configuration {} is in force", value.version),
-            Err(why) => log::error!("2021 configuration {}: {why}", value.version),
+            Ok(_) => ControllerEvent::ConfigurationDecided
+                .info(format_args!("configuration {} is in force", value.version)),
+            Err(why) => ControllerEvent::ConfigurationUnreadable
+                .error(format_args!("configuration {}: {why}", value.version)),
         }
     }
 
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -1,5 +1,6 @@
 //! What passes between controllers.
 
+use process::Event;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
@@ -9,6 +10,7 @@
 use register::message as register_message;
 use register::{Input as RegisterInput, RegisterMessage};
 
+use crate::event::ControllerEvent;
 use crate::machine::{Effect, Machine, Moment};
 use crate::Millis;
 
@@ -42,7 +44,7 @@
         match message {
             Message::Register(blob) => match register_message::decode(&blob.bytes) {
                 Ok((message, _)) => self.register(at, RegisterInput::Received { from, message }, out),
-                Err(why) => log::warn!("2041 from {from}: {why}"),
+                Err(why) => ControllerEvent::RegisterMessage.warn(format_args!("from {from}: {why}")),
             },
             Message::Membership(blob) => match membership::decode(&blob.bytes) {
                 Ok(message) => {
@@ -50,7 +52,7 @@
                         self.send_membership(send, out);
                     }
                 }
-                Err(why) => log::warn!("2042 from {from}: {why}"),
+                Err(why) => ControllerEvent::MembershipMessage.warn(format_args!("from {from}: {why}")),
             },
             Message::Replicas(replicas) => {
                 self.view.take_replicas(at.now, &replicas);
@@ -78,7 +80,7 @@
     pub(crate) fn send_membership(&self, send: membership::Send, out: &mut Vec<Effect>) {
         match membership::encode(&send.message) {
             Ok(bytes) => self.send_peer(send.to, Message::Membership(bytes.into()), out),
-            Err(why) => log::error!("2043 {why}"),
+            Err(why) => ControllerEvent::MembershipUnsendable.error(format_args!("{why}")),
         }
     }
 
@@ -115,11 +117,11 @@
                 continue;
             }
             if absent {
-                log::warn!("2011 controller {address} is out of reach");
+                ControllerEvent::ControllerAbsent.warn(format_args!("controller {address} is out of reach"));
                 self.suspected.insert(address);
                 self.register(at, RegisterInput::PeerSuspected { address }, out);
             } else {
-                log::info!("2012 controller {address} is back");
+                ControllerEvent::ControllerBack.info(format_args!("controller {address} is back"));
                 self.suspected.remove(&address);
                 self.register(at, RegisterInput::PeerReachable { address }, out);
             }
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -1,5 +1,6 @@
 //! Joins the state machine to sockets, the disk and the clock.
 
+use process::Event;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -18,6 +19,7 @@
 use crate::control_api::{serve, Issued};
 use crate::disk::{Disk, Opened};
 use crate::error::ControllerError;
+use crate::event::ControllerEvent;
 use crate::machine::{CallId, Effect, Input, Machine, Moment, Timing};
 use crate::replica_calls::call;
 
@@ -82,7 +84,8 @@
     settings.first_start &= !was_damaged;
     let api = tokio::spawn(serve(control_listener, issue));
     let inner = tokio::spawn(accept_links(peer_listener, link_events.clone()));
-    log::info!("2001 controller {} serves {} and {}", me.node, me.control, me.peer);
+    ControllerEvent::Started
+        .info(format_args!("controller {} serves {} and {}", me.node, me.control, me.peer));
     let mut program = Program::new(settings, me, stored, disk, link_events, replica_answers);
     let mut ending: Option<Instant> = None;
     loop {
@@ -95,7 +98,7 @@
             told = control.recv() => match told {
                 Some(Control::Reload(settings)) => program.reload(*settings),
                 Some(Control::Terminate) | None if ending.is_none() => {
-                    log::info!("2002 controller ends");
+                    ControllerEvent::Ending.info(format_args!("controller ends"));
                     ending = Some(Instant::now());
                     api.abort();
                     inner.abort();
@@ -136,7 +139,7 @@
                 tokio::spawn(accept(stream, AGENT_LINKS, events.clone()));
             }
             Err(why) => {
-                log::warn!("2061 inner listener: no connection taken: {why}");
+                ControllerEvent::LinkRefused.warn(format_args!("inner listener: no connection taken: {why}"));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -219,7 +222,8 @@
     fn send_peer(&mut self, to: SocketAddrV4, message: Message) {
         let Some((_, outbox)) = self.outboxes.get(&to) else { return };
         if outbox.send(&[message]).is_err() {
-            log::warn!("2062 controller {to} does not read; its link is dialled anew");
+            ControllerEvent::ControllerSlow
+                .warn(format_args!("controller {to} does not read; its link is dialled anew"));
             self.outboxes.remove(&to);
         }
     }
@@ -280,7 +284,8 @@
                 self.links.insert(link, Link::Agent(outbox));
                 self.step(Input::AgentUp { link, hello });
             }
-            _ => log::warn!("2063 a process that is neither controller nor agent was turned away"),
+            _ => ControllerEvent::Stranger
+                .warn(format_args!("a process that is neither controller nor agent was turned away")),
         }
     }
 
@@ -290,11 +295,11 @@
                 if self.outboxes.get(&peer).is_some_and(|(current, _)| *current == link) {
                     self.outboxes.remove(&peer);
                 }
-                log::info!("2064 link to controller {peer}: {why}");
+                ControllerEvent::ControllerLink.info(format_args!("link to controller {peer}: {why}"));
                 self.step(Input::PeerDown { peer });
             }
             Some(Link::Agent(_)) => {
-                log::info!("2065 link from an agent: {why}");
+                ControllerEvent::AgentLink.info(format_args!("link from an agent: {why}"));
                 self.step(Input::AgentDown { link });
             }
             _ => {}
@@ -332,7 +337,7 @@
     }
 
     fn reload(&mut self, settings: ProcessSettings) {
-        log::info!("2003 settings were read anew");
+        ControllerEvent::SettingsRead.info(format_args!("settings were read anew"));
         self.settings = settings;
     }
 }
--- a/crates/controller/src/replica_calls.rs
+++ b/crates/controller/src/replica_calls.rs
@@ -1,5 +1,6 @@
 //! Calls to replicas: orders and questions, one connection each.
 
+use process::Event;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::duty::moves::{ReplicaCall, Report};
+use crate::event::ControllerEvent;
 use crate::machine::Input;
 
 /// Longest time for a connection to come up. With the margin of the duty's window it bounds how late an order
@@ -61,7 +63,8 @@
             let body = serde_json::to_vec(&order).unwrap_or_default();
             let answer = exchange(address, &request("POST", "/order", address, &replica, &body)).await;
             let status = answer.map(|(status, _)| status);
-            log::info!("2052 order to replica {replica}: {model} version {version}: {status:?}");
+            ControllerEvent::Order
+                .info(format_args!("order to replica {replica}: {model} version {version}: {status:?}"));
             Input::Ordered { replica, status }
         }
         ReplicaCall::Report { replica, address } => {
--- a/crates/controller/tests/replicas.rs
+++ b/crates/controller/tests/replicas.rs
@@ -61,7 +61,7 @@
     assert_eq!((told[0].base, told[0].version), (0, 1));
     assert_eq!((told[1].base, told[1].version), (1, 2));
     assert!(told[1].body.bytes.len() < told[0].body.bytes.len() / 10);
-    cluster.from_agent(agent, Message::WantConfiguration);
+    cluster.agent_sends(agent, Message::WantConfiguration);
     assert_eq!(cluster.configurations_told(agent).last().map(|told| told.base), Some(0), "the whole");
 }
 
@@ -101,7 +101,7 @@
     lost.state = ReplicaState::Lost;
     lost.beat = 1;
     let before = cluster.batches(agent);
-    cluster.from_agent(agent, Message::Replicas(vec![lost].into()));
+    cluster.agent_sends(agent, Message::Replicas(vec![lost].into()));
     cluster.play(10);
     let told = cluster.messages(agent).filter(|message| matches!(message, Message::Replicas(_))).count();
     assert!(cluster.batches(agent) > before && told == 2, "it is told again");
--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -388,7 +388,7 @@
     }
 
     /// Hands in what an agent sends.
-    pub fn from_agent(&mut self, agent: Agent, message: Message) {
+    pub fn agent_sends(&mut self, agent: Agent, message: Message) {
         let (host, link) = (self.agents[agent.0].host, self.agents[agent.0].link);
         self.step(host, Input::AgentMessage { link, message });
     }
@@ -434,10 +434,10 @@
         for seen in &self.seen {
             match seen {
                 Seen::Replied(replied) if *replied == call => return false,
-                Seen::Told { agent: told, batch } if *told == agent.0 => {
-                    if tells(&self.agents[agent.0].batches[*batch], id, state) {
-                        return true;
-                    }
+                Seen::Told { agent: told, batch }
+                    if *told == agent.0 && tells(&self.agents[agent.0].batches[*batch], id, state) =>
+                {
+                    return true;
                 }
                 _ => {}
             }
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,5 +1,9 @@
 //! What a program of the router fleet is told from outside.
 
+mod event;
+
+pub use event::{Event, ProcessEvent};
+
 use settings::{ProcessSettings, SettingsError};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
@@ -32,7 +36,7 @@
             _ = reload.recv() => match reread() {
                 Ok(settings) => Control::Reload(Box::new(settings)),
                 Err(why) => {
-                    log::error!("2004 settings stay as they were: {why}");
+                    ProcessEvent::SettingsUnusable.error(format_args!("{why}"));
                     continue;
                 }
             },
