--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -141,7 +141,7 @@
     /// When the next [`Input::Tick`] is due.
     pub fn deadline(&self) -> Millis {
         let idle = self.proxies.values().filter(|proxy| !proxy.busy);
-        let feeds = idle.map(|proxy| proxy.subscriber.deadline());
+        let feeds = idle.map(|proxy| proxy.subscriber.deadline(&self.view));
         feeds.chain([self.next_upkeep]).min().unwrap_or(self.next_upkeep)
     }
 
@@ -190,6 +190,7 @@
             }
             Message::Fleet(fleet) => self.fleet(from, &fleet),
             Message::Alive(alive) => self.alive(now, from, alive),
+            Message::Prefixes(prefixes) => self.view.prefixes.take(&prefixes),
             _ => {}
         }
     }
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use feed::Subscriber;
+use feed::{Subscriber, View};
 use links::LinkId;
 use peer::{Hello, Message, NEVER};
 
@@ -51,9 +51,9 @@
         }
     }
 
-    pub fn deadline(&self) -> Millis {
+    pub fn deadline(&self, view: &View) -> Millis {
         let idle = self.links.values().filter(|agent| !agent.busy);
-        idle.map(|agent| agent.subscriber.deadline()).min().unwrap_or(Millis::MAX)
+        idle.map(|agent| agent.subscriber.deadline(view)).min().unwrap_or(Millis::MAX)
     }
 
     /// Number of machines with agents, now or lately.
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -213,8 +213,13 @@
     /// When the next [`Input::Tick`] is due.
     pub fn deadline(&self) -> Millis {
         let membership = if self.terminating { Millis::MAX } else { self.membership.deadline() };
-        let timers =
-            [self.register.wake_at(), membership, self.next_upkeep, self.next_beats, self.agents.deadline()];
+        let timers = [
+            self.register.wake_at(),
+            membership,
+            self.next_upkeep,
+            self.next_beats,
+            self.agents.deadline(&self.view),
+        ];
         timers.into_iter().min().unwrap_or(self.next_upkeep)
     }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -3,11 +3,13 @@
 //! same way. No I/O; times are milliseconds of a steady clock that the caller hands in.
 
 mod held;
+mod prefixes;
 mod records;
 mod subscriber;
 mod view;
 
 pub use held::{ConfigurationTaken, HeldConfiguration};
+pub use prefixes::{PrefixFeed, PrefixTable};
 pub use records::{record_from_wire, record_to_wire};
 pub use subscriber::{ReplicaFeed, Subscriber};
 pub use view::{NamedWeights, ReplicasTaken, View};
--- /dev/null
+++ b/crates/feed/src/prefixes.rs
@@ -0,0 +1,134 @@
+//! Which parts of prompts replicas keep, and the changes that subscribers have not heard.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use peer::{Message, PartChange, Prefixes};
+
+/// Changes that are kept for subscribers; one that is further behind takes a snapshot.
+const MOST_CHANGES: usize = 20_000;
+/// Parts that are kept of one replica; of a replica that keeps more, the others are not told.
+const MOST_PARTS: usize = 60_000;
+/// Replicas whose parts are kept.
+const MOST_REPLICAS: usize = 2_000;
+
+/// What one life of a replica keeps.
+#[derive(Debug, Clone, Default)]
+struct Kept {
+    /// Changes with each restart of the replica.
+    epoch: u64,
+    parts: HashMap<u64, u32>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Change(PartChange),
+    /// All that was known is dropped first.
+    Reset,
+}
+
+/// Parts by replica, with the newest changes in order.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixTable {
+    replicas: BTreeMap<String, Kept>,
+    steps: VecDeque<(String, Step)>,
+    /// Number of the last step.
+    last: u64,
+}
+
+/// How far one receiver has got in the changes of parts.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixFeed {
+    /// Number of the last step that was sent; `None` before the snapshot.
+    seen: Option<u64>,
+}
+
+impl PrefixTable {
+    /// Takes changes of what a replica keeps.
+    pub fn take(&mut self, prefixes: &Prefixes) {
+        let replica = prefixes.replica.as_str();
+        let known = self.replicas.contains_key(replica);
+        if !known && self.replicas.len() >= MOST_REPLICAS {
+            return;
+        }
+        let kept = self.replicas.entry(replica.to_string()).or_default();
+        if prefixes.reset != 0 || !known || kept.epoch != prefixes.epoch {
+            kept.parts.clear();
+            kept.epoch = prefixes.epoch;
+            self.note(replica, Step::Reset);
+        }
+        for change in &prefixes.changes {
+            self.change(replica, *change);
+        }
+    }
+
+    fn change(&mut self, replica: &str, change: PartChange) {
+        let Some(kept) = self.replicas.get_mut(replica) else { return };
+        if change.tokens == 0 {
+            if kept.parts.remove(&change.part).is_none() {
+                return;
+            }
+        } else if kept.parts.len() >= MOST_PARTS && !kept.parts.contains_key(&change.part) {
+            return;
+        } else if kept.parts.insert(change.part, change.tokens) == Some(change.tokens) {
+            return;
+        }
+        self.note(replica, Step::Change(change));
+    }
+
+    /// A replica is gone, and what it kept with it.
+    pub fn forget(&mut self, replica: &str) {
+        self.replicas.remove(replica);
+    }
+
+    fn note(&mut self, replica: &str, step: Step) {
+        self.last += 1;
+        self.steps.push_back((replica.to_string(), step));
+        if self.steps.len() > MOST_CHANGES {
+            self.steps.pop_front();
+        }
+    }
+
+    /// Everything, each replica from the beginning.
+    fn snapshot(&self) -> Vec<Message> {
+        let whole = self.replicas.iter().map(|(replica, kept)| {
+            let parts = kept.parts.iter();
+            let changes = parts.map(|(part, tokens)| PartChange { part: *part, tokens: *tokens }).collect();
+            Message::Prefixes(Prefixes::new(replica, kept.epoch, true, changes))
+        });
+        whole.collect()
+    }
+
+    /// The steps after number `seen`, if they are all still kept; steps of one replica that follow each other are
+    /// one message.
+    fn since(&self, seen: u64) -> Option<Vec<Message>> {
+        let behind = usize::try_from(self.last.checked_sub(seen)?).ok()?;
+        let first = self.steps.len().checked_sub(behind)?;
+        let mut runs: BTreeMap<&str, (bool, Vec<PartChange>)> = BTreeMap::new();
+        for (replica, step) in self.steps.range(first..) {
+            let run = runs.entry(replica).or_default();
+            match step {
+                Step::Change(change) => run.1.push(*change),
+                Step::Reset => *run = (true, Vec::new()),
+            }
+        }
+        let message = |(replica, (reset, changes)): (&str, (bool, Vec<PartChange>))| {
+            let epoch = self.replicas.get(replica)?.epoch;
+            Some(Message::Prefixes(Prefixes::new(replica, epoch, reset, changes)))
+        };
+        Some(runs.into_iter().filter_map(message).collect())
+    }
+}
+
+impl PrefixFeed {
+    /// Whether there is something that the receiver has not got yet.
+    pub fn is_behind(&self, table: &PrefixTable) -> bool {
+        self.seen != Some(table.last)
+    }
+
+    /// What the receiver has not got yet; what is returned counts as sent.
+    pub fn messages(&mut self, table: &PrefixTable) -> Vec<Message> {
+        let changes = self.seen.and_then(|seen| table.since(seen));
+        self.seen = Some(table.last);
+        changes.unwrap_or_else(|| table.snapshot())
+    }
+}
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -2,12 +2,15 @@
 
 use peer::{Alive, Message, Replicas};
 
+use crate::prefixes::PrefixFeed;
 use crate::records::record_to_wire;
 use crate::view::View;
 use crate::Millis;
 
 /// Every subscriber hears at least so often that its feeder lives.
 const ALIVE_EVERY_MS: Millis = 500;
+/// Changes of what replicas keep are sent at most so often: each message costs its receivers a wake-up.
+const PREFIXES_EVERY_MS: Millis = 100;
 
 /// How far one receiver has got in the changes of replicas.
 #[derive(Debug, Clone, Default)]
@@ -39,12 +42,22 @@
     weights: u64,
     fleet: u64,
     alive_at: Option<Millis>,
+    prefixes: PrefixFeed,
+    prefixes_at: Millis,
 }
 
 impl Subscriber {
     /// A subscriber that has this version of the configuration, 0 for none.
     pub fn new(configuration: u64) -> Subscriber {
-        Subscriber { configuration, replicas: ReplicaFeed::default(), weights: 0, fleet: 0, alive_at: None }
+        Subscriber {
+            configuration,
+            replicas: ReplicaFeed::default(),
+            weights: 0,
+            fleet: 0,
+            alive_at: None,
+            prefixes: PrefixFeed::default(),
+            prefixes_at: 0,
+        }
     }
 
     /// The subscriber says that it needs the whole configuration.
@@ -53,7 +66,16 @@
     }
 
     /// When the subscriber is to hear something even if there is no news.
-    pub fn deadline(&self) -> Millis {
+    pub fn deadline(&self, view: &View) -> Millis {
+        let alive = self.alive_deadline();
+        if self.prefixes.is_behind(&view.prefixes) {
+            alive.min(self.prefixes_at)
+        } else {
+            alive
+        }
+    }
+
+    fn alive_deadline(&self) -> Millis {
         self.alive_at.map_or(0, |at| at + ALIVE_EVERY_MS)
     }
 
@@ -65,7 +87,8 @@
         messages.extend(self.configuration(view));
         messages.extend(self.weights(now, view));
         messages.extend(self.fleet(view));
-        if now >= self.deadline() {
+        messages.extend(self.prefixes(now, view));
+        if now >= self.alive_deadline() {
             self.alive_at = Some(now);
             messages
                 .push(Message::Alive(Alive { majority_age_ms, configuration: view.configuration_version() }));
@@ -73,6 +96,14 @@
         messages
     }
 
+    fn prefixes(&mut self, now: Millis, view: &View) -> Vec<Message> {
+        if now < self.prefixes_at || !self.prefixes.is_behind(&view.prefixes) {
+            return Vec::new();
+        }
+        self.prefixes_at = now + PREFIXES_EVERY_MS;
+        self.prefixes.messages(&view.prefixes)
+    }
+
     fn configuration(&mut self, view: &View) -> Option<Message> {
         let held = view.configuration().filter(|held| held.version() > self.configuration)?;
         let message = held.message_for(self.configuration);
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -7,6 +7,7 @@
 use peer::{Address, Fleet, NamedVersion, Weights};
 
 use crate::held::{ConfigurationTaken, HeldConfiguration};
+use crate::prefixes::PrefixTable;
 use crate::records::record_from_wire;
 use crate::Millis;
 
@@ -32,6 +33,7 @@
 #[derive(Debug)]
 pub struct View {
     pub replicas: Catalog,
+    pub prefixes: PrefixTable,
     configuration: Option<HeldConfiguration>,
     weights: Vec<NamedWeights>,
     pub(crate) weights_change: u64,
@@ -44,6 +46,7 @@
     pub fn new(limits: Limits) -> View {
         View {
             replicas: Catalog::new(limits),
+            prefixes: PrefixTable::default(),
             configuration: None,
             weights: Vec::new(),
             weights_change: 0,
