--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -1,5 +1,6 @@
 //! The agent as a state machine.
 
+use process::Event;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
@@ -8,6 +9,7 @@
 use links::LinkId;
 use peer::{Alive, Fleet, Hello, Message, Replicas, NEVER};
 
+use crate::event::AgentEvent;
 use crate::Millis;
 
 /// What an agent is told.
@@ -139,7 +141,7 @@
     /// When the next [`Input::Tick`] is due.
     pub fn deadline(&self) -> Millis {
         let idle = self.proxies.values().filter(|proxy| !proxy.busy);
-        let feeds = idle.map(|proxy| proxy.subscriber.deadline());
+        let feeds = idle.map(|proxy| proxy.subscriber.deadline(&self.view));
         feeds.chain([self.next_upkeep]).min().unwrap_or(self.next_upkeep)
     }
 
@@ -188,6 +190,7 @@
             }
             Message::Fleet(fleet) => self.fleet(from, &fleet),
             Message::Alive(alive) => self.alive(now, from, alive),
+            Message::Prefixes(prefixes) => self.view.prefixes.take(&prefixes),
             _ => {}
         }
     }
@@ -200,13 +203,16 @@
     ) {
         let version = configuration.version;
         match self.view.take_configuration_message(configuration) {
-            Ok(ConfigurationTaken::News) => log::info!("3020 configuration {version} is in force"),
+            Ok(ConfigurationTaken::News) => {
+                AgentEvent::ConfigurationTaken.info(format_args!("configuration {version} is in force"))
+            }
             Ok(ConfigurationTaken::Known) => {}
             Ok(ConfigurationTaken::OtherBase) => {
                 out.push(Effect::SendController { to: from, message: Message::WantConfiguration });
             }
             Err(why) => {
-                log::error!("3021 configuration {version} from {from}: {why}");
+                AgentEvent::ConfigurationUnusable
+                    .error(format_args!("configuration {version} from {from}: {why}"));
                 out.push(Effect::SendController { to: from, message: Message::WantConfiguration });
             }
         }
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -1,5 +1,6 @@
 //! Joins the state machine to sockets, the disk and the clock.
 
+use process::Event;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -16,8 +17,9 @@
 
 use crate::command::Reply;
 use crate::control_api::{serve, Issued};
-use crate::disk::Disk;
+use crate::disk::{Disk, Opened};
 use crate::error::ControllerError;
+use crate::event::ControllerEvent;
 use crate::machine::{CallId, Effect, Input, Machine, Moment, Timing};
 use crate::replica_calls::call;
 
@@ -38,8 +40,11 @@
 enum Link {
     /// Nobody has said who they are yet.
     Unknown(Outbox),
-    /// Another controller dialled.
-    Peer(SocketAddrV4),
+    /// Another controller dialled. Nothing is sent on this link, but the outbox keeps it up.
+    Peer {
+        address: SocketAddrV4,
+        _outbox: Outbox,
+    },
     Agent(Outbox),
     /// This side dialled.
     Dialed(SocketAddrV4),
@@ -65,7 +70,7 @@
 
 /// Runs a controller until it is told to end.
 pub async fn run(
-    settings: ProcessSettings,
+    mut settings: ProcessSettings,
     mut control: mpsc::Receiver<Control>,
 ) -> Result<(), ControllerError> {
     let me = member(&settings)?;
@@ -74,10 +79,13 @@
     let (issue, mut issued) = mpsc::channel(QUEUE);
     let (link_events, mut link_news) = mpsc::channel(QUEUE);
     let (replica_answers, mut replica_news) = mpsc::channel(QUEUE);
-    let (disk, stored, mut disk_news) = Disk::open(settings.data_dir.as_deref())?;
+    let Opened { disk, stored, was_damaged, ends: mut disk_news } =
+        Disk::open(settings.data_dir.as_deref()).await?;
+    settings.first_start &= !was_damaged;
     let api = tokio::spawn(serve(control_listener, issue));
     let inner = tokio::spawn(accept_links(peer_listener, link_events.clone()));
-    log::info!("2001 controller {} serves {} and {}", me.node, me.control, me.peer);
+    ControllerEvent::Started
+        .info(format_args!("controller {} serves {} and {}", me.node, me.control, me.peer));
     let mut program = Program::new(settings, me, stored, disk, link_events, replica_answers);
     let mut ending: Option<Instant> = None;
     loop {
@@ -90,7 +98,7 @@
             told = control.recv() => match told {
                 Some(Control::Reload(settings)) => program.reload(*settings),
                 Some(Control::Terminate) | None if ending.is_none() => {
-                    log::info!("2002 controller ends");
+                    ControllerEvent::Ending.info(format_args!("controller ends"));
                     ending = Some(Instant::now());
                     api.abort();
                     inner.abort();
@@ -131,7 +139,7 @@
                 tokio::spawn(accept(stream, AGENT_LINKS, events.clone()));
             }
             Err(why) => {
-                log::warn!("2061 inner listener: no connection taken: {why}");
+                ControllerEvent::LinkRefused.warn(format_args!("inner listener: no connection taken: {why}"));
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -214,7 +222,8 @@
     fn send_peer(&mut self, to: SocketAddrV4, message: Message) {
         let Some((_, outbox)) = self.outboxes.get(&to) else { return };
         if outbox.send(&[message]).is_err() {
-            log::warn!("2062 controller {to} does not read; its link is dialled anew");
+            ControllerEvent::ControllerSlow
+                .warn(format_args!("controller {to} does not read; its link is dialled anew"));
             self.outboxes.remove(&to);
         }
     }
@@ -255,7 +264,7 @@
 
     fn message(&mut self, link: LinkId, message: Message) {
         match (self.links.get(&link), message) {
-            (Some(Link::Peer(from)), message) => {
+            (Some(Link::Peer { address: from, .. }), message) => {
                 let from = *from;
                 self.step(Input::PeerMessage { from, message });
             }
@@ -269,13 +278,14 @@
         let Some(Link::Unknown(outbox)) = self.links.remove(&link) else { return };
         match (hello.role, hello.address.socket()) {
             (Role::Controller, Some(address)) => {
-                self.links.insert(link, Link::Peer(address));
+                self.links.insert(link, Link::Peer { address, _outbox: outbox });
             }
             (Role::Agent, _) => {
                 self.links.insert(link, Link::Agent(outbox));
                 self.step(Input::AgentUp { link, hello });
             }
-            _ => log::warn!("2063 a process that is neither controller nor agent was turned away"),
+            _ => ControllerEvent::Stranger
+                .warn(format_args!("a process that is neither controller nor agent was turned away")),
         }
     }
 
@@ -285,11 +295,11 @@
                 if self.outboxes.get(&peer).is_some_and(|(current, _)| *current == link) {
                     self.outboxes.remove(&peer);
                 }
-                log::info!("2064 link to controller {peer}: {why}");
+                ControllerEvent::ControllerLink.info(format_args!("link to controller {peer}: {why}"));
                 self.step(Input::PeerDown { peer });
             }
             Some(Link::Agent(_)) => {
-                log::info!("2065 link from an agent: {why}");
+                ControllerEvent::AgentLink.info(format_args!("link from an agent: {why}"));
                 self.step(Input::AgentDown { link });
             }
             _ => {}
@@ -327,7 +337,7 @@
     }
 
     fn reload(&mut self, settings: ProcessSettings) {
-        log::info!("2003 settings were read anew");
+        ControllerEvent::SettingsRead.info(format_args!("settings were read anew"));
         self.settings = settings;
     }
 }
