--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -73,17 +73,18 @@
         if self.database.is_none() {
             self.database = self.open_published()?;
         }
-        let Some(database) = &self.database else {
-            return Err(StoreError::damaged(self.medium.path(), "the file", "it is gone"));
+        let path = self.medium.path();
+        let Some(database) = self.database.take() else {
+            return Err(StoreError::damaged(path, "the file", "it is gone"));
         };
-        let result = write_entries(database, entries);
-        result.map_err(|failed| {
-            self.database = None;
-            StoreError::of_database(self.medium.path(), *failed.0)
-        })
+        guarded(path, || match write_entries(&database, entries) {
+            Ok(()) => Ok(database),
+            Err(failed) => Err(StoreError::of_database(path, *failed.0)),
+        })?
+        .map(|database| self.database = Some(database))
     }
 
-    /// The published database. What is no database at all makes some versions of `redb` panic.
+    /// The published database, checked page by page.
     fn open_published(&self) -> Result<Option<Database>, StoreError> {
         let path = self.medium.path();
         let of_database = |error: redb::DatabaseError| StoreError::of_database(path, error.into());
@@ -94,10 +95,12 @@
         if length == 0 {
             return Err(StoreError::damaged(path, "the file", "it is empty"));
         }
-        let open = || open_backend(SharedBackend(backend));
-        let database = panic::catch_unwind(AssertUnwindSafe(open))
-            .map_err(|_| StoreError::damaged(path, "its structure", "it does not hold together"))?
-            .map_err(of_database)?;
+        let open = || {
+            let mut database = open_backend(SharedBackend(backend))?;
+            database.check_integrity()?;
+            Ok(database)
+        };
+        let database = guarded(path, open)?.map_err(of_database)?;
         Ok(Some(database))
     }
 
@@ -118,10 +121,8 @@
         let Some(database) = &self.database else {
             return Ok(Vec::new());
         };
-        let read = || read_wholes(database);
-        let (format, wholes) = panic::catch_unwind(AssertUnwindSafe(read))
-            .map_err(|_| StoreError::damaged(path, "its structure", "it does not hold together"))?
-            .map_err(|failed| StoreError::of_database(path, *failed.0))?;
+        let read = guarded(path, || read_wholes(database))?;
+        let (format, wholes) = read.map_err(|failed| StoreError::of_database(path, *failed.0))?;
         if format != FORMAT {
             return Err(StoreError::Format { path: path.to_owned(), found: format, known: FORMAT });
         }
@@ -133,6 +134,12 @@
     }
 }
 
+/// Runs what uses the database. Where pages contradict each other `redb` panics; that is an error like another.
+fn guarded<T>(path: &Path, action: impl FnOnce() -> T) -> Result<T, StoreError> {
+    panic::catch_unwind(AssertUnwindSafe(action))
+        .map_err(|_| StoreError::damaged(path, "its structure", "it does not hold together"))
+}
+
 /// An error of the database, small enough to be returned by everything.
 struct Failed(Box<redb::Error>);
 
