--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -8,7 +8,7 @@
 use crate::set::{AcceptorId, KnownSet, Member};
 use crate::value::{Carried, Report};
 
-pub use crate::codec::{decode, encode, HEADER_BYTES, MAX_BODY_BYTES};
+pub use crate::codec::{body_length, decode, encode, HEADER_BYTES, MAX_BODY_BYTES};
 
 /// The epoch that stands for "knows no set".
 pub const NO_EPOCH: u32 = u32::MAX;
--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -19,6 +19,9 @@
 /// Reachable machines that are remembered as able to tell the present set.
 const MAX_REACHABLE: usize = 16;
 
+/// Suspected machines that are remembered.
+const MAX_SUSPECTED: usize = 256;
+
 /// What an acceptor answered to a proposal.
 enum Reaction {
     Promised(Report),
@@ -41,16 +44,22 @@
             }
             Input::Read { request, key, deadline } => self.request(request, key, deadline, Work::Read, out),
             Input::Tick => self.upkeep(now, out),
-            Input::PeerReachable { address } => {
-                self.suspected_since.remove(&address);
-                if self.reachable.len() < MAX_REACHABLE {
-                    self.reachable.insert(address);
-                }
-            }
-            Input::PeerSuspected { address } => {
-                self.reachable.remove(&address);
-                self.suspected_since.entry(address).or_insert(now);
-            }
+            Input::PeerReachable { address } => self.peer_reachable(address),
+            Input::PeerSuspected { address } => self.peer_suspected(now, address),
+        }
+    }
+
+    fn peer_reachable(&mut self, address: SocketAddrV4) {
+        self.suspected_since.remove(&address);
+        if self.reachable.len() < MAX_REACHABLE {
+            self.reachable.insert(address);
+        }
+    }
+
+    fn peer_suspected(&mut self, now: Millis, address: SocketAddrV4) {
+        self.reachable.remove(&address);
+        if self.suspected_since.len() < MAX_SUSPECTED {
+            self.suspected_since.entry(address).or_insert(now);
         }
     }
 
@@ -258,6 +267,8 @@
             running.proposal.restart(now);
         }
         self.joiners.retain(|_, joiner| !known.set.contains(joiner.id));
+        self.contact.retain(|address| known.set.at(address).is_some());
+        self.upkeep_at = now;
         out.push(Effect::SetChanged { set: known.set });
         self.pull(out);
     }
--- a/crates/register/src/upkeep.rs
+++ b/crates/register/src/upkeep.rs
@@ -141,12 +141,14 @@
         Some(AcceptorSet::new(set.epoch + 1, members))
     }
 
-    /// How many reachable members come before this machine.
+    /// How many members come before this machine that may be there: they are not suspected, and no acceptor
+    /// with an empty disk has taken their place.
     fn rank(&self) -> Millis {
         let members = self.set().into_iter().flat_map(|set| &set.members);
         let before = members
             .take_while(|member| member.address != self.address)
-            .filter(|member| !self.suspected_since.contains_key(&member.address));
+            .filter(|member| !self.suspected_since.contains_key(&member.address))
+            .filter(|member| !self.joiners.contains_key(&member.address));
         before.count() as Millis
     }
 
