--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,35 @@
+//! The controller of the router fleet: takes the heartbeats of replicas and the orders of operators, keeps the
+//! registers with the other controllers, feeds the agents, and moves replicas to named weights.
+//!
+//! All decisions are in [`machine::Machine`], which takes inputs and returns effects; the rest joins it to
+//! sockets, the disk and the clock.
+
+pub mod change;
+pub mod command;
+mod control_api;
+mod disk;
+pub mod duty;
+mod error;
+pub mod event;
+pub mod machine;
+pub mod program;
+mod replica_calls;
+pub mod values;
+
+pub use error::ControllerError;
+
+use settings::ProcessSettings;
+
+/// Milliseconds of a steady clock.
+pub type Millis = u64;
+
+/// Runs a controller until SIGTERM.
+///
+/// # Errors
+/// Tells what it lacks.
+pub fn run(settings: ProcessSettings) -> Result<(), ControllerError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build();
+    runtime
+        .map_err(ControllerError::Runtime)?
+        .block_on(async { program::run(settings, process::signals()).await })
+}
