--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -53,6 +53,10 @@
     pub version: Option<u64>,
     /// `Cache-Salt`, for requests that name a model.
     pub salt: Option<String>,
+    /// `Kv-Fetch`: who has blocks of the prompt that the replica lacks.
+    pub fetch: Option<SocketAddrV4>,
+    /// `Kv-Save`: the store that is to have what the replica reads.
+    pub save: Option<SocketAddrV4>,
 }
 
 /// How a send ended.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -13,6 +13,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct ReadRate(pub f64);
 
+impl ReadRate {
+    /// Time to read tokens, ms.
+    pub fn reading(self, tokens: u32) -> Ms {
+        f64::from(tokens) / self.0
+    }
+}
+
 /// A replica that may get the request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -24,28 +31,25 @@
     pub kept: u32,
     /// How long the request would wait there before its prompt is read, ms.
     pub wait: Ms,
+    /// How long it would take there to read or fetch what it does not keep, ms.
+    pub reading: Ms,
 }
 
 impl Candidate {
     /// The time until the prompt is read there, ms.
-    fn cost(&self, prompt_tokens: u32, rate: ReadRate) -> Ms {
-        self.wait + f64::from(prompt_tokens.saturating_sub(self.kept)) / rate.0
+    fn cost(&self) -> Ms {
+        self.wait + self.reading
     }
 }
 
 /// Picks one of `candidates`; `None` if there are none. Among those that keep the longest start, the one with the
 /// fewest calls out, ties at random; if some other replica is cheaper by a margin, the cheapest.
-pub fn pick(
-    candidates: &[Candidate],
-    prompt_tokens: u32,
-    rate: ReadRate,
-    random: &mut SmallRng,
-) -> Option<Candidate> {
+pub fn pick(candidates: &[Candidate], random: &mut SmallRng) -> Option<Candidate> {
     let longest = candidates.iter().map(|candidate| candidate.kept).max()?;
     let keeping = candidates.iter().filter(|candidate| candidate.kept == longest);
     let first = least_by(keeping, |candidate| f64::from(candidate.out), random)?;
-    let cheapest = least_by(candidates.iter(), |candidate| candidate.cost(prompt_tokens, rate), random)?;
-    let saved = first.cost(prompt_tokens, rate) - cheapest.cost(prompt_tokens, rate);
+    let cheapest = least_by(candidates.iter(), |candidate| candidate.cost(), random)?;
+    let saved = first.cost() - cheapest.cost();
     Some(if saved > SWITCH_MARGIN { cheapest } else { first })
 }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,7 +2,8 @@
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::call::{Ask, Call, Cause, Final, Next, Out, Outcome, Target};
-use crate::choose::{pick, Candidate};
+use crate::choose::{pick, Candidate, ReadRate};
+use crate::moves::{best, Engines, Holder, Move, Store, Stores};
 use crate::replica::Replica;
 use crate::salt::Salts;
 use crate::speed::Speed;
@@ -13,6 +14,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 
 /// Replicas of one request that may fail to be reached.
 const MOST_UNREACHED: u32 = 4;
@@ -56,9 +58,28 @@
     weights: Weights,
     salts: Salts,
     index: PrefixIndex,
+    engines: Engines,
+    stores: Stores,
     random: SmallRng,
 }
 
+/// What is known of a prompt before its replica is chosen.
+#[derive(Debug, Default)]
+struct Known {
+    /// The version that each of the candidates would be asked for.
+    versions: Vec<u64>,
+    /// Tokens of the prompt's start that each of the candidates keeps.
+    kept: Vec<u32>,
+    /// Who keeps a start of it, by version.
+    holders: Vec<(u64, Vec<Kept>)>,
+}
+
+impl Known {
+    fn holders(&self, version: u64) -> &[Kept] {
+        self.holders.iter().find(|(known, _)| *known == version).map_or(&[], |(_, holders)| holders)
+    }
+}
+
 impl Dispatcher {
     /// A dispatcher of a process that started at `started`; `index_bytes` bounds its index.
     pub fn new(bounds: Bounds, index_bytes: usize, seed: u64, started: Ms) -> Dispatcher {
@@ -74,6 +95,8 @@
             weights: Weights::default(),
             salts: Salts::default(),
             index: PrefixIndex::new(index_bytes),
+            engines: Engines::new(),
+            stores: Stores::default(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -93,6 +116,24 @@
         self.salts = Salts { isolation: digest };
     }
 
+    /// The services' engines and the stores of kept blocks have changed.
+    pub fn set_moves(&mut self, engines: Engines, stores: Vec<Store>) {
+        self.engines = engines;
+        for store in &stores {
+            self.number_store(store);
+        }
+        self.stores.set(stores);
+    }
+
+    /// Gives a store a number in the index, under its address.
+    fn number_store(&mut self, store: &Store) {
+        let id = store.address.to_string();
+        if !self.numbers.contains_key(&id) {
+            self.numbers.insert(id, ReplicaNumber(self.next_number));
+            self.next_number += 1;
+        }
+    }
+
     /// A version of a model was named, and acknowledged at this time.
     pub fn name_version(&mut self, model: &str, version: u64, acknowledged: Ms) {
         self.weights.name(model, version, acknowledged);
@@ -203,20 +244,20 @@
         if call.sends > 0 && !self.budget_allows(call, now) {
             return Err(call.give_up(Cause::NoBudget, COME_BACK));
         }
-        let candidates = self.candidates(call, now)?;
-        let service = self.services.get(&*call.ask.service);
-        let rate = service.map(|service| service.speed).unwrap_or_default().rate();
+        let (candidates, known) = self.candidates(call, now)?;
         let tokens = prompt_tokens(call.ask.prompt.as_deref());
-        let Some(chosen) = pick(&candidates, tokens, rate, &mut self.random) else {
+        let Some(chosen) = pick(&candidates, &mut self.random) else {
             return Err(call.give_up(Cause::NoReplica, COME_BACK));
         };
+        let fetched = self.best_move(call, chosen.replica, chosen.kept, &known, now);
         if call.sends > 0 {
             self.budget(&call.ask.service.clone()).spend(now);
         }
         call.sends += 1;
         call.tried.push(chosen.replica);
-        let unread = f64::from(tokens.saturating_sub(chosen.kept));
-        Ok(self.sent(call, chosen.replica, unread, now))
+        let had = fetched.map_or(chosen.kept, |fetched| fetched.tokens);
+        let unread = f64::from(tokens.saturating_sub(had));
+        Ok(self.sent(call, chosen.replica, unread, fetched, now))
     }
 
     fn budget_allows(&mut self, call: &Call, now: Ms) -> bool {
@@ -225,7 +266,14 @@
     }
 
     /// Notes a send in the records, and tells how it is made.
-    fn sent(&mut self, call: &mut Call, number: ReplicaNumber, unread: f64, now: Ms) -> Target {
+    fn sent(
+        &mut self,
+        call: &mut Call,
+        number: ReplicaNumber,
+        unread: f64,
+        fetched: Option<Move>,
+        now: Ms,
+    ) -> Target {
         let version = call.ask.model.as_deref().map(|model| self.version_to_expect(number, model, now));
         let salt = version.map(|version| self.salts.salt(version, isolated(&call.ask)));
         let parts = match (&salt, &call.ask.prompt, &call.ask.model) {
@@ -237,12 +285,90 @@
         for part in &parts {
             self.index.keep(number, part.key, part.tokens, Source::Sent(now));
         }
+        let (fetch, save) = self.fetch_and_save(call, &parts, fetched, now);
         let parts = parts.iter().map(|part| part.key).collect();
         call.out.push(Out { replica: number, at: now, unread, is_pending: true, parts });
         let replica = self.replicas.get_mut(&number).expect("a candidate is known");
         replica.out += 1;
         replica.pending_tokens += unread;
-        Target { replica: number, id: replica.id.clone(), address: replica.address, version, salt }
+        Target {
+            replica: number,
+            id: replica.id.clone(),
+            address: replica.address,
+            version,
+            salt,
+            fetch,
+            save,
+        }
+    }
+
+    /// Where the blocks of a prompt are fetched from, and which store is to have them.
+    fn fetch_and_save(
+        &mut self,
+        call: &Call,
+        parts: &[Part],
+        fetched: Option<Move>,
+        now: Ms,
+    ) -> (Option<SocketAddrV4>, Option<SocketAddrV4>) {
+        let fetch = fetched.map(|fetched| fetched.from);
+        // The last part belongs to the request or its session; what comes before it is shared.
+        let Some((first, shared)) = parts.first().zip(parts.split_last().map(|(_, shared)| shared)) else {
+            return (fetch, None);
+        };
+        if !self.engines.contains_key(&*call.ask.service) || shared.is_empty() {
+            return (fetch, None);
+        }
+        let Some(store) = self.stores.home(first.key.0).map(|store| store.address) else {
+            return (fetch, None);
+        };
+        let Some(number) = self.numbers.get(&store.to_string()).copied() else { return (fetch, None) };
+        let mut found = Vec::new();
+        self.index.lookup(shared, now, &mut found);
+        let wanted: u32 = shared.iter().map(|part| part.tokens).sum();
+        let stored = found.iter().find(|kept| kept.replica == number).map_or(0, |kept| kept.tokens);
+        if stored >= wanted {
+            return (fetch, None);
+        }
+        for part in shared {
+            self.index.keep(number, part.key, part.tokens, Source::Sent(now));
+        }
+        // Nobody is known to have it: the store may, from another proxy's request.
+        let blind = found.iter().all(|kept| kept.tokens == 0).then_some(store);
+        (fetch.or(blind), Some(store))
+    }
+
+    /// The best way for a replica to get what it lacks of a prompt's start.
+    fn best_move(
+        &self,
+        call: &Call,
+        number: ReplicaNumber,
+        kept: u32,
+        known: &Known,
+        now: Ms,
+    ) -> Option<Move> {
+        let engine = self.engines.get(&*call.ask.service)?;
+        let version = self.version_to_expect(number, call.ask.model.as_deref()?, now);
+        let replica = self.replicas.get(&number)?;
+        let holders = known.holders(version).iter().filter_map(|kept| self.holder(kept, now));
+        let others = holders.filter(|holder| holder.address != replica.address);
+        best(engine, others, replica.record.zone.as_str(), kept, self.read_rate(&call.ask.service).0)
+    }
+
+    /// Who keeps a start, if blocks can be fetched there.
+    fn holder(&self, kept: &Kept, now: Ms) -> Option<Holder<'_>> {
+        if let Some(replica) = self.replicas.get(&kept.replica) {
+            let (address, zone) = (replica.address, replica.record.zone.as_str());
+            let is_usable = replica.is_ready() && replica.is_well(now);
+            return is_usable.then_some(Holder { address, zone, tokens: kept.tokens, link_mbps: None });
+        }
+        let is_this = |store: &&Store| self.numbers.get(&store.address.to_string()) == Some(&kept.replica);
+        let store = self.stores.all().iter().find(is_this)?;
+        let (address, zone) = (store.address, store.zone.as_str());
+        Some(Holder { address, zone, tokens: kept.tokens, link_mbps: Some(store.link_mbps) })
+    }
+
+    fn read_rate(&self, service: &str) -> ReadRate {
+        self.services.get(service).map(|service| service.speed).unwrap_or_default().rate()
     }
 
     /// The version that a request for a model should expect at a replica.
@@ -253,7 +379,7 @@
     }
 
     /// The replicas that a call may be sent to.
-    fn candidates(&mut self, call: &Call, now: Ms) -> Result<Vec<Candidate>, Final> {
+    fn candidates(&mut self, call: &Call, now: Ms) -> Result<(Vec<Candidate>, Known), Final> {
         let Some(service) = self.services.get(&*call.ask.service) else {
             return Err(call.give_up(Cause::NoReplica, COME_BACK));
         };
@@ -275,8 +401,9 @@
         }
         let usable = self.with_weights(not_full, call, now);
         let numbers: Vec<ReplicaNumber> = usable.iter().map(|replica| replica.number).collect();
-        let kept = self.kept(call, &numbers, now);
-        Ok(self.costed(&numbers, &kept, &call.ask.service, now))
+        let known = self.known(call, &numbers, now);
+        let candidates = self.costed(call, &numbers, &known, now);
+        Ok((candidates, known))
     }
 
     /// The replicas that have the weights which a call must run on; all, if none is known to.
@@ -292,33 +419,33 @@
         }
     }
 
-    /// Tokens of the prompt's start that each of the replicas keeps, in their order.
-    fn kept(&mut self, call: &Call, numbers: &[ReplicaNumber], now: Ms) -> Vec<u32> {
-        let (Some(model), Some(prompt)) = (&call.ask.model, &call.ask.prompt) else {
-            return vec![0; numbers.len()];
-        };
-        let versions: Vec<u64> =
-            numbers.iter().map(|number| self.version_to_expect(*number, model, now)).collect();
-        let mut distinct = versions.clone();
+    /// Who keeps which start of a call's prompt.
+    fn known(&mut self, call: &Call, numbers: &[ReplicaNumber], now: Ms) -> Known {
+        let mut known = Known { kept: vec![0; numbers.len()], ..Known::default() };
+        let (Some(model), Some(prompt)) = (&call.ask.model, &call.ask.prompt) else { return known };
+        known.versions = numbers.iter().map(|number| self.version_to_expect(*number, model, now)).collect();
+        let mut distinct = known.versions.clone();
         distinct.sort_unstable();
         distinct.dedup();
-        let mut kept = vec![0; numbers.len()];
-        let mut found: Vec<Kept> = Vec::new();
         for version in distinct {
             let salt = self.salts.salt(version, isolated(&call.ask));
             let Ok(parts) = Part::read_prompt(prompt, &salt, model) else { continue };
+            let mut found: Vec<Kept> = Vec::new();
             self.index.lookup(&parts, now, &mut found);
-            for (at, number) in numbers.iter().enumerate().filter(|(at, _)| versions[*at] == version) {
+            for (at, number) in numbers.iter().enumerate().filter(|(at, _)| known.versions[*at] == version) {
                 let place = found.binary_search_by_key(number, |kept| kept.replica);
-                kept[at] = place.map_or(0, |place| found[place].tokens);
+                known.kept[at] = place.map_or(0, |place| found[place].tokens);
             }
+            known.holders.push((version, found));
         }
-        kept
+        known
     }
 
-    /// The replicas with what waiting at each would cost.
-    fn costed(&self, numbers: &[ReplicaNumber], kept: &[u32], service: &str, now: Ms) -> Vec<Candidate> {
+    /// The replicas with what waiting and reading at each would cost.
+    fn costed(&self, call: &Call, numbers: &[ReplicaNumber], known: &Known, now: Ms) -> Vec<Candidate> {
+        let service = &*call.ask.service;
         let speed = self.services.get(service).map(|service| service.speed).unwrap_or_default();
+        let tokens = prompt_tokens(call.ask.prompt.as_deref());
         let out: u32 = numbers.iter().map(|number| self.replicas[number].out).sum();
         let others = f64::from(self.proxies.saturating_sub(1)) * f64::from(out) / numbers.len().max(1) as f64;
         let others = if self.proxies == FIRST_PROXIES { 0.0 } else { others };
@@ -329,9 +456,12 @@
             let wait = replica.pending_tokens / speed.rate().0
                 + queued / slots * speed.duration()
                 + replica.health.delay(now);
-            Candidate { replica: *number, out: replica.out, kept: *kept, wait }
+            let fetched = self.best_move(call, *number, *kept, known, now);
+            let (had, moving) = fetched.map_or((*kept, 0.0), |fetched| (fetched.tokens, fetched.takes));
+            let reading = moving + speed.rate().reading(tokens.saturating_sub(had));
+            Candidate { replica: *number, out: replica.out, kept: *kept, wait, reading }
         };
-        numbers.iter().zip(kept).map(candidate).collect()
+        numbers.iter().zip(&known.kept).map(candidate).collect()
     }
 
     /// The first piece of a send's answer has come.
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -11,13 +11,15 @@
 use support::*;
 
 fn candidate(replica: u32, out: u32, kept: u32, wait: f64) -> Candidate {
-    Candidate { replica: ReplicaNumber(replica), out, kept, wait }
+    // A prompt of 1,000 tokens, of which 10 are read in a ms.
+    let reading = ReadRate(10.0).reading(1_000 - kept);
+    Candidate { replica: ReplicaNumber(replica), out, kept, wait, reading }
 }
 
 /// The replicas picked over many draws.
 fn picked(candidates: &[Candidate]) -> Vec<u32> {
     let mut random = SmallRng::seed_from_u64(3);
-    let draws = (0..200).filter_map(|_| pick(candidates, 1_000, ReadRate(10.0), &mut random));
+    let draws = (0..200).filter_map(|_| pick(candidates, &mut random));
     let mut numbers: Vec<u32> = draws.map(|candidate| candidate.replica.0).collect();
     numbers.sort_unstable();
     numbers.dedup();
--- a/crates/proxy/src/outgoing.rs
+++ b/crates/proxy/src/outgoing.rs
@@ -60,6 +60,12 @@
     if let Some(salt) = &target.salt {
         line("Cache-Salt", salt.as_bytes());
     }
+    if let Some(source) = target.fetch {
+        line("Kv-Fetch", format!("{source}").as_bytes());
+    }
+    if let Some(store) = target.save {
+        line("Kv-Save", format!("{store}").as_bytes());
+    }
     let told_length = head.lines.count("content-length") > 0 || head.framing == http::Framing::Chunked;
     if told_length || !body.is_empty() {
         line("Content-Length", format!("{}", body.len()).as_bytes());
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,7 +1,7 @@
 //! The proxy's view of the fleet, built from its agent's messages. No I/O.
 
-use configuration::{Changes, Configuration, ConfigurationError, Document, KeyTable, Router};
-use dispatch::{isolation_digest, Bounds, Dispatcher, Ms, ReplicaNumber};
+use configuration::{Changes, Configuration, ConfigurationError, Document, KeyTable, Router, Service};
+use dispatch::{isolation_digest, Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Store};
 use peer::{Message, NEVER};
 use std::rc::Rc;
 
@@ -97,6 +97,7 @@
                 let isolated = in_force.configuration.customers.iter().filter(|customer| customer.isolated);
                 let digest = isolation_digest(isolated.map(|customer| customer.name.as_str()));
                 self.dispatcher.set_isolation(digest);
+                self.dispatcher.set_moves(engines(&in_force.configuration), stores(&in_force.configuration));
                 self.in_force = Some(Rc::new(in_force));
                 ViewAnswer::Configured
             }
@@ -125,3 +126,23 @@
         self.dispatcher.is_ready(replica)
     }
 }
+
+/// What replicas need to move kept blocks, by service.
+fn engines(configuration: &Configuration) -> Engines {
+    let engine = |service: &Service| {
+        let engine = service.engine.as_ref()?;
+        let facts = Engine { token_bytes: engine.token_bytes, link_mbps: engine.link_mbps };
+        Some((service.name.clone(), facts))
+    };
+    configuration.services.iter().filter_map(engine).collect()
+}
+
+/// The stores of kept blocks.
+fn stores(configuration: &Configuration) -> Vec<Store> {
+    let store = |service: &Service| {
+        let address = service.cache_store.as_ref()?.parse().ok()?;
+        let zone = service.zone.clone().unwrap_or_default();
+        Some(Store { address, zone, link_mbps: service.link_mbps.unwrap_or_default() })
+    };
+    configuration.services.iter().filter_map(store).collect()
+}
