Ask the store for blocks that nobody is known to keep, before the send itself is noted

Cause: the send was noted in the index before the look-up, so that every prompt seemed kept and the store was never asked (seen in a trial that printed each send).

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -282,10 +282,11 @@
             }
             _ => Vec::new(),
         };
+        // Before the send is noted: it tells nothing of who has the parts now.
+        let (fetch, save) = self.fetch_and_save(call, &parts, fetched, now);
         for part in &parts {
             self.index.keep(number, part.key, part.tokens, Source::Sent(now));
         }
-        let (fetch, save) = self.fetch_and_save(call, &parts, fetched, now);
         let parts = parts.iter().map(|part| part.key).collect();
         call.out.push(Out { replica: number, at: now, unread, is_pending: true, parts });
         let replica = self.replicas.get_mut(&number).expect("a candidate is known");
