Controllers read what replicas keep, and tell it to all agents

Change: the controller that hears a replica's heartbeats reads its /kv-events, one call at a time with a pause between (short calls cost as much as probes), /kv-list after a gap, at most every 10 s; changes go to agents and proxies.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -171,6 +171,7 @@
         self.next_upkeep = now + UPKEEP_EVERY_MS;
         // Only controllers pass judgement on silent replicas; here old ends are forgotten.
         self.view.replicas.tick(now, false);
+        self.view.forget_prefixes_of_ended();
         self.controllers.retain(|_, one| one.up || now.saturating_sub(one.seen) < REMEMBER_MS);
         self.update_fleet();
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod duty;
 mod error;
 pub mod event;
+mod http_client;
+pub mod kv_events;
 pub mod machine;
 pub mod program;
 mod replica_calls;
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -91,6 +91,10 @@
         replica: String,
         report: Option<Report>,
     },
+    /// A replica that is read here keeps other parts of prompts.
+    Prefixes {
+        prefixes: peer::Prefixes,
+    },
     /// Time went by.
     Tick,
     /// The process is to end.
@@ -131,6 +135,7 @@
 /// One controller.
 pub struct Machine {
     started: Millis,
+    timing: Timing,
     me: Member,
     register: RegisterNode,
     membership: Membership,
@@ -154,6 +159,8 @@
 const UPKEEP_EVERY_MS: Millis = 100;
 /// Time between messages on heartbeats heard to the other controllers.
 const BEATS_EVERY_MS: Millis = 400;
+/// A replica whose heartbeats stay away for so many is not at home here any more.
+const HOME_BEATS: Millis = 3;
 /// A majority was reached lately if its proof is younger.
 const PROVED_MS: Millis = 1_500;
 
@@ -168,6 +175,7 @@
         let limits = catalog::Limits::for_beats(timing.beat_every_ms, timing.reuse_after_ms);
         Machine {
             started: now,
+            timing,
             register,
             membership,
             suspected: BTreeSet::new(),
@@ -203,6 +211,7 @@
             }
             Input::Ordered { replica, status } => self.moves.ordered(at.now, &replica, status),
             Input::Reported { replica, report } => self.reported(at, &replica, report),
+            Input::Prefixes { prefixes } => self.view.prefixes.take(&prefixes),
             Input::Tick => self.tick(at, out),
             Input::Terminate => self.terminate(at, out),
         }
@@ -231,6 +240,16 @@
         wanted
     }
 
+    /// The replicas with models that send their heartbeats here: their events are read here.
+    pub fn wanted_readers(&self, now: Millis) -> BTreeMap<String, SocketAddrV4> {
+        let lately = |record: &&catalog::Record| {
+            let heard = self.view.replicas.heard_here(&record.id);
+            heard.is_some_and(|at| now < at + HOME_BEATS * self.timing.beat_every_ms)
+        };
+        let with_models = self.view.replicas.live().filter(|record| !record.models.is_empty());
+        with_models.filter(lately).map(|record| (record.id.clone(), record.address)).collect()
+    }
+
     /// Whether nothing is left to finish before the process ends.
     pub fn is_idle(&self) -> bool {
         self.pending.is_empty()
@@ -256,6 +275,7 @@
             self.compare_membership(at, out);
             self.update_fleet(at.now);
             self.consider_duty(at, out);
+            self.view.forget_prefixes_of_ended();
         }
     }
 
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -20,9 +20,12 @@
 use crate::disk::{Disk, Opened};
 use crate::error::ControllerError;
 use crate::event::ControllerEvent;
+use crate::kv_events::reader::{read, Reader};
 use crate::machine::{CallId, Effect, Input, Machine, Moment, Timing};
 use crate::replica_calls::call;
 
+/// Time between looks at which replicas are at home here.
+const READERS_EVERY_MS: u64 = 200;
 /// Events that may wait for the machine.
 const QUEUE: usize = 256;
 /// Longest time that a process takes to end.
@@ -61,6 +64,8 @@
     links: BTreeMap<LinkId, Link>,
     outboxes: BTreeMap<SocketAddrV4, (LinkId, Outbox)>,
     dialers: BTreeMap<SocketAddrV4, Dialer>,
+    readers: BTreeMap<String, Reader>,
+    next_readers: u64,
     calls: BTreeMap<CallId, oneshot::Sender<Reply>>,
     last_call: u64,
     disk: Disk,
@@ -176,6 +181,8 @@
             links: BTreeMap::new(),
             outboxes: BTreeMap::new(),
             dialers: BTreeMap::new(),
+            readers: BTreeMap::new(),
+            next_readers: 0,
             calls: BTreeMap::new(),
             last_call: 0,
             disk,
@@ -197,6 +204,10 @@
         }
         self.effects = effects;
         self.keep_dialers();
+        if at.now >= self.next_readers {
+            self.next_readers = at.now + READERS_EVERY_MS;
+            self.keep_readers(at.now);
+        }
     }
 
     fn run(&mut self, effect: Effect) {
@@ -306,6 +317,16 @@
         }
     }
 
+    /// Reads the events of the replicas that are at home here, and of no others.
+    fn keep_readers(&mut self, now: u64) {
+        let wanted = self.machine.wanted_readers(now);
+        self.readers.retain(|replica, _| wanted.contains_key(replica));
+        for (replica, address) in wanted {
+            let news = &self.replica_answers;
+            self.readers.entry(replica).or_insert_with_key(|replica| read(replica, address, news.clone()));
+        }
+    }
+
     /// Dials the controllers that are known now, and no others.
     fn keep_dialers(&mut self) {
         let wanted = self.machine.wanted_peers();
--- a/crates/feed/src/prefixes.rs
+++ b/crates/feed/src/prefixes.rs
@@ -75,9 +75,9 @@
         self.note(replica, Step::Change(change));
     }
 
-    /// A replica is gone, and what it kept with it.
-    pub fn forget(&mut self, replica: &str) {
-        self.replicas.remove(replica);
+    /// Forgets replicas, with what they kept. Receivers learn of their end elsewhere.
+    pub(crate) fn retain(&mut self, stays: impl Fn(&str) -> bool) {
+        self.replicas.retain(|replica, _| stays(replica));
     }
 
     fn note(&mut self, replica: &str, step: Step) {
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -125,6 +125,12 @@
         taken
     }
 
+    /// Drops what ended replicas kept.
+    pub fn forget_prefixes_of_ended(&mut self) {
+        let ended = |id: &str| self.replicas.get(id).is_some_and(|record| record.state == State::Gone);
+        self.prefixes.retain(|id| !ended(id));
+    }
+
     pub fn weights(&self) -> &[NamedWeights] {
         &self.weights
     }
