dispatch: a long shared start that nobody is known to keep goes to its home replica

Change: where no replica is known to keep the whole shared start (512 tokens and more), the replica first by rendezvous hashing over part and id is taken to keep it; the cost of waiting there still outweighs it. Ruled out: asking replicas (/report, /kv-list): priced as probes.

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -5,6 +5,11 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
+/// Time left to a request below which it is not sent again, ms.
+pub(crate) const LEAST_TIME: Ms = 20.0;
+/// When to come back if no replica told, ms.
+pub(crate) const COME_BACK: Ms = 150.0;
+
 /// What a route allows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rules {
--- /dev/null
+++ b/crates/dispatch/src/judging.rs
@@ -0,0 +1,113 @@
+//! What follows from how a send went.
+
+use crate::call::{Call, Cause, Next, Outcome, COME_BACK, LEAST_TIME};
+use crate::dispatcher::Dispatcher;
+use evidence::Ms;
+use prefix_index::ReplicaNumber;
+
+/// Replicas of one request that may fail to be reached.
+const MOST_UNREACHED: u32 = 4;
+
+impl Dispatcher {
+    /// The first piece of a send's answer has come.
+    pub fn began(&mut self, call: &mut Call, replica: ReplicaNumber, now: Ms) {
+        let Some(out) = call.out.iter_mut().find(|out| out.replica == replica && out.is_pending) else {
+            return;
+        };
+        out.is_pending = false;
+        let (after, unread) = (now - out.at, out.unread);
+        if let Some(replica) = self.replicas.get_mut(&replica) {
+            replica.pending_tokens = (replica.pending_tokens - unread).max(0.0);
+        }
+        if let Some(service) = self.services.get_mut(&*call.ask.service) {
+            service.speed.began(unread, after);
+            let reading = unread / service.speed.rate().0;
+            if let Some(replica) = self.replicas.get_mut(&replica) {
+                replica.health.delayed((after - reading).max(0.0), now);
+            }
+        }
+    }
+
+    /// A send has ended; tells what follows.
+    pub fn ended(&mut self, call: &mut Call, number: ReplicaNumber, outcome: Outcome, now: Ms) -> Next {
+        self.release(call, number, outcome, now);
+        self.judge(call, number, outcome, now);
+        call.note(outcome);
+        match outcome {
+            Outcome::Answered => return Next::PassOn,
+            Outcome::Abandoned => return Next::Wait,
+            Outcome::Failed if !self.may_repeat(call, now) => return Next::PassOn,
+            _ if !call.out.is_empty() => return Next::Wait,
+            _ => {}
+        }
+        match self.obstacle(call, outcome, now) {
+            None => Next::Repeat,
+            Some(cause) => Next::Answer(call.give_up(cause, COME_BACK)),
+        }
+    }
+
+    fn may_repeat(&mut self, call: &Call, now: Ms) -> bool {
+        self.obstacle(call, Outcome::Failed, now).is_none()
+    }
+
+    /// What forbids another send.
+    fn obstacle(&mut self, call: &Call, outcome: Outcome, now: Ms) -> Option<Cause> {
+        if outcome == Outcome::Expired || call.ask.deadline - now < LEAST_TIME {
+            return Some(Cause::Expired);
+        }
+        if call.is_unrepeatable() {
+            return Some(Cause::InDoubt);
+        }
+        if call.unreached >= MOST_UNREACHED {
+            return Some(Cause::Unreached);
+        }
+        if call.sends >= call.ask.rules.tries.max(1) {
+            return Some(Cause::NoTries);
+        }
+        (call.sends > 0 && !self.budget_allows(call, now)).then_some(Cause::NoBudget)
+    }
+
+    /// Takes a send out of the records of calls that are out.
+    fn release(&mut self, call: &mut Call, number: ReplicaNumber, outcome: Outcome, now: Ms) {
+        let Some(at) = call.out.iter().position(|out| out.replica == number) else { return };
+        let out = call.out.swap_remove(at);
+        if let Some(replica) = self.replicas.get_mut(&number) {
+            replica.out = replica.out.saturating_sub(1);
+            if out.is_pending {
+                replica.pending_tokens = (replica.pending_tokens - out.unread).max(0.0);
+            }
+        }
+        if matches!(outcome, Outcome::Answered) {
+            if let Some(service) = self.services.get_mut(&*call.ask.service) {
+                service.speed.ended(now - out.at);
+            }
+        } else if out.is_pending {
+            for part in &out.parts {
+                self.index.take_back(number, *part, out.at);
+            }
+        }
+    }
+
+    /// Takes the evidence on a replica in.
+    fn judge(&mut self, call: &Call, number: ReplicaNumber, outcome: Outcome, now: Ms) {
+        let newest = call.ask.model.as_deref().map(|model| (model, self.weights.newest(model)));
+        let Some(replica) = self.replicas.get_mut(&number) else { return };
+        match outcome {
+            Outcome::Unreached => replica.health.unreached(now),
+            Outcome::Full { retry_after } => replica.health.full(now, retry_after),
+            Outcome::Elsewhere => replica.health.elsewhere(now),
+            Outcome::Broken | Outcome::Expired => replica.health.broken(now),
+            Outcome::Failed | Outcome::Answered => replica.health.sound(),
+            Outcome::Abandoned => {}
+            Outcome::OtherVersion => {
+                // Its beat is old news: it is at the newest version, or on the way there.
+                if let Some((model, newest)) = newest {
+                    if replica.version(model) != Some(newest) {
+                        replica.hear_version(model, newest);
+                    }
+                }
+                replica.health.full(now, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/sending.rs
@@ -0,0 +1,178 @@
+//! Where a request is sent.
+
+use crate::call::{Ask, Call, Cause, Final, Out, Target, COME_BACK, LEAST_TIME};
+use crate::choose::{pick, Candidate};
+use crate::dispatcher::{Dispatcher, FIRST_PROXIES};
+use crate::home;
+use crate::replica::Replica;
+use evidence::Ms;
+use prefix_index::{Kept, Part, ReplicaNumber, Source};
+
+impl Dispatcher {
+    /// Where to send a request next.
+    ///
+    /// # Errors
+    /// Gives the final answer if it can't be sent.
+    pub fn send(&mut self, call: &mut Call, now: Ms) -> Result<Target, Final> {
+        if call.ask.deadline - now < LEAST_TIME {
+            return Err(call.give_up(Cause::Expired, COME_BACK));
+        }
+        if call.sends > 0 && !self.budget_allows(call, now) {
+            return Err(call.give_up(Cause::NoBudget, COME_BACK));
+        }
+        let candidates = self.candidates(call, now)?;
+        let service = self.services.get(&*call.ask.service);
+        let rate = service.map(|service| service.speed).unwrap_or_default().rate();
+        let tokens = prompt_tokens(call.ask.prompt.as_deref());
+        let Some(chosen) = pick(&candidates, tokens, rate, &mut self.random) else {
+            return Err(call.give_up(Cause::NoReplica, COME_BACK));
+        };
+        if call.sends > 0 {
+            self.budget(&call.ask.service.clone()).spend(now);
+        }
+        call.sends += 1;
+        call.tried.push(chosen.replica);
+        let unread = f64::from(tokens.saturating_sub(chosen.kept));
+        Ok(self.sent(call, chosen.replica, unread, now))
+    }
+
+    pub(crate) fn budget_allows(&mut self, call: &Call, now: Ms) -> bool {
+        let limits = self.budget_limits();
+        self.budget(&call.ask.service.clone()).allows(now, &limits)
+    }
+
+    /// Notes a send in the records, and tells how it is made.
+    fn sent(&mut self, call: &mut Call, number: ReplicaNumber, unread: f64, now: Ms) -> Target {
+        let version = call.ask.model.as_deref().map(|model| self.version_to_expect(number, model, now));
+        let salt = version.map(|version| self.salts.salt(version, isolated(&call.ask)));
+        let parts = match (&salt, &call.ask.prompt, &call.ask.model) {
+            (Some(salt), Some(prompt), Some(model)) => {
+                Part::read_prompt(prompt, salt, model).unwrap_or_default()
+            }
+            _ => Vec::new(),
+        };
+        for part in &parts {
+            self.index.keep(number, part.key, part.tokens, Source::Sent(now));
+        }
+        let parts = parts.iter().map(|part| part.key).collect();
+        call.out.push(Out { replica: number, at: now, unread, is_pending: true, parts });
+        let replica = self.replicas.get_mut(&number).expect("a candidate is known");
+        replica.out += 1;
+        replica.pending_tokens += unread;
+        Target { replica: number, id: replica.id.clone(), address: replica.address, version, salt }
+    }
+
+    /// The version that a request for a model should expect at a replica.
+    fn version_to_expect(&self, number: ReplicaNumber, model: &str, now: Ms) -> u64 {
+        let required = self.weights.required(model, now, self.bounds.version);
+        let known = self.replicas.get(&number).and_then(|replica| replica.version(model));
+        required.or(known).unwrap_or_else(|| self.weights.newest(model))
+    }
+
+    /// The replicas that a call may be sent to.
+    fn candidates(&mut self, call: &Call, now: Ms) -> Result<Vec<Candidate>, Final> {
+        let Some(service) = self.services.get(&*call.ask.service) else {
+            return Err(call.give_up(Cause::NoReplica, COME_BACK));
+        };
+        let is_open = |replica: &&Replica| replica.is_ready() && !call.tried.contains(&replica.number);
+        let open: Vec<&Replica> =
+            service.replicas.iter().filter_map(|number| self.replicas.get(number)).filter(is_open).collect();
+        if open.is_empty() {
+            return Err(call
+                .give_up(if call.tried.is_empty() { Cause::NoReplica } else { Cause::NoTries }, COME_BACK));
+        }
+        // Evidence never rules out all replicas; being full does, for its short time.
+        let well: Vec<&Replica> = open.iter().filter(|replica| replica.is_well(now)).copied().collect();
+        let well = if well.is_empty() { open } else { well };
+        let not_full: Vec<&Replica> =
+            well.iter().filter(|replica| !replica.health.is_full(now)).copied().collect();
+        if not_full.is_empty() {
+            let until = well.iter().map(|replica| replica.health.full_until()).fold(f64::INFINITY, f64::min);
+            return Err(call.give_up(Cause::AllFull, (until - now).max(COME_BACK)));
+        }
+        let usable = self.with_weights(not_full, call, now);
+        let numbers: Vec<ReplicaNumber> = usable.iter().map(|replica| replica.number).collect();
+        let kept = self.kept(call, &numbers, now);
+        Ok(self.costed(&numbers, &kept, &call.ask.service, now))
+    }
+
+    /// The replicas that have the weights which a call must run on; all, if none is known to.
+    fn with_weights<'a>(&self, replicas: Vec<&'a Replica>, call: &Call, now: Ms) -> Vec<&'a Replica> {
+        let Some(model) = call.ask.model.as_deref() else { return replicas };
+        let Some(required) = self.weights.required(model, now, self.bounds.version) else { return replicas };
+        let has = |replica: &&&Replica| replica.version(model) == Some(required);
+        let having: Vec<&Replica> = replicas.iter().filter(has).copied().collect();
+        if having.is_empty() {
+            replicas
+        } else {
+            having
+        }
+    }
+
+    /// Tokens of the prompt's start that each of the replicas keeps, in their order.
+    fn kept(&mut self, call: &Call, numbers: &[ReplicaNumber], now: Ms) -> Vec<u32> {
+        let (Some(model), Some(prompt)) = (&call.ask.model, &call.ask.prompt) else {
+            return vec![0; numbers.len()];
+        };
+        let versions: Vec<u64> =
+            numbers.iter().map(|number| self.version_to_expect(*number, model, now)).collect();
+        let mut distinct = versions.clone();
+        distinct.sort_unstable();
+        distinct.dedup();
+        let mut kept = vec![0; numbers.len()];
+        let mut found: Vec<Kept> = Vec::new();
+        for version in distinct {
+            let salt = self.salts.salt(version, isolated(&call.ask));
+            let Ok(parts) = Part::read_prompt(prompt, &salt, model) else { continue };
+            self.index.lookup(&parts, now, &mut found);
+            for (at, number) in numbers.iter().enumerate().filter(|(at, _)| versions[*at] == version) {
+                let place = found.binary_search_by_key(number, |kept| kept.replica);
+                kept[at] = place.map_or(0, |place| found[place].tokens);
+            }
+        }
+        self.expect_at_home(model, prompt, numbers, &mut kept);
+        kept
+    }
+
+    /// Where nobody is known to keep the whole shared start of a prompt, its home is taken to: the first request brings
+    /// it there, whichever proxy has it.
+    fn expect_at_home(&self, model: &str, prompt: &str, numbers: &[ReplicaNumber], kept: &mut [u32]) {
+        let Ok(parts) = Part::read_prompt(prompt, "", model) else { return };
+        let Some((last, tokens)) = home::shared_start(&parts) else { return };
+        if kept.iter().any(|kept| *kept >= tokens) {
+            return;
+        }
+        let ids = numbers.iter().map(|number| &*self.replicas[number].id);
+        if let Some(place) = home::home(last, ids) {
+            kept[place] = tokens;
+        }
+    }
+
+    /// The replicas with what waiting at each would cost.
+    fn costed(&self, numbers: &[ReplicaNumber], kept: &[u32], service: &str, now: Ms) -> Vec<Candidate> {
+        let speed = self.services.get(service).map(|service| service.speed).unwrap_or_default();
+        let out: u32 = numbers.iter().map(|number| self.replicas[number].out).sum();
+        let others = f64::from(self.proxies.saturating_sub(1)) * f64::from(out) / numbers.len().max(1) as f64;
+        let others = if self.proxies == FIRST_PROXIES { 0.0 } else { others };
+        let candidate = |(number, kept): (&ReplicaNumber, &u32)| {
+            let replica = &self.replicas[number];
+            let slots = f64::from(replica.record.free_slots.max(1));
+            let queued = (f64::from(replica.out) + others - slots).max(0.0);
+            let wait = replica.pending_tokens / speed.rate().0
+                + queued / slots * speed.duration()
+                + replica.health.delay(now);
+            Candidate { replica: *number, out: replica.out, kept: *kept, wait }
+        };
+        numbers.iter().zip(kept).map(candidate).collect()
+    }
+}
+
+fn isolated(ask: &Ask) -> Option<&str> {
+    ask.tenant.as_ref().filter(|tenant| tenant.is_isolated).map(|tenant| &*tenant.name)
+}
+
+/// All tokens of a prompt.
+fn prompt_tokens(prompt: Option<&str>) -> u32 {
+    let parts = prompt.and_then(|prompt| Part::read_prompt(prompt, "", "").ok()).unwrap_or_default();
+    parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+}
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use dispatch::{isolation_digest, pick, Candidate, Outcome, ReadRate, ReplicaNumber, Salts, Weights};
+use dispatch::{home, isolation_digest, pick, Candidate, Outcome, ReadRate, ReplicaNumber, Salts, Weights};
 use peer::{part_key, PartChange, Prefixes};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -177,3 +177,48 @@
     dispatcher.set_isolation(isolation_digest(["t1"]));
     assert_ne!(salt(&mut dispatcher, "t2", false), shared);
 }
+
+#[test]
+fn proxies_that_know_nothing_send_a_long_start_to_one_home() {
+    let homes: HashSet<String> = (0..10)
+        .map(|seed| {
+            let mut dispatcher = dispatch::Dispatcher::new(BOUNDS, 1 << 20, seed, 0.0);
+            // Each proxy learns of the replicas in another order.
+            (0..9).for_each(|number| dispatcher.update_replica(record((number + seed as u8) % 9 + 1, 1)));
+            sent(&mut dispatcher, prompt(&format!("aa:600,bb:9000,{seed}:10")), START).1.id.to_string()
+        })
+        .collect();
+    assert_eq!(homes.len(), 1);
+}
+
+#[test]
+fn starts_spread_over_homes_and_stay_when_another_replica_leaves() {
+    let ids: Vec<String> = (1..=9).map(|number| format!("i-{number}")).collect();
+    let homes = |ids: &[String]| -> Vec<String> {
+        let parts =
+            (0..900).map(|n| dispatch::Part::read_prompt(&format!("{n:x}:9000"), "", "m").expect("parts"));
+        parts
+            .map(|parts| ids[home(&parts[0], ids.iter().map(String::as_str)).expect("some")].clone())
+            .collect()
+    };
+    let all = homes(&ids);
+    for id in &ids {
+        let count = all.iter().filter(|home| *home == id).count();
+        assert!((60..=140).contains(&count), "{count} of 900 at {id}");
+    }
+    for (before, after) in all.iter().zip(homes(&ids[1..])) {
+        assert!(*before == ids[0] || *before == after);
+    }
+}
+
+#[test]
+fn short_starts_have_no_home() {
+    let ids: HashSet<_> = (0..20)
+        .map(|seed| {
+            let mut dispatcher = dispatch::Dispatcher::new(BOUNDS, 1 << 20, seed, 0.0);
+            (1..=9).for_each(|number| dispatcher.update_replica(record(number, 1)));
+            sent(&mut dispatcher, prompt("aa:92,bb:291"), START).1.id
+        })
+        .collect();
+    assert!(ids.len() > 3);
+}
