--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -5,6 +5,7 @@
 //! millisecond.
 
 use evidence::Ms;
+use prefix_index::{Part, ReplicaNumber};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
@@ -12,6 +13,9 @@
 const SETUP: Ms = 2.0;
 /// Fewest tokens that are worth a move: two blocks of most engines.
 const FEWEST_TOKENS: u32 = 32;
+/// Odd numbers that spread addresses and weights over 64 bits.
+const ADDRESS_MIX: u64 = 0x9e37_79b9_7f4a_7c15;
+const WEIGHT_MIX: u64 = 0xd6e8_feb8_6659_fd93;
 /// How many times as long a move between zones takes.
 const ZONE_FACTOR: f64 = 2.0;
 
@@ -85,28 +89,29 @@
     moves.max_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, best)| best)
 }
 
-/// The stores, and which of them has a part.
+/// The stores, with their numbers in the index.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Stores {
-    stores: Vec<Store>,
+    stores: Vec<(ReplicaNumber, Store)>,
 }
 
 impl Stores {
-    pub fn set(&mut self, stores: Vec<Store>) {
+    pub fn set(&mut self, stores: Vec<(ReplicaNumber, Store)>) {
         self.stores = stores;
     }
 
-    pub fn all(&self) -> &[Store] {
-        &self.stores
+    /// The store with this number.
+    pub fn numbered(&self, number: ReplicaNumber) -> Option<&Store> {
+        self.stores.iter().find(|(known, _)| *known == number).map(|(_, store)| store)
     }
 
-    /// The store for a prompt that begins with this part: the same at every proxy (rendezvous hashing).
-    pub fn home(&self, first_part: u64) -> Option<&Store> {
-        let weight = |store: &Store| {
+    /// The store for prompts that begin with this part: the same at every proxy (rendezvous hashing).
+    pub fn home(&self, first: &Part) -> Option<(ReplicaNumber, SocketAddrV4)> {
+        let weight = |(_, store): &&(ReplicaNumber, Store)| {
             let address = u64::from(u32::from(*store.address.ip())) << 16 | u64::from(store.address.port());
-            (first_part ^ address.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xd6e8_feb8_6659_fd93)
+            (first.key.0 ^ address.wrapping_mul(ADDRESS_MIX)).wrapping_mul(WEIGHT_MIX)
         };
-        self.stores.iter().max_by_key(|store| weight(store))
+        self.stores.iter().max_by_key(weight).map(|(number, store)| (*number, store.address))
     }
 }
 
