--- a/crates/register/src/durability.rs
+++ b/crates/register/src/durability.rs
@@ -16,7 +16,7 @@
 const MAX_WAITING: usize = 256;
 
 /// How long after a failed write the next is tried.
-const RETRY_MILLIS: Millis = 200;
+const RETRY_MILLIS: Millis = 400;
 
 /// An answer with its receiver.
 pub struct Addressed {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -38,6 +38,15 @@
     pub bytes: Arc<[u8]>,
 }
 
+/// How much of the file is looked at when it is opened.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Check {
+    /// What the database needs itself.
+    None,
+    /// Every page.
+    Pages,
+}
+
 /// Entries on disk.
 pub struct Store {
     medium: Box<dyn Medium>,
@@ -55,7 +64,7 @@
     /// Opens the store on a medium, or makes an empty one, and reads all entries.
     pub fn open_on(medium: Box<dyn Medium>) -> Result<(Store, Vec<Entry>), StoreError> {
         let mut store = Store { medium, database: None };
-        match store.open_published()? {
+        match store.open_published(Check::Pages)? {
             Some(database) => store.database = Some(database),
             None => store.make()?,
         }
@@ -71,7 +80,7 @@
             return Err(StoreError::TooLong { slot, length, limit: MAX_ENTRY_BYTES });
         }
         if self.database.is_none() {
-            self.database = self.open_published()?;
+            self.database = self.open_published(Check::None)?;
         }
         let path = self.medium.path();
         let Some(database) = self.database.take() else {
@@ -84,8 +93,8 @@
         .map(|database| self.database = Some(database))
     }
 
-    /// The published database, checked page by page.
-    fn open_published(&self) -> Result<Option<Database>, StoreError> {
+    /// The published database.
+    fn open_published(&self, check: Check) -> Result<Option<Database>, StoreError> {
         let path = self.medium.path();
         let of_database = |error: redb::DatabaseError| StoreError::of_database(path, error.into());
         let Some(backend) = self.medium.open().map_err(of_database)? else {
@@ -97,7 +106,9 @@
         }
         let open = || {
             let mut database = open_backend(SharedBackend(backend))?;
-            database.check_integrity()?;
+            if check == Check::Pages {
+                database.check_integrity()?;
+            }
             Ok(database)
         };
         let database = guarded(path, open)?.map_err(of_database)?;
