--- a/crates/register/tests/disk.rs
+++ b/crates/register/tests/disk.rs
@@ -299,9 +299,37 @@
 #[test]
 fn a_call_for_another_acceptor_id_gets_no_answer() {
     let mut machine = Machine::first_start();
-    let call = Call { to: first_id(2), ..call(ballot(1)) };
+    machine.prepare(1);
+    machine.write_done();
+    let call = Call { to: first_id(2), ..call(ballot(2)) };
     assert_eq!(machine.receive(RegisterMessage::Prepare { call, held: Ballot::ZERO }), []);
-    assert!(machine.node.acceptor_id() == first_id(1));
+    assert_eq!(machine.receive(RegisterMessage::Query { call, held: Ballot::ZERO }), []);
+    assert!(machine.write.is_none(), "nothing was promised");
+}
+
+#[test]
+fn an_older_set_is_ignored() {
+    let mut machine = Machine::first_start();
+    machine.receive(RegisterMessage::Set { known: set_with_machine_four() });
+    machine.receive(RegisterMessage::Set { known: KnownSet::first(&seeds()) });
+    assert_eq!(machine.node.set(), Some(&set_with_machine_four().set));
+}
+
+#[test]
+fn a_new_acceptor_tells_its_id_when_the_disk_holds_it() {
+    let node = RegisterNode::recover(None, Identity { address: address(5) }, &seeds(), false, 5);
+    let mut machine = Machine { node, disk: Vec::new(), write: None };
+    let joins = |machine: &mut Machine, now| {
+        let mut effects = Vec::new();
+        machine.node.step(now, Input::Tick, &mut effects);
+        let is_join =
+            |effect: &Effect| matches!(effect, Effect::Send { message: RegisterMessage::Join { .. }, .. });
+        effects.iter().any(is_join)
+    };
+    machine.receive(RegisterMessage::Set { known: set_with_machine_four() });
+    assert!(!joins(&mut machine, NOW + 1_000));
+    machine.write_done();
+    assert!(joins(&mut machine, NOW + 2_000));
 }
 
 fn stored() -> StoredState {
