--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -4,24 +4,25 @@
 use crate::core::Input;
 use crate::interface::*;
 use crate::net::client::{ClientConn, ClientState};
-use crate::net::{http, read_all, Dialect, Key, Take, Watched};
+use crate::net::{http, read_all, Dialect, Key, Served, Take, Watched};
 use std::cmp::Ordering;
 use std::io::{self, Write};
 use std::net::Shutdown;
 
 impl<D: Dialect> Server<D> {
     pub(super) fn accept(&mut self, now: Ms) {
-        loop {
-            let full = self.clients.len() >= self.sockets.clients;
+        let most = self.allowed().clients;
+        while let Some(listener) = &self.listener {
+            let full = self.clients.len() >= most;
             if full && self.spare_client(now).is_none() {
                 return;
             }
-            match self.listener.socket.accept() {
+            match listener.socket.accept() {
                 Ok((socket, _)) => {
                     self.refused = false;
                     // Closing between requests is allowed; only a client that is there already makes it needed.
                     for _ in 0..self.clients.len() {
-                        let full = self.clients.len() >= self.sockets.clients;
+                        let full = self.clients.len() >= most;
                         let Some(spare) = self.spare_client(now).filter(|_| full) else { break };
                         self.close_idle(spare, now);
                     }
@@ -129,7 +130,7 @@
 
     /// Takes the whole requests that have come; tells whether there were any.
     fn take_requests(&mut self, key: u64, now: Ms) -> bool {
-        let closing = self.is_closing(now);
+        let (closing, can_serve) = (self.is_closing(now), self.takes_clients());
         let mut took = false;
         while let Some(client) = self.clients.get_mut(&key) {
             let Some(request) = client.conn.next_request() else { break };
@@ -144,7 +145,6 @@
             };
             let id = self.core.new_id();
             let at = client.conn.request_at;
-            let can_serve = self.core.can_serve() && self.ending_since.is_none();
             match self.dialect.take(id, &request, at, can_serve) {
                 Take::Query(mut query) => {
                     // What is not answered when the platform kills the program is lost.
