Store: a disk that fills up at any step is told as full and never as damaged; long lives of power losses

Cause: the controller moves a damaged file away, and its acceptor with it; a full disk or a loss of power while the file grows that looked like damage would lose what was acknowledged.

--- a/crates/store/tests/fault/mod.rs
+++ b/crates/store/tests/fault/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
 use redb::{DatabaseError, StorageBackend};
@@ -34,7 +35,7 @@
 #[derive(Debug, Default)]
 struct Disk {
     bytes: Bytes,
-    room: Option<usize>,
+    changes_until_full: Option<usize>,
     is_hanging: bool,
     syncs: usize,
     record: Option<Vec<FaultyFile>>,
@@ -57,9 +58,14 @@
         self.disk.0.lock().expect("no test panics with the lock")
     }
 
-    /// From now on the file may not grow, and writes are refused, as a full disk does; `None` ends it.
+    /// Writes are refused from now on, as on a full disk, or taken again.
     pub fn set_full(&self, is_full: bool) {
-        self.lock().room = is_full.then_some(0);
+        self.lock().changes_until_full = is_full.then_some(0);
+    }
+
+    /// The disk is full after so many more changes.
+    pub fn set_full_after(&self, changes: usize) {
+        self.lock().changes_until_full = Some(changes);
     }
 
     /// Writes and syncs wait until it ends.
@@ -103,8 +109,10 @@
     fn change(&self, change: Change) -> io::Result<()> {
         let mut disk = self.wait_while_hanging();
         disk.keep();
-        if disk.room.is_some() {
-            return Err(io::ErrorKind::StorageFull.into());
+        match &mut disk.changes_until_full {
+            Some(0) => return Err(io::ErrorKind::StorageFull.into()),
+            Some(left) => *left -= 1,
+            None => {}
         }
         apply(&mut disk.bytes.now, &change, Fate::Present);
         disk.bytes.changes.push(change);
@@ -176,6 +184,7 @@
 pub struct FaultyMedium {
     pub published: Arc<Mutex<Option<FaultyFile>>>,
     created: Arc<Mutex<Option<FaultyFile>>>,
+    is_full_when_created: Arc<AtomicBool>,
 }
 
 impl FaultyMedium {
@@ -185,6 +194,10 @@
         medium
     }
 
+    pub fn set_full_when_created(&self, is_full: bool) {
+        self.is_full_when_created.store(is_full, Ordering::Relaxed);
+    }
+
     pub fn file(&self) -> FaultyFile {
         self.published.lock().expect("unharmed").clone().expect("published")
     }
@@ -202,6 +215,7 @@
 
     fn create(&self) -> Result<Arc<dyn StorageBackend>, DatabaseError> {
         let file = FaultyFile::default();
+        file.set_full(self.is_full_when_created.load(Ordering::Relaxed));
         *self.created.lock().expect("unharmed") = Some(file.clone());
         Ok(Arc::new(file))
     }
--- a/crates/store/tests/recovery.rs
+++ b/crates/store/tests/recovery.rs
@@ -131,6 +131,69 @@
     }
 }
 
+#[test]
+fn power_lost_while_the_file_grows_leaves_all_of_a_write_or_nothing() {
+    let (medium, mut store, before) = written_store(1);
+    let after = [entry(18, &pattern(3 << 20, 99)), entry(16, &[99; 40])];
+    let mut expected = before.clone();
+    expected.extend(content(after.to_vec()));
+    let file = medium.file();
+    let snapshots = snapshots_during(&file, || store.write(&after).expect("writes"));
+    let step = if is_thorough() { 1 } else { 1 + snapshots.len() / 12 };
+    let late = snapshots.len().saturating_sub(4);
+    for (moment, file) in
+        snapshots.iter().enumerate().filter(|(moment, _)| moment % step == 0 || *moment >= late)
+    {
+        for draw in 0..4 {
+            let lost = file.after_power_loss(|index| drawn_fate(draw, moment, index));
+            let found = reopened(lost).unwrap_or_else(|error| panic!("moment {moment}, {draw}: {error}"));
+            assert!(found == before || found == expected, "moment {moment}, {draw}");
+        }
+    }
+}
+
+/// One life after the other on the same file, each ended by a loss of power within its last write.
+#[test]
+fn a_long_life_of_power_losses_loses_nothing_acknowledged() {
+    let (lives, cycles) = if is_thorough() { (12, 60) } else { (3, 20) };
+    for life in 0..lives {
+        let mut file = written_store(0).0.file().after_power_loss(|_| Fate::Present);
+        let mut content_now = reopened(FaultyFile::of_bytes(file.bytes())).expect("opens");
+        for cycle in 0..cycles {
+            let draw = life * 1_000 + cycle;
+            let (next, acknowledged, attempted) = live_once(&file, &content_now, draw);
+            let found = reopened(FaultyFile::of_bytes(next.bytes()))
+                .unwrap_or_else(|error| panic!("life {life}, cycle {cycle}: {error}"));
+            assert!(found == acknowledged || found == attempted, "life {life}, cycle {cycle}");
+            (file, content_now) = (next, found);
+        }
+    }
+}
+
+/// Opens the file, writes three times, and loses power within the last write. Returns the file, what was
+/// acknowledged and what would be there with the last write.
+fn live_once(file: &FaultyFile, content_now: &Content, draw: u64) -> (FaultyFile, Content, Content) {
+    let medium = FaultyMedium::with(FaultyFile::of_bytes(file.bytes()));
+    let (mut store, found) = open(&medium).expect("opens");
+    assert_eq!(found, *content_now);
+    let mut acknowledged = found;
+    let mut attempted = acknowledged.clone();
+    let mut snapshots = Vec::new();
+    for write in 0..3 {
+        let number = draw * 3 + write;
+        let entries = [
+            entry(16 + (number % 5) as u16, &number.to_le_bytes()),
+            entry(30 + (number % 3) as u16, &pattern((number * 7_919 % 200_000) as usize, number as u8)),
+        ];
+        acknowledged = attempted.clone();
+        attempted.extend(content(entries.to_vec()));
+        snapshots = snapshots_during(&medium.file(), || store.write(&entries).expect("writes"));
+    }
+    let moment = (draw * 13) as usize % snapshots.len();
+    let lost = snapshots[moment].after_power_loss(|index| drawn_fate(draw, moment, index));
+    (lost, acknowledged, attempted)
+}
+
 /// A different fate for each unsynced change, moment and draw.
 fn drawn_fate(draw: u64, moment: usize, index: usize) -> Fate {
     let mixed = (draw * 31 + moment as u64 * 7 + index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 60;
@@ -218,6 +281,77 @@
     assert_eq!(reopened(lost).expect("opens"), expected);
 }
 
+/// A file as a loss of power within a write may leave it.
+fn interrupted_file(draw: u64) -> (FaultyFile, [Content; 2]) {
+    let (medium, mut store, before) = written_store(3);
+    let after = [entry(16, &[99; 40]), entry(18, &pattern(9_000, 99))];
+    let mut expected = before.clone();
+    expected.extend(content(after.to_vec()));
+    let file = medium.file();
+    let snapshots = snapshots_during(&file, || store.write(&after).expect("writes"));
+    let moment = draw as usize % snapshots.len();
+    (snapshots[moment].after_power_loss(|index| drawn_fate(draw, moment, index)), [before, expected])
+}
+
+/// A full disk must never look like damage: what is damaged is moved away, and its acceptor is gone with it.
+#[test]
+fn a_disk_that_is_or_becomes_full_at_the_start_is_not_taken_as_damaged() {
+    let mut refused = 0;
+    for draw in 0..12 {
+        let (interrupted, expected) = interrupted_file(draw);
+        for changes_until_full in 0..12 {
+            let file = FaultyFile::of_bytes(interrupted.bytes());
+            file.set_full_after(changes_until_full);
+            match reopened(file.clone()) {
+                Ok(found) => assert!(expected.contains(&found), "{draw}, {changes_until_full}"),
+                Err(StoreError::Full { .. }) => refused += 1,
+                Err(other) => panic!("{draw}, {changes_until_full}: {other}"),
+            }
+            file.set_full(false);
+            let found =
+                reopened(file).unwrap_or_else(|error| panic!("{draw}, {changes_until_full}: {error}"));
+            assert!(expected.contains(&found), "{draw}, {changes_until_full}");
+        }
+    }
+    assert!(refused > 10, "{refused}");
+}
+
+#[test]
+fn a_disk_that_becomes_full_within_a_write_is_not_taken_as_damaged() {
+    for changes_until_full in 0..12 {
+        let (medium, mut store, before) = written_store(3);
+        let after = [entry(16, &[99; 40]), entry(18, &pattern(9_000, 99))];
+        let mut expected = before.clone();
+        expected.extend(content(after.to_vec()));
+        medium.file().set_full_after(changes_until_full);
+        let is_written = match store.write(&after) {
+            Ok(()) => true,
+            Err(StoreError::Full { .. }) => false,
+            Err(other) => panic!("{changes_until_full}: {other}"),
+        };
+        for _ in 0..3 {
+            let error = store.write(&after).err();
+            assert!(matches!(error, None | Some(StoreError::Full { .. })), "{changes_until_full}: {error:?}");
+        }
+        let lost = medium.file().after_power_loss(|index| drawn_fate(7, changes_until_full, index));
+        let found = reopened(lost).unwrap_or_else(|error| panic!("{changes_until_full}: {error}"));
+        assert!(found == expected || (!is_written && found == before), "{changes_until_full}");
+        medium.file().set_full(false);
+        store.write(&after).unwrap_or_else(|error| panic!("{changes_until_full}: {error}"));
+    }
+}
+
+#[test]
+fn an_empty_store_that_cannot_be_made_is_made_later() {
+    let medium = FaultyMedium::default();
+    medium.set_full_when_created(true);
+    let error = open(&medium).err().expect("full");
+    assert!(matches!(error, StoreError::Full { .. }), "{error}");
+    medium.set_full_when_created(false);
+    let (_, found) = open(&medium).expect("opens");
+    assert_eq!(found, Content::new());
+}
+
 #[test]
 fn long_entries_written_again_and_again_do_not_fill_the_disk() {
     const LIMIT_BYTES: usize = 40 << 20;
