--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One send of a request to one replica, up to the end of its answer.
 
 use crate::connection::Connection;
-use crate::event::Event;
+use crate::event::ProxyEvent;
 use crate::exchange::Exchange;
 use crate::outgoing::request_bytes;
 use crate::upstream::{meaning, version, Meaning};
@@ -57,7 +57,7 @@
     pub(crate) async fn attempt(&mut self, target: &Target) -> Ended {
         let Some((mut replica, fresh)) = self.send(target).await else {
             let what = format_args!("replica {} at {}", target.id, target.address);
-            self.shared.event_limit.warn(self.shared.now(), Event::Unreached, what);
+            self.shared.event_limit.warn(self.shared.now(), ProxyEvent::Unreached, what);
             return Outcome::Unreached.into();
         };
         let head = match self.head(&mut replica).await {
@@ -72,7 +72,7 @@
             Meaning::Over(outcome) => {
                 if outcome == Outcome::Broken {
                     let what = format_args!("replica {} with status {}", target.id, head.status);
-                    self.shared.event_limit.warn(self.shared.now(), Event::BadAnswer, what);
+                    self.shared.event_limit.warn(self.shared.now(), ProxyEvent::BadAnswer, what);
                 } else {
                     self.recycle_if_whole(target, &head, replica);
                 }
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::own;
 use crate::connection::Connection;
-use crate::event::Event;
+use crate::event::ProxyEvent;
 use crate::exchange::{ClientGone, Exchange};
 use crate::lifecycle::Phase;
 use crate::plan::Plan;
@@ -60,7 +60,7 @@
             Err(Unread::Refused { status, retry_after }) => {
                 shared.event_limit.warn(
                     shared.now(),
-                    Event::ClientMalformed,
+                    ProxyEvent::ClientMalformed,
                     format_args!("answered {status}"),
                 );
                 if client.write(&own(status, retry_after, None, true)).await.is_ok() {
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -1,5 +1,6 @@
 //! The numbered events that the proxy logs; `docs/events.md` is their catalogue.
 
+use process::Event;
 use std::cell::Cell;
 use std::fmt::Arguments;
 
@@ -7,15 +8,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 #[repr(u16)]
-pub enum Event {
+pub enum ProxyEvent {
     /// It listens.
     Listening = 1000,
     /// It is linked to its agent.
     AgentLinked = 1010,
     /// The link to its agent broke.
     AgentLost = 1011,
-    /// A message of its agent can't be used.
-    AgentMessage = 1012,
     /// A configuration is in force.
     Configured = 1020,
     /// A configuration can't be used.
@@ -40,25 +39,12 @@
     Ended = 1201,
     /// The settings were read anew.
     SettingsRead = 1210,
-    /// The settings can't be read anew.
-    SettingsUnusable = 1211,
 }
 
-impl Event {
-    /// The number in the catalogue.
-    pub fn number(self) -> u16 {
+impl Event for ProxyEvent {
+    fn number(self) -> u16 {
         self as u16
     }
-
-    /// Logs the event as part of ordinary work.
-    pub fn info(self, what: Arguments) {
-        log::info!("{} {self}: {what}", self.number());
-    }
-
-    /// Logs the event as one that somebody should look at.
-    pub fn warn(self, what: Arguments) {
-        log::warn!("{} {self}: {what}", self.number());
-    }
 }
 
 /// Most events of requests logged in a second: a fleet in trouble must not spend its time on logs.
@@ -73,7 +59,7 @@
 
 impl EventLimit {
     /// Logs an event of a request, unless this second (of the caller's clock, ms) has had enough.
-    pub fn warn(&self, now: f64, event: Event, what: Arguments) {
+    pub fn warn(&self, now: f64, event: ProxyEvent, what: Arguments) {
         let second = (now / 1000.0) as u64;
         if self.second.replace(second) != second {
             self.count.set(0);
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::answer::{own, passed_head};
 use crate::attempt::Answer;
 use crate::connection::Connection;
-use crate::event::Event;
+use crate::event::ProxyEvent;
 use crate::plan::Plan;
 use crate::relay::Passage;
 use crate::shared::Shared;
@@ -75,7 +75,7 @@
                     self.passage.resume();
                     let after = self.passage.last_event_id().unwrap_or("none");
                     let what = format_args!("attempt {} after event {after}", self.plan.attempt_id);
-                    self.shared.event_limit.warn(now, Event::Resumed, what);
+                    self.shared.event_limit.warn(now, ProxyEvent::Resumed, what);
                 }
                 Next::Repeat => {}
             }
@@ -99,7 +99,7 @@
     async fn give_up(&mut self, last: Final) -> Result<(), ClientGone> {
         let (status, cause, sends) = (last.status, last.cause, self.call.sends());
         let what = format_args!("attempt {} with {status}: {cause}, {sends} sends", self.plan.attempt_id);
-        self.shared.event_limit.warn(self.shared.now(), Event::GivenUp, what);
+        self.shared.event_limit.warn(self.shared.now(), ProxyEvent::GivenUp, what);
         if self.passage.has_begun() {
             return self.cut_off();
         }
@@ -110,7 +110,7 @@
     /// Ends an answer that has begun so that it does not look whole.
     fn cut_off(&mut self) -> Result<(), ClientGone> {
         let what = format_args!("attempt {}", self.plan.attempt_id);
-        self.shared.event_limit.warn(self.shared.now(), Event::CutOff, what);
+        self.shared.event_limit.warn(self.shared.now(), ProxyEvent::CutOff, what);
         self.client.reset_on_close();
         Err(ClientGone)
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -27,7 +27,7 @@
 mod view;
 
 pub use error::ProxyError;
-pub use event::Event;
+pub use event::ProxyEvent;
 pub use lifecycle::{Lifecycle, Phase};
 pub use outgoing::request_bytes;
 pub use plan::{Plan, Refusal};
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -1,9 +1,10 @@
 //! The link to the agent of this machine: for ever made anew; without it the proxy serves on its last view.
 
-use crate::event::Event;
+use crate::event::ProxyEvent;
 use crate::shared::Shared;
 use crate::view::ViewAnswer;
 use peer::{encode, Address, FrameReader, Hello, Message, Role, PROTOCOL};
+use process::Event;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -21,9 +22,9 @@
 pub(crate) async fn keep(shared: Rc<Shared>, agent: SocketAddrV4, incarnation: u64) {
     loop {
         if let Ok(mut stream) = TcpStream::connect(agent).await {
-            Event::AgentLinked.info(format_args!("agent at {agent}"));
+            ProxyEvent::AgentLinked.info(format_args!("agent at {agent}"));
             let why = follow(&shared, &mut stream, incarnation).await;
-            Event::AgentLost.warn(format_args!(
+            ProxyEvent::AgentLost.warn(format_args!(
                 "agent at {agent}: {}",
                 why.err().map_or("closed".into(), |e| e.to_string())
             ));
@@ -77,11 +78,11 @@
         ViewAnswer::Taken => None,
         ViewAnswer::WantConfiguration => Some(Message::WantConfiguration),
         ViewAnswer::Configured => {
-            Event::Configured.info(format_args!("version {version}"));
+            ProxyEvent::Configured.info(format_args!("version {version}"));
             None
         }
         ViewAnswer::Unusable(why) => {
-            Event::ConfigurationUnusable.warn(format_args!("version {version} stays: {why}"));
+            ProxyEvent::ConfigurationUnusable.warn(format_args!("version {version} stays: {why}"));
             None
         }
     }
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -1,20 +1,19 @@
 //! The process: its sockets, signals and tasks.
 
 use crate::error::ProxyError;
-use crate::event::Event;
+use crate::event::ProxyEvent;
 use crate::lifecycle::Phase;
 use crate::shared::Shared;
 use crate::{client, link, readiness};
+use process::{Control, Event};
 use settings::ProcessSettings;
-use std::future::Future;
 use std::hash::{BuildHasher, Hasher};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{mpsc, Notify, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
@@ -50,13 +49,7 @@
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async move {
         let sockets = listen(&settings)?;
-        let mut terminate = signal(SignalKind::terminate()).map_err(ProxyError::Runtime)?;
-        let hang_up = signal(SignalKind::hangup()).map_err(ProxyError::Runtime)?;
-        let reread = settings_read_anew(hang_up);
-        let end = async move {
-            terminate.recv().await;
-        };
-        serve(settings, sockets, end, reread).await;
+        serve(settings, sockets, process::signals()).await;
         Ok(())
     })
 }
@@ -78,46 +71,25 @@
     listen().map_err(|why| ProxyError::Listen(address, why))
 }
 
-/// A source of settings that were read anew, one for each SIGHUP.
-fn settings_read_anew(mut hang_up: Signal) -> impl AsyncFnMut() -> Option<ProcessSettings> {
-    async move || loop {
-        hang_up.recv().await?;
-        let read = ProcessSettings::path_from_environment().and_then(|path| ProcessSettings::load(&path));
-        match read {
-            Ok(settings) => return Some(settings),
-            Err(why) => Event::SettingsUnusable.warn(format_args!("the former stay: {why}")),
-        }
-    }
-}
-
-/// Serves on these sockets until `end` comes and what is under way has ended. Must run in a [`LocalSet`].
-pub async fn serve(
-    settings: ProcessSettings,
-    sockets: Sockets,
-    end: impl Future<Output = ()> + 'static,
-    mut reread: impl AsyncFnMut() -> Option<ProcessSettings> + 'static,
-) {
+/// Serves on these sockets until it is told to end and what is under way has ended. Must run in a [`LocalSet`].
+pub async fn serve(settings: ProcessSettings, sockets: Sockets, mut control: mpsc::Receiver<Control>) {
     let seed = std::hash::RandomState::new().build_hasher().finish();
     let most_clients = settings.caps.open_files.saturating_sub(RESERVED_FILES) / 2;
     let shared = Rc::new(Shared::new(settings, seed));
     let Sockets { front, ready, agent } = sockets;
     let addresses = (front.local_addr().ok(), ready.local_addr().ok());
-    Event::Listening.info(format_args!("front {:?}, ready {:?}", addresses.0, addresses.1));
+    ProxyEvent::Listening.info(format_args!("front {:?}, ready {:?}", addresses.0, addresses.1));
     let permits = Arc::new(Semaphore::new(usize::try_from(most_clients).unwrap_or(usize::MAX).max(1)));
     let front_closed = Rc::new(Notify::new());
     spawn_local(link::keep(shared.clone(), agent, seed));
     spawn_local(accept_clients(shared.clone(), front, permits, front_closed.clone()));
     spawn_local(accept_askers(shared.clone(), ready));
     spawn_local(clean(shared.clone()));
-    let for_settings = shared.clone();
-    spawn_local(async move {
-        while let Some(settings) = reread().await {
-            for_settings.take_settings(settings);
-            Event::SettingsRead.info(format_args!("bounds are in force"));
-        }
-    });
-    end.await;
-    Event::Ending.info(format_args!("{} requests under way", shared.under_way.get()));
+    while let Some(Control::Reload(settings)) = control.recv().await {
+        shared.take_settings(*settings);
+        ProxyEvent::SettingsRead.info(format_args!("bounds are in force"));
+    }
+    ProxyEvent::Ending.info(format_args!("{} requests under way", shared.under_way.get()));
     shared.end();
     while shared.phase() != Phase::Over {
         if shared.phase() == Phase::Finishing {
@@ -126,7 +98,7 @@
         sleep(ENDING_STEP).await;
         shared.phase_changed.notify_waiters();
     }
-    Event::Ended.info(format_args!("{} requests under way", shared.under_way.get()));
+    ProxyEvent::Ended.info(format_args!("{} requests under way", shared.under_way.get()));
 }
 
 async fn accept_clients(shared: Rc<Shared>, front: TcpListener, permits: Arc<Semaphore>, closed: Rc<Notify>) {
@@ -145,7 +117,7 @@
                 });
             }
             Err(why) => {
-                shared.event_limit.warn(shared.now(), Event::AcceptFailed, format_args!("{why}"));
+                shared.event_limit.warn(shared.now(), ProxyEvent::AcceptFailed, format_args!("{why}"));
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -3,14 +3,14 @@
 
 use http::{BodyReader, Framing, RequestHead, ResponseFraming, ResponseHead};
 use peer::{encode, Fleet, FrameReader, Message, ModelVersion, ReplicaRecord, ReplicaState, Replicas};
+use process::Control;
 use proxy::{serve, Sockets};
 use settings::ProcessSettings;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
 /// The key of the tenant of tests.
@@ -43,7 +43,7 @@
     ready: SocketAddr,
     /// The agent's side of the link.
     pub agent: TcpStream,
-    end: Rc<Notify>,
+    control: mpsc::Sender<Control>,
     /// The proxy's life.
     pub life: JoinHandle<()>,
 }
@@ -71,15 +71,13 @@
         let address = |listener: &TcpListener| listener.local_addr().expect("bound");
         let SocketAddr::V4(at) = address(&agent) else { unreachable!("bound to IPv4") };
         let (front_at, ready_at) = (address(&front), address(&ready));
-        let end = Rc::new(Notify::new());
-        let ended = end.clone();
+        let (tell, control) = mpsc::channel(4);
         let sockets = Sockets { front, ready, agent: at };
-        let serving = serve(settings(), sockets, async move { ended.notified().await }, async || None);
-        let life = spawn_local(serving);
+        let life = spawn_local(serve(settings(), sockets, control));
         let (mut agent, _) = agent.accept().await.expect("the proxy's link");
         let hello = next_message(&mut agent).await;
         assert!(matches!(hello, Message::Hello(_)), "{hello:?}");
-        Fixture { front: front_at, ready: ready_at, agent, end, life }
+        Fixture { front: front_at, ready: ready_at, agent, control: tell, life }
     }
 
     /// Sends the proxy a message of its agent.
@@ -96,7 +94,7 @@
 
     /// What SIGTERM does.
     pub fn terminate(&self) {
-        self.end.notify_one();
+        self.control.try_send(Control::Terminate).expect("the proxy listens");
     }
 
     /// A client's new connection.
