--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
 use crate::replica::Replica;
 use crate::salt::Salts;
 use crate::speed::Speed;
+use crate::twins::Twins;
 use crate::weights::Weights;
 use evidence::Ms;
 use peer::{Prefixes, ReplicaRecord, ReplicaState};
@@ -16,6 +17,9 @@
 /// The number of proxies until the fleet tells.
 pub(crate) const FIRST_PROXIES: u32 = 64;
 
+/// The part of requests that gets a twin; none until a run has shown what twins are worth.
+const TWIN_PART: f64 = 0.0;
+
 /// Bounds from the process's settings.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -30,10 +34,11 @@
 }
 
 /// What is known of a service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Service {
     pub replicas: Vec<ReplicaNumber>,
     pub speed: Speed,
+    pub twins: Twins,
 }
 
 /// Decides for one proxy.
@@ -51,6 +56,7 @@
     pub(crate) salts: Salts,
     pub(crate) index: PrefixIndex,
     pub(crate) random: SmallRng,
+    twin_part: f64,
 }
 
 impl Dispatcher {
@@ -69,6 +75,7 @@
             salts: Salts::default(),
             index: PrefixIndex::new(index_bytes),
             random: SmallRng::seed_from_u64(seed),
+            twin_part: TWIN_PART,
         }
     }
 
@@ -82,6 +89,12 @@
         self.proxies = proxies.max(1);
     }
 
+    /// The part of requests that may get a twin, [`crate::MOST_TWINS`] at most.
+    pub fn set_twin_part(&mut self, part: f64) {
+        self.twin_part = part;
+        self.services.values_mut().for_each(|service| service.twins = Twins::new(part));
+    }
+
     /// The tenants that share with nobody have changed; see [`crate::isolation_digest`].
     pub fn set_isolation(&mut self, digest: u64) {
         self.salts = Salts { isolation: digest };
@@ -112,7 +125,9 @@
         let Some(replica) = Replica::new(number, record) else { return };
         self.next_number += 1;
         self.numbers.insert(id, number);
-        self.services.entry(service).or_default().replicas.push(number);
+        let twins = Twins::new(self.twin_part);
+        let new = || Service { replicas: Vec::new(), speed: Speed::default(), twins };
+        self.services.entry(service).or_insert_with(new).replicas.push(number);
         self.replicas.insert(number, replica);
     }
 
@@ -167,6 +182,9 @@
     /// A client's request has come.
     pub fn begin(&mut self, ask: Ask, now: Ms) -> Call {
         self.budget(&ask.service).request(now);
+        if let Some(service) = self.services.get_mut(&*ask.service) {
+            service.twins.request();
+        }
         Call::new(ask)
     }
 
--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -36,8 +36,8 @@
         match outcome {
             Outcome::Answered => return Next::PassOn,
             Outcome::Abandoned => return Next::Wait,
-            Outcome::Failed if !self.may_repeat(call, now) => return Next::PassOn,
             _ if !call.out.is_empty() => return Next::Wait,
+            Outcome::Failed if !self.may_repeat(call, now) => return Next::PassOn,
             _ => {}
         }
         match self.obstacle(call, outcome, now) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod salt;
 mod sending;
 mod speed;
+mod twins;
 mod weights;
 
 pub use budget::{BudgetLimits, RetryBudget};
@@ -29,4 +30,5 @@
 pub use home::home;
 pub use prefix_index::{Part, ReplicaNumber};
 pub use salt::{isolation_digest, Salts};
+pub use twins::{Twins, MOST_TWINS};
 pub use weights::Weights;
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -8,6 +8,9 @@
 use evidence::Ms;
 use prefix_index::{Kept, Part, ReplicaNumber, Source};
 
+/// The part of the retry budget that must be left for twins to be sent.
+const LEAST_BUDGET: f64 = 0.5;
+
 impl Dispatcher {
     /// Where to send a request next.
     ///
@@ -36,6 +39,30 @@
         Ok(self.sent(call, chosen.replica, unread, now))
     }
 
+    /// Where to send a twin of a request that has just been sent for the first time, if it gets one.
+    pub fn twin(&mut self, call: &mut Call, now: Ms) -> Option<Target> {
+        let [first] = call.out.as_slice() else { return None };
+        let first = first.replica;
+        let may_repeat = call.ask.rules.is_idempotent && call.ask.rules.tries >= 2 && call.sends == 1;
+        // The send itself is one of the calls out there.
+        let is_first_alone = self.replicas.get(&first).is_some_and(|replica| replica.out <= 1);
+        if !may_repeat || !is_first_alone || !self.twins_allowed(call, now) {
+            return None;
+        }
+        let twin = self.send(call, now).ok()?;
+        self.services.get_mut(&*call.ask.service)?.twins.sent();
+        Some(twin)
+    }
+
+    fn twins_allowed(&mut self, call: &Call, now: Ms) -> bool {
+        let limits = self.budget_limits();
+        let (left, all) = self.budget(&call.ask.service.clone()).left(now, &limits);
+        let service = self.services.get_mut(&*call.ask.service);
+        left >= 1.0
+            && left >= LEAST_BUDGET * all
+            && service.is_some_and(|service| service.twins.may_be_sent())
+    }
+
     pub(crate) fn budget_allows(&mut self, call: &Call, now: Ms) -> bool {
         let limits = self.budget_limits();
         self.budget(&call.ask.service.clone()).allows(now, &limits)
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -173,3 +173,65 @@
     let mut next = dispatcher.begin(ask(false, 2), START + 600.0);
     assert!(dispatcher.send(&mut next, START + 600.0).is_ok());
 }
+
+/// A dispatcher that sends as many twins as it may, after requests that earn them.
+fn with_twins(replicas: u8) -> dispatch::Dispatcher {
+    let mut dispatcher = dispatcher(replicas);
+    dispatcher.set_twin_part(1.0);
+    for _ in 0..40 {
+        answered(&mut dispatcher, ask(false, 1), START);
+    }
+    dispatcher
+}
+
+#[test]
+fn a_twin_goes_to_another_replica_and_the_loser_is_forgotten() {
+    let mut dispatcher = with_twins(4);
+    let (mut call, first) = sent(&mut dispatcher, ask(true, 2), START);
+    let twin = dispatcher.twin(&mut call, START).expect("a twin");
+    assert_ne!(twin.replica, first.replica);
+    assert_eq!(call.sends(), 2);
+    // One fails: the other decides.
+    assert_eq!(dispatcher.ended(&mut call, first.replica, Outcome::Broken, START), Next::Wait);
+    assert_eq!(dispatcher.ended(&mut call, twin.replica, Outcome::Answered, START), Next::PassOn);
+}
+
+#[rstest]
+#[case::writing(ask(false, 2))]
+#[case::one_try(ask(true, 1))]
+fn no_twin_for(#[case] ask: dispatch::Ask) {
+    let mut dispatcher = with_twins(4);
+    let (mut call, _) = sent(&mut dispatcher, ask, START);
+    assert_eq!(dispatcher.twin(&mut call, START), None);
+}
+
+#[test]
+fn twins_are_a_tenth_of_requests_at_most_and_off_until_told() {
+    let count = |dispatcher: &mut dispatch::Dispatcher| {
+        let mut twins = 0;
+        for _ in 0..100 {
+            let (mut call, first) = sent(dispatcher, ask(true, 2), START);
+            if let Some(twin) = dispatcher.twin(&mut call, START) {
+                twins += 1;
+                dispatcher.ended(&mut call, twin.replica, Outcome::Abandoned, START);
+            }
+            dispatcher.ended(&mut call, first.replica, Outcome::Answered, START);
+        }
+        twins
+    };
+    assert_eq!(count(&mut dispatcher(4)), 0);
+    // Three were saved up, and ten are earned.
+    assert!((10..=13).contains(&count(&mut with_twins(4))));
+}
+
+#[test]
+fn no_twin_while_the_retry_budget_is_short() {
+    let mut dispatcher = with_twins(4);
+    while {
+        let (mut call, first) = sent(&mut dispatcher, ask(true, 2), START);
+        dispatcher.ended(&mut call, first.replica, Outcome::Failed, START) == Next::Repeat
+            && dispatcher.send(&mut call, START).is_ok()
+    } {}
+    let (mut call, _) = sent(&mut dispatcher, ask(true, 2), START);
+    assert_eq!(dispatcher.twin(&mut call, START), None);
+}
