Proxy: sends raced to the beginning of an answer, twins behind a tuning that is off

Cause: a twin leaves with the first send, the first success reaches the client, and the other send is closed. Change: opening.rs takes one send to the head, and of a stream to its first piece; attempt.rs races up to two and passes the winner on.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -17,9 +17,6 @@
 /// The number of proxies until the fleet tells.
 pub(crate) const FIRST_PROXIES: u32 = 64;
 
-/// The part of requests that gets a twin; none until a run has shown what twins are worth.
-const TWIN_PART: f64 = 0.0;
-
 /// Bounds from the process's settings.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
@@ -75,7 +72,7 @@
             salts: Salts::default(),
             index: PrefixIndex::new(index_bytes),
             random: SmallRng::seed_from_u64(seed),
-            twin_part: TWIN_PART,
+            twin_part: 0.0,
         }
     }
 
@@ -89,7 +86,7 @@
         self.proxies = proxies.max(1);
     }
 
-    /// The part of requests that may get a twin, [`crate::MOST_TWINS`] at most.
+    /// The part of requests that may get a twin, [`crate::MOST_TWINS`] at most; none at first.
     pub fn set_twin_part(&mut self, part: f64) {
         self.twin_part = part;
         self.services.values_mut().for_each(|service| service.twins = Twins::new(part));
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,12 +1,12 @@
-//! One send of a request to one replica, up to the end of its answer.
+//! The sends of a request that are out at one time, and the passage of the answer that wins.
 
 use crate::connection::Connection;
-use crate::event::ProxyEvent;
 use crate::exchange::Exchange;
+use crate::opening::{recycle, Opened, Sending};
 use crate::outgoing::request_bytes;
-use crate::upstream::{meaning, version, Meaning};
-use dispatch::{Outcome, Target};
-use http::{BodyReader, Framing, ResponseFraming, ResponseHead};
+use dispatch::{Next, Outcome, Target};
+use http::{BodyReader, ResponseFraming, ResponseHead};
+use std::pin::pin;
 use tokio::time::{sleep_until, Instant};
 
 /// Longest answer that is held until it is whole, bytes; a longer one is passed on as it comes.
@@ -32,6 +32,14 @@
     pub body: Vec<u8>,
 }
 
+/// What became of the sends that were out at one time.
+pub(crate) enum Raced {
+    /// The answer of the first send (`false`) or of its twin (`true`) has begun; no other send is out.
+    Opened(bool, Box<Opened>),
+    /// All have ended.
+    Over(Next),
+}
+
 /// What came while waiting for a replica.
 enum Wait {
     Data,
@@ -52,84 +60,84 @@
     }
 }
 
-impl Exchange<'_> {
-    /// Sends the request to `target` and takes its answer.
-    pub(crate) async fn attempt(&mut self, target: &Target) -> Ended {
-        let Some((mut replica, fresh)) = self.send(target).await else {
-            let what = format_args!("replica {} at {}", target.id, target.address);
-            self.shared.event_limit.warn(self.shared.now(), ProxyEvent::Unreached, what);
-            return Outcome::Unreached.into();
-        };
-        let head = match self.head(&mut replica).await {
-            Ok(head) => head,
-            Err(outcome) => return outcome.into(),
-        };
-        let meaning = meaning(&head, self.plan, target, fresh);
-        if let (Some(model), Some(version)) = (&self.plan.ask.model, version(&head)) {
-            self.shared.view.borrow_mut().dispatcher.hear_version(target.replica, model, version);
-        }
-        match meaning {
-            Meaning::Over(outcome) => {
-                if outcome == Outcome::Broken {
-                    let what = format_args!("replica {} with status {}", target.id, head.status);
-                    self.shared.event_limit.warn(self.shared.now(), ProxyEvent::BadAnswer, what);
-                } else {
-                    self.recycle_if_whole(target, &head, replica);
-                }
-                outcome.into()
-            }
-            // A stream that goes on must be a stream again.
-            _ if self.passage.has_begun() && !(200..=299).contains(&head.status) => Outcome::Failed.into(),
-            Meaning::Answer if self.plan.is_stream && (200..=299).contains(&head.status) => {
-                self.pass_stream(target, head, replica).await.into()
-            }
-            Meaning::Answer => self.pass_or_hold(target, head, replica, Outcome::Answered).await,
-            Meaning::Failure => self.pass_or_hold(target, head, replica, Outcome::Failed).await,
-        }
-    }
-
-    /// Writes the request; tells whether the connection is a new one. `None`: no byte of it was written.
-    async fn send(&mut self, target: &Target) -> Option<(Connection, bool)> {
-        let now = self.shared.now();
-        let left = self.plan.ask.deadline - now;
+impl<'a> Exchange<'a> {
+    /// What is sent to a target.
+    fn sending<'s>(&self, target: &'s Target) -> Sending<'s>
+    where
+        'a: 's,
+    {
+        let left = self.plan.ask.deadline - self.shared.now();
         let resumed = self.passage.last_event_id().filter(|_| self.passage.has_begun());
         let bytes = request_bytes(self.head, self.body, self.plan, target, left, resumed);
+        let is_head = self.head.method() == "HEAD";
+        Sending { shared: self.shared, plan: self.plan, target, bytes, deadline: self.deadline(), is_head }
+    }
+
+    /// Sends the request to `first` and to `twin`, if there is one, at the same moment; the first answer that is a
+    /// success wins, and the other send is closed.
+    pub(crate) async fn race(&mut self, first: &Target, twin: Option<&Target>) -> Raced {
         let deadline = self.deadline();
-        let rested = self.shared.pool.borrow_mut().take(target.replica, now);
-        if let Some(mut rested) = rested {
-            match rested.write_by(&bytes, deadline).await {
-                // It had ended; nothing was written.
-                Err(0) => {}
-                // A part may have been read: the answer, or its absence, decides.
-                _ => return Some((rested, false)),
+        let mut first_send = pin!(self.sending(first).open());
+        let twin_sending = twin.map(|twin| self.sending(twin));
+        let mut twin_send = pin!(async {
+            match twin_sending {
+                Some(sending) => sending.open().await,
+                None => std::future::pending().await,
+            }
+        });
+        let mut out = [Some(first), twin];
+        loop {
+            let (which, opened) = tokio::select! {
+                biased;
+                opened = &mut first_send, if out[0].is_some() => (0, opened),
+                opened = &mut twin_send, if out[1].is_some() => (1, opened),
+                () = self.client.left() => return Raced::Over(self.end_all(out, Outcome::Abandoned)),
+                () = sleep_until(deadline) => return Raced::Over(self.end_all(out, Outcome::Expired)),
+            };
+            let Some(target) = out[which].take() else { continue };
+            let is_last = out.iter().all(Option::is_none);
+            let next = match opened {
+                Ok(opened) if is_last || opened.is_success() => {
+                    self.end_all(out, Outcome::Abandoned);
+                    return Raced::Opened(which == 1, Box::new(opened));
+                }
+                Ok(_) => self.ended(target, Outcome::Failed),
+                Err(outcome) => self.ended(target, outcome),
+            };
+            if is_last {
+                return Raced::Over(next);
             }
         }
-        let mut fresh = Connection::dial(target.address).await.ok()?;
-        match fresh.write_by(&bytes, deadline).await {
-            Err(0) => None,
-            _ => Some((fresh, true)),
+    }
+
+    /// Ends the sends that are out; tells what follows.
+    fn end_all(&mut self, out: [Option<&Target>; 2], outcome: Outcome) -> Next {
+        out.into_iter().flatten().fold(Next::Wait, |_, target| self.ended(target, outcome))
+    }
+
+    /// A send has ended; tells what follows.
+    pub(crate) fn ended(&mut self, target: &Target, mut outcome: Outcome) -> Next {
+        // What was passed on in part, and can't go on in the same answer, is over.
+        if !self.passage.can_go_on() && !matches!(outcome, Outcome::Answered | Outcome::Abandoned) {
+            outcome = Outcome::Expired;
         }
+        let now = self.shared.now();
+        self.shared.view.borrow_mut().dispatcher.ended(&mut self.call, target.replica, outcome, now)
     }
 
-    /// The head of the replica's answer.
-    async fn head(&mut self, replica: &mut Connection) -> Result<ResponseHead, Outcome> {
-        loop {
-            match ResponseHead::read(&replica.input) {
-                Ok(Some((mut head, length))) => {
-                    replica.used(length);
-                    // An interim answer promises the real one.
-                    if (100..=199).contains(&head.status) && head.status != 101 {
-                        continue;
-                    }
-                    if self.head.method() == "HEAD" {
-                        head.framing = ResponseFraming::Framed(Framing::Length(0));
-                    }
-                    return Ok(head);
-                }
-                Ok(None) => self.more(replica).await?,
-                Err(_) => return Err(Outcome::Broken),
-            }
+    /// Takes the answer that has begun, to its end.
+    pub(crate) async fn take(&mut self, target: &Target, opened: Opened) -> Ended {
+        let is_success = opened.is_success();
+        let Opened { replica, head, is_failure } = opened;
+        // A stream that goes on must be a stream again.
+        if self.passage.has_begun() && !is_success {
+            return Outcome::Failed.into();
+        }
+        if self.plan.is_stream && is_success {
+            return self.pass_stream(target, head, replica).await.into();
         }
+        let outcome = if is_failure { Outcome::Failed } else { Outcome::Answered };
+        self.pass_or_hold(target, head, replica, outcome).await
     }
 
     /// Waits for more from the replica.
@@ -149,7 +157,7 @@
         let mut reader = BodyReader::new(framing);
         match self.pass(target, &head, &mut replica, &mut reader, Vec::new()).await {
             Ok(()) => {
-                self.recycle(target, &head, replica);
+                recycle(self.shared, target, &head, replica);
                 Outcome::Answered
             }
             Err(outcome) => outcome,
@@ -205,7 +213,7 @@
                 Err(_) => return Outcome::Broken.into(),
             }
             if reader.is_done() {
-                self.recycle(target, &head, replica);
+                recycle(self.shared, target, &head, replica);
                 return Ended { outcome, answer: Some(Answer { head, body }) };
             }
             if body.len() > HELD {
@@ -217,7 +225,7 @@
         }
         match self.pass(target, &head, &mut replica, &mut reader, body).await {
             Ok(()) => {
-                self.recycle(target, &head, replica);
+                recycle(self.shared, target, &head, replica);
                 Outcome::Answered.into()
             }
             Err(outcome) => outcome.into(),
@@ -229,25 +237,4 @@
         let now = self.shared.now();
         self.shared.view.borrow_mut().dispatcher.began(&mut self.call, target.replica, now);
     }
-
-    /// Lays a connection to rest after a whole answer, unless something else came on it.
-    fn recycle(&self, target: &Target, head: &ResponseHead, replica: Connection) {
-        if head.close || !replica.input.is_empty() {
-            return;
-        }
-        let now = self.shared.now();
-        self.shared.pool.borrow_mut().put(target.replica, replica, head.keep_alive_seconds(), now);
-    }
-
-    /// Lays a connection to rest if the rest of its answer is here; it is not waited for.
-    fn recycle_if_whole(&self, target: &Target, head: &ResponseHead, mut replica: Connection) {
-        let ResponseFraming::Framed(framing) = head.framing else { return };
-        let (mut reader, mut body) = (BodyReader::new(framing), Vec::new());
-        if let Ok(used) = reader.read(&replica.input, &mut body) {
-            replica.used(used);
-            if reader.is_done() {
-                self.recycle(target, head, replica);
-            }
-        }
-    }
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,13 +1,13 @@
 //! One client's request from its plan to its final answer.
 
 use crate::answer::{own, passed_head};
-use crate::attempt::Answer;
+use crate::attempt::{Answer, Raced};
 use crate::connection::Connection;
 use crate::event::ProxyEvent;
 use crate::plan::Plan;
 use crate::relay::Passage;
 use crate::shared::Shared;
-use dispatch::{Call, Final, Next, Outcome};
+use dispatch::{Call, Final, Next, Target};
 use http::RequestHead;
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -59,29 +59,38 @@
                 Ok(target) => target,
                 Err(last) => return self.give_up(last).await,
             };
-            let ended = self.attempt(&target).await;
-            let mut outcome = ended.outcome;
-            if !self.passage.can_go_on() && !matches!(outcome, Outcome::Answered | Outcome::Abandoned) {
-                outcome = Outcome::Expired;
-            }
-            let now = self.shared.now();
-            let next =
-                self.shared.view.borrow_mut().dispatcher.ended(&mut self.call, target.replica, outcome, now);
+            let twin = self.twin();
+            let (next, answer) = match self.race(&target, twin.as_ref()).await {
+                Raced::Over(next) => (next, None),
+                Raced::Opened(is_twin, opened) => {
+                    let winner = twin.as_ref().filter(|_| is_twin).unwrap_or(&target);
+                    let ended = self.take(winner, *opened).await;
+                    (self.ended(winner, ended.outcome), ended.answer)
+                }
+            };
             match next {
-                Next::PassOn => return self.pass_on(ended.answer).await,
+                Next::PassOn => return self.pass_on(answer).await,
                 Next::Answer(last) => return self.give_up(last).await,
                 Next::Wait => return Err(ClientGone),
                 Next::Repeat if self.passage.has_begun() => {
                     self.passage.resume();
                     let after = self.passage.last_event_id().unwrap_or("none");
                     let what = format_args!("attempt {} after event {after}", self.plan.attempt_id);
-                    self.shared.event_limit.warn(now, ProxyEvent::Resumed, what);
+                    self.shared.event_limit.warn(self.shared.now(), ProxyEvent::Resumed, what);
                 }
                 Next::Repeat => {}
             }
         }
     }
 
+    /// Where a twin of the first send goes, if there is to be one.
+    fn twin(&mut self) -> Option<Target> {
+        if self.passage.has_begun() {
+            return None;
+        }
+        self.shared.view.borrow_mut().dispatcher.twin(&mut self.call, self.shared.now())
+    }
+
     /// Passes a whole answer on, unless that has been done piece by piece.
     async fn pass_on(&mut self, answer: Option<Answer>) -> Result<(), ClientGone> {
         let Some(Answer { head, body }) = answer else { return Ok(()) };
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -39,6 +39,20 @@
     pub agent: SocketAddrV4,
 }
 
+/// What no settings file tells.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tuning {
+    /// The part of a service's requests that may get a twin.
+    pub twin_part: f64,
+}
+
+impl Default for Tuning {
+    /// No twins until a run has shown what they are worth.
+    fn default() -> Tuning {
+        Tuning { twin_part: 0.0 }
+    }
+}
+
 /// Runs the proxy until SIGTERM and what is under way has ended.
 ///
 /// # Errors
@@ -49,7 +63,7 @@
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async move {
         let sockets = listen(&settings)?;
-        serve(settings, sockets, process::signals()).await;
+        serve(settings, sockets, Tuning::default(), process::signals()).await;
         Ok(())
     })
 }
@@ -72,10 +86,16 @@
 }
 
 /// Serves on these sockets until it is told to end and what is under way has ended. Must run in a [`LocalSet`].
-pub async fn serve(settings: ProcessSettings, sockets: Sockets, mut control: mpsc::Receiver<Control>) {
+pub async fn serve(
+    settings: ProcessSettings,
+    sockets: Sockets,
+    tuning: Tuning,
+    mut control: mpsc::Receiver<Control>,
+) {
     let seed = std::hash::RandomState::new().build_hasher().finish();
     let most_clients = settings.caps.open_files.saturating_sub(RESERVED_FILES) / 2;
     let shared = Rc::new(Shared::new(settings, seed));
+    shared.view.borrow_mut().dispatcher.set_twin_part(tuning.twin_part);
     let Sockets { front, ready, agent } = sockets;
     let addresses = (front.local_addr().ok(), ready.local_addr().ok());
     ProxyEvent::Listening.info(format_args!("front {:?}, ready {:?}", addresses.0, addresses.1));
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use http::{BodyReader, Framing, RequestHead, ResponseFraming, ResponseHead};
 use peer::{encode, Fleet, FrameReader, Message, ModelVersion, ReplicaRecord, ReplicaState, Replicas};
 use process::Control;
-use proxy::{serve, Sockets};
+use proxy::{serve, Sockets, Tuning};
 use settings::ProcessSettings;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -56,7 +56,12 @@
 
     /// A proxy with a configuration and records of replicas.
     pub async fn with(configuration: &str, records: Vec<ReplicaRecord>) -> Fixture {
-        let mut fixture = Fixture::bare().await;
+        Fixture::tuned(configuration, records, Tuning::default()).await
+    }
+
+    /// A proxy with a configuration, records of replicas and a tuning.
+    pub async fn tuned(configuration: &str, records: Vec<ReplicaRecord>, tuning: Tuning) -> Fixture {
+        let mut fixture = Fixture::start(tuning).await;
         fixture.tell(Message::Configuration(whole(configuration))).await;
         fixture.tell(Message::Fleet(Fleet::new(Vec::new(), 1))).await;
         fixture.tell(Message::Replicas(Replicas::from(records))).await;
@@ -66,6 +71,10 @@
 
     /// A proxy that was told nothing.
     pub async fn bare() -> Fixture {
+        Fixture::start(Tuning::default()).await
+    }
+
+    async fn start(tuning: Tuning) -> Fixture {
         let listen = || async { TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port") };
         let (front, ready, agent) = (listen().await, listen().await, listen().await);
         let address = |listener: &TcpListener| listener.local_addr().expect("bound");
@@ -73,7 +82,7 @@
         let (front_at, ready_at) = (address(&front), address(&ready));
         let (tell, control) = mpsc::channel(4);
         let sockets = Sockets { front, ready, agent: at };
-        let life = spawn_local(serve(settings(), sockets, control));
+        let life = spawn_local(serve(settings(), sockets, tuning, control));
         let (mut agent, _) = agent.accept().await.expect("the proxy's link");
         let hello = next_message(&mut agent).await;
         assert!(matches!(hello, Message::Hello(_)), "{hello:?}");
