--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::replica::Replica;
 use crate::salt::Salts;
 use crate::speed::Speed;
+use crate::twins::Twins;
 use crate::weights::Weights;
 use evidence::Ms;
 use peer::{Prefixes, ReplicaRecord, ReplicaState};
@@ -31,10 +32,11 @@
 }
 
 /// What is known of a service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Service {
     pub replicas: Vec<ReplicaNumber>,
     pub speed: Speed,
+    pub twins: Twins,
 }
 
 /// Decides for one proxy.
@@ -54,6 +56,7 @@
     pub(crate) engines: Engines,
     pub(crate) stores: Stores,
     pub(crate) random: SmallRng,
+    twin_part: f64,
 }
 
 impl Dispatcher {
@@ -74,6 +77,7 @@
             engines: Engines::new(),
             stores: Stores::default(),
             random: SmallRng::seed_from_u64(seed),
+            twin_part: 0.0,
         }
     }
 
@@ -87,6 +91,12 @@
         self.proxies = proxies.max(1);
     }
 
+    /// The part of requests that may get a twin, [`crate::MOST_TWINS`] at most; none at first.
+    pub fn set_twin_part(&mut self, part: f64) {
+        self.twin_part = part;
+        self.services.values_mut().for_each(|service| service.twins = Twins::new(part));
+    }
+
     /// The tenants that share with nobody have changed; see [`crate::isolation_digest`].
     pub fn set_isolation(&mut self, digest: u64) {
         self.salts = Salts { isolation: digest };
@@ -132,7 +142,9 @@
         let Some(replica) = Replica::new(number, record) else { return };
         self.next_number += 1;
         self.numbers.insert(id, number);
-        self.services.entry(service).or_default().replicas.push(number);
+        let twins = Twins::new(self.twin_part);
+        let new = || Service { replicas: Vec::new(), speed: Speed::default(), twins };
+        self.services.entry(service).or_insert_with(new).replicas.push(number);
         self.replicas.insert(number, replica);
     }
 
@@ -187,6 +199,9 @@
     /// A client's request has come.
     pub fn begin(&mut self, ask: Ask, now: Ms) -> Call {
         self.budget(&ask.service).request(now);
+        if let Some(service) = self.services.get_mut(&*ask.service) {
+            service.twins.request();
+        }
         Call::new(ask)
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod salt;
 mod sending;
 mod speed;
+mod twins;
 mod weights;
 
 pub use budget::{BudgetLimits, RetryBudget};
@@ -32,4 +33,5 @@
 pub use moves::{Engine, Engines, Store};
 pub use prefix_index::{Part, ReplicaNumber};
 pub use salt::{isolation_digest, Salts};
+pub use twins::{Twins, MOST_TWINS};
 pub use weights::Weights;
