--- a/src/net/server/beside.rs
+++ b/src/net/server/beside.rs
@@ -94,7 +94,7 @@
 
     /// What this process may hold now: all, or beside another one what that one leaves of the clients, and half of the
     /// connections to nodes.
-    pub(super) fn allowed(&self) -> Sockets {
+    pub fn allowed(&self) -> Sockets {
         let all = self.sockets;
         let Some(other) = self.beside.as_ref().and_then(|beside| beside.other) else { return all };
         let clients = all.clients.saturating_sub(other.clients).max(LEAST_CLIENTS.min(all.clients));
--- a/tests/core_rules.rs
+++ b/tests/core_rules.rs
@@ -248,6 +248,33 @@
     assert_eq!(core.counters.refused_full, 6);
 }
 
+#[test]
+fn what_another_process_holds_counts_for_the_limit_on_what_is_held() {
+    for (elsewhere, refused) in [(0, 6), (10, 10), (39, 19), (500, 20)] {
+        let (mut core, mut effects) = (core(), Vec::new());
+        core.share(2, elsewhere);
+        let (class, expires_at, retry, work) = (0, 2000.0, false, Vec::new());
+        let ask = NewQuery { class, expires_at, retry, parts: vec![(0, 0.5), (1, 0.5)], work };
+        let inputs = (0..20).map(|_| Input::Query(core.new_id(), ask.clone())).collect();
+        core.step(0.0, inputs, &mut effects);
+        assert_eq!(core.counters.refused_full, refused, "{elsewhere} elsewhere");
+    }
+}
+
+#[test]
+fn what_is_earned_with_time_is_split_between_processes_and_whole_again_for_one() {
+    let budget = Some(Budget { free: 10.0, share: 0.1, window: 1000.0 });
+    let set = Settings { budget, ..settings() };
+    let room = |set: &Settings| set.cold_room(0.0, 1.0).expect("cold");
+    let half = set.shared_by(2);
+    assert_eq!(room(&half), room(&set) / 2.0);
+    assert_eq!(
+        half.budget.map(|budget| (budget.free, budget.share, budget.window)),
+        Some((5.0, 0.1, 1000.0))
+    );
+    assert_eq!(room(&set.shared_by(1)), room(&set));
+}
+
 #[test]
 fn who_is_failed_is_told_when_to_come_back_unless_a_repeat_could_do_harm() {
     for (class, advised) in [(1, true), (2, false)] {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -22,6 +22,8 @@
 /// What befalls the nodes.
 struct Day {
     cores: usize,
+    /// So many processes of each coordinator count as one, while one replaces another.
+    processes: usize,
     /// Work of a part, ms.
     work: f64,
     /// Share of what the nodes can do that first tries ask for.
@@ -42,7 +44,7 @@
     fn default() -> Self {
         let (load, still, uneven, older, length) = (0.0, 0.0, 0.0, 0.0, 0.0);
         let (hanging, cold) = (Vec::new(), Vec::new());
-        Day { cores: CORES, work: WORK, load, still, uneven, older, hanging, cold, length }
+        Day { cores: CORES, processes: 1, work: WORK, load, still, uneven, older, hanging, cold, length }
     }
 }
 
@@ -73,15 +75,17 @@
         ..settings()
     };
     let mut rng = SmallRng::seed_from_u64(seed);
+    let all = day.cores * day.processes;
     let mut cores: Vec<Core<()>> =
-        (0..day.cores).map(|c| Core::new(set.clone(), TRANSPORT, seed + c as u64)).collect();
+        (0..all).map(|c| Core::new(set.clone(), TRANSPORT, seed + c as u64)).collect();
+    cores.iter_mut().for_each(|core| core.share(day.processes, 0));
     let list = |n: usize| Listed {
         born: day.cold.contains(&n).then_some(-day.older),
         size: NODE.0 as f64,
         ..listed(n as u32 + 1, n)
     };
     let first = || vec![Input::List(ListKind::Restored, (0..NODES).map(list).collect())];
-    let mut inputs: Vec<Vec<Input<()>>> = (0..day.cores).map(|_| first()).collect();
+    let mut inputs: Vec<Vec<Input<()>>> = (0..all).map(|_| first()).collect();
     let mut busy: Vec<VecDeque<f64>> = vec![VecDeque::new(); NODES];
     let mut free = vec![[0.0f64; NODE.0]; NODES];
     let mut replies: BTreeMap<(u64, usize, AttemptId), bool> = BTreeMap::new();
@@ -90,7 +94,7 @@
     let (mut now, mut next) = (0.0f64, day.still);
     while now < day.length + 2000.0 {
         while next <= now && next < day.length {
-            let (c, from) = (rng.random_range(0..day.cores), rng.random_range(0..NODES));
+            let (c, from) = (rng.random_range(0..all), rng.random_range(0..NODES));
             let c = if rng.random::<f64>() < day.uneven { 0 } else { c };
             let id = cores[c].new_id();
             let parts = (0..PARTS).map(|p| ((from + p) % NODES, 1.0 / PARTS as f64)).collect();
@@ -104,7 +108,7 @@
             let ((_, c, id), served) = entry.remove_entry();
             inputs[c].push(if served { Input::Served(id, 0, ()) } else { Input::Ended(id, Outcome::NoRoom) });
         }
-        for c in 0..day.cores {
+        for c in 0..all {
             if inputs[c].is_empty() && cores[c].next_step().is_none_or(|at| at > now) {
                 continue;
             }
@@ -241,3 +245,16 @@
         }
     });
 }
+
+/// The same while each of three coordinators is two processes; with their credits unsplit it fails.
+#[test]
+fn two_processes_of_each_coordinator_stay_within_a_cold_node_s_budget_together() {
+    for seed in 0..2 {
+        let (cold, work, load) = ((0..NODES).collect(), 100.0, 6.0);
+        let (cores, processes, length) = (3, 2, 2500.0);
+        let day = Day { cores, processes, work, load, cold, length, ..Day::default() };
+        let (worst, calls) = over_budget(&day, seed);
+        println!("seed {seed}: {worst:.2}, {calls} calls");
+        assert!(worst <= 2.0 && calls > 500, "seed {seed}: {worst:.2}, {calls} calls");
+    }
+}
--- a/tests/replacing.rs
+++ b/tests/replacing.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use steppick::net::shared::ProcessState;
 use steppick::net::{Key, Served};
 use support::driven::Driven;
 use support::front::*;
@@ -171,6 +172,123 @@
     }
 }
 
+impl Pair {
+    /// Both, each knowing of the other; the folder is theirs.
+    fn sharing(name: &str) -> (Pair, Driven, Folder) {
+        let (mut pair, folder) = (Pair::new(), Folder::new(name));
+        pair.first.share(&folder);
+        let mut second = pair.second();
+        second.share(&folder);
+        pair.first.turn(LATER, &[]);
+        (pair, second, folder)
+    }
+}
+
+/// More than the time between two looks at the shared files.
+const LATER: f64 = 150.0;
+/// What the configuration of these tests leaves to clients and to nodes.
+const ALL: (usize, usize) = (144, 48);
+
+fn allowed(driven: &Driven) -> (usize, usize) {
+    let allowed = driven.server.allowed();
+    (allowed.clients, allowed.nodes)
+}
+
+#[test]
+fn the_two_hold_no_more_clients_and_nodes_together_than_one_may() {
+    let (mut pair, folder) = (Pair::new(), Folder::new("sharing"));
+    pair.first.share(&folder);
+    assert_eq!(allowed(&pair.first), ALL, "alone");
+    let early: Vec<Client> = (0..30).map(|_| Client::new(pair.first.address())).collect();
+    assert_eq!(accepted(&mut pair.first), 30);
+    pair.first.turn(LATER, &[]);
+    let mut second = pair.second();
+    second.share(&folder);
+    assert_eq!(allowed(&second), (ALL.0 - 30, ALL.1 / 2), "from its start");
+    let late: Vec<Client> = (0..20).map(|_| Client::new(second.address())).collect();
+    assert_eq!(accepted(&mut second), 20);
+    second.turn(LATER, &[]);
+    pair.first.turn(LATER, &[]);
+    assert_eq!(allowed(&pair.first), (ALL.0 - 20, ALL.1 / 2));
+    drop(pair.first);
+    second.turn(LATER, &[]);
+    assert_eq!(allowed(&second), ALL, "alone again");
+    drop((early, late));
+}
+
+#[test]
+fn files_that_are_torn_or_old_change_nothing() {
+    let state = |id, written_at| ProcessState {
+        id,
+        started_at: written_at,
+        written_at,
+        is_serving: true,
+        is_ending: false,
+        is_directed: true,
+        clients: 100,
+        nodes: 40,
+        open: 70,
+    };
+    let unix_now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_secs_f64() * 1e3;
+    let fresh = state(1, unix_now).encode();
+    let texts =
+        [&fresh[..fresh.len() / 2], "", "steppick-process-1 0 {}\n", &state(2, unix_now - 5e3).encode()];
+    for (n, text) in texts.into_iter().enumerate() {
+        let (mut pair, folder) = (Pair::new(), Folder::new(&format!("torn-{n}")));
+        let name = pair.first.address().to_string().replace(':', "_");
+        for slot in [0, 1] {
+            folder.write(&format!("steppick-{name}-{slot}"), text);
+        }
+        pair.first.share(&folder);
+        pair.first.turn(LATER, &[]);
+        assert_eq!(allowed(&pair.first), ALL, "{text}");
+        // It ends like one that nobody replaces: it still takes new connections.
+        pair.first.server.end(pair.first.now);
+        pair.first.turn(LATER, &[]);
+        let _client = Client::new(pair.first.address());
+        assert_eq!(accepted(&mut pair.first), 1);
+    }
+}
+
+#[test]
+fn a_process_that_died_without_a_word_counts_for_a_second_only() {
+    let (mut pair, second, _folder) = Pair::sharing("died");
+    assert_eq!(allowed(&pair.first).1, ALL.1 / 2);
+    // Its file stays, as after a kill: nobody renews it.
+    std::mem::forget(second);
+    pair.first.turn(900.0 - LATER, &[]);
+    assert_eq!(allowed(&pair.first).1, ALL.1 / 2);
+    pair.first.turn(300.0, &[]);
+    assert_eq!(allowed(&pair.first), ALL);
+}
+
+#[test]
+fn a_replaced_process_ends_its_connections_and_leaves_when_nothing_is_owed() {
+    let (mut pair, mut second, _folder) = Pair::sharing("leaves");
+    let first = &mut pair.first;
+    // One that was there before, as the second one gets all that come now.
+    drop(second);
+    let mut kept = Client::new(first.address());
+    let mut idle = Client::new(first.address());
+    assert_eq!(accepted(first), 2);
+    second = Driven::new(&pair.text);
+    second.share(&_folder);
+    second.turn(LATER, &[]);
+    first.server.end(first.now);
+    first.turn(1.0, &[]);
+    assert!(!first.server.has_ended(first.now));
+    kept.write(READY);
+    first.until(|_| kept.has_more());
+    let (status, head, _) = kept.read();
+    assert!(status == 200 && head.contains("Connection: close"), "the coordinator does not end: {head}");
+    first.turn(LATER, &[]);
+    first.until(|_| idle.is_ended());
+    assert!(idle.ends_cleanly());
+    drop(kept);
+    first.until(|first| first.server.has_ended(first.now));
+    assert!(first.now < 400.0, "{} ms after the order", first.now);
+}
+
 #[test]
 fn connections_that_keep_coming_and_never_finish_a_request_do_not_hold_up_the_end() {
     let mut pair = Pair::new();
--- a/tests/support/driven.rs
+++ b/tests/support/driven.rs
@@ -1,6 +1,7 @@
 //! The platform's front on real sockets, its loop under the test's own hand: a turn is told what is ready, so bytes can
 //! lie in the system that the loop has not gathered, as they do when they come in the very moment of a close.
 
+use super::Folder;
 use std::net::SocketAddr;
 use std::time::Duration;
 use steppick::net::{Clock, Gathered, Key, Loop, Served, Server};
@@ -9,6 +10,7 @@
 
 pub struct Driven {
     event_loop: Loop,
+    clock: Clock,
     pub server: Server<Platform>,
     pub now: f64,
 }
@@ -18,8 +20,14 @@
     pub fn new(config: &str) -> Driven {
         let event_loop = Loop::try_new().expect("a loop");
         let config = Config::read(config).expect("a configuration");
-        let server = config.server(&event_loop, Clock::start(), 0, 1).expect("a server");
-        Driven { event_loop, server, now: 0.0 }
+        let clock = Clock::start();
+        let server = config.server(&event_loop, clock, 0, 1).expect("a server");
+        Driven { event_loop, clock, server, now: 0.0 }
+    }
+
+    /// Lets it know, through files in this folder, of another process at its address.
+    pub fn share(&mut self, folder: &Folder) {
+        self.server.share(&folder.0, self.clock);
     }
 
     pub fn address(&self) -> SocketAddr {
