Turn down a file at SIGHUP whole: bad deadlines, attempts and missing keys

Deadlines and the number of attempts must be numbers above 0, at a start too. A file that lacks a key of the one taken before is refused (src/platform/form.rs). The dialect judges the whole text before the roster is moved; Roster::reload becomes move_to, which can't fail.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -79,6 +79,14 @@
     fn cancel(&self, name: &str) -> Option<Vec<u8>>;
     /// The frame of a probe for load, where there is one.
     fn probe(&self) -> Option<Vec<u8>>;
+    /// Takes in a new text of the front's file.
+    ///
+    /// # Errors
+    /// Tells what makes no sense; then nothing has changed.
+    fn reload(&mut self, _text: &str) -> Result<Reload, ConfigError> {
+        Ok(Reload::default())
+    }
+
     /// Reads one reply off the front of `input`.
     ///
     /// # Errors
@@ -86,6 +94,13 @@
     fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<Self::Value>>, PeerError>;
 }
 
+/// What a new text of a front's file says to the rest of the front.
+#[derive(Debug, Default)]
+pub struct Reload {
+    /// Where news of the list comes from.
+    pub roster: Option<SocketAddr>,
+}
+
 /// News of the list of replicas.
 #[derive(Debug)]
 pub struct News {
@@ -111,11 +126,8 @@
     /// # Errors
     /// Tells why the connection can't go on.
     fn received(&mut self, bytes: &[u8], now: Ms, news: &mut Vec<News>) -> Result<bool, PeerError>;
-    /// Takes in a new text of the front's file; tells whether it names another address.
-    ///
-    /// # Errors
-    /// Tells what makes no sense; then nothing has changed.
-    fn reload(&mut self, text: &str) -> Result<bool, ConfigError>;
+    /// It is there from now on; tells whether it was elsewhere.
+    fn move_to(&mut self, address: SocketAddr) -> bool;
 }
 
 /// The clock of the core: monotonic, from the start of the program.
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -393,7 +393,10 @@
 
 impl<D: Dialect> Served for Server<D> {
     fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError> {
-        if self.roster.as_mut().map_or(Ok(false), |roster| roster.reload(text))? {
+        // All of the file is judged before anything of it is used.
+        let reload = self.dialect.reload(text)?;
+        let moved = self.roster.as_mut().zip(reload.roster).is_some_and(|(roster, at)| roster.move_to(at));
+        if moved {
             // The old place may take connections no more and end this one: the new one is asked at once.
             self.dial_roster(now);
         }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,5 +1,6 @@
 //! The configuration that the platform hands to a coordinator.
 
+use super::form::Form;
 use super::watch::{Directory, List, Watch};
 use super::Platform;
 use crate::core::Core;
@@ -39,6 +40,7 @@
     classes: Vec<(String, bool)>,
     set: Settings,
     limits: Transport,
+    form: Form,
 }
 
 impl Config {
@@ -59,6 +61,7 @@
             known: file.known,
             classes: file.settings.classes.iter().map(|class| class.name.clone()).zip(keyed).collect(),
             limits: file.settings.transport(),
+            form: Form::read(text)?,
             set,
             name: file.name,
         })
@@ -69,6 +72,11 @@
         &self.name
     }
 
+    /// The keys of the file.
+    pub fn form(&self) -> &Form {
+        &self.form
+    }
+
     /// Where discovery is.
     pub fn discovery(&self) -> SocketAddr {
         self.discovery
@@ -94,6 +102,7 @@
         let (watch, known) = Watch::new(self.discovery, directory, &self.known);
         let deadlines = self.set.classes.iter().map(|class| class.deadline).collect();
         let dialect = Platform::new(self.classes.clone(), deadlines, self.limits.shards);
+        let dialect = dialect.of_form(self.form.clone());
         let core = Core::new(self.set.clone(), self.limits, self.seed);
         let sockets = Sockets::of(self.sockets, fronts);
         let roster = Some(Box::new(watch) as _);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,13 +1,17 @@
 //! The platform's protocol: HTTP for clients, frames for book nodes, a watch for discovery.
 
 pub mod config;
+pub mod form;
 pub mod frames;
 pub mod watch;
 
 use crate::core::{Failure, NewQuery, Send};
 use crate::interface::*;
 use crate::net::http::{Bad, Request, Response};
-use crate::net::{Dialect, NodeReply, PeerError, Take};
+use crate::net::{Dialect, NodeReply, PeerError, Reload, Take};
+use crate::settings::ConfigError;
+use config::Config;
+use form::Form;
 use miniserde::json;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
@@ -63,6 +67,8 @@
     names: BTreeSet<String>,
     ended: Ended,
     longest: Ms,
+    /// The keys of the file that was taken last; none where there is no file.
+    form: Option<Form>,
 }
 
 /// Ended ids remembered at most: some 130 queries a second for the longest deadline, several times over; 32 bytes
@@ -125,7 +131,12 @@
     pub fn new(classes: Vec<(String, bool)>, deadlines: Vec<Ms>, shards: usize) -> Self {
         let longest = deadlines.iter().copied().fold(0.0, f64::max);
         let (held, names, ended) = (HashMap::new(), BTreeSet::new(), Ended::default());
-        Platform { classes, deadlines, shards, held, names, ended, longest }
+        Platform { classes, deadlines, shards, held, names, ended, longest, form: None }
+    }
+
+    /// The same, for the file whose keys these are.
+    pub fn of_form(self, form: Form) -> Self {
+        Platform { form: Some(form), ..self }
     }
 
     fn query(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<NewQuery, Declined> {
@@ -263,6 +274,13 @@
         Some(frames::frame(b'L', b""))
     }
 
+    fn reload(&mut self, text: &str) -> Result<Reload, ConfigError> {
+        let config = Config::read(text)?;
+        self.form.as_ref().map_or(Ok(()), |form| form.fits(config.form()))?;
+        self.form = Some(config.form().clone());
+        Ok(Reload { roster: Some(config.discovery()) })
+    }
+
     fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, PeerError> {
         frames::reply(input)
     }
--- a/src/platform/watch.rs
+++ b/src/platform/watch.rs
@@ -1,11 +1,9 @@
 //! Discovery: the list of book nodes, whole or changed, and the watch that brings it.
 
-use super::config::Config;
 use crate::interface::*;
 use crate::members::clock::MISSED;
 use crate::net::http::{self, Chunks, Framing};
 use crate::net::{News, PeerError, Roster};
-use crate::settings::ConfigError;
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -157,10 +155,9 @@
 }
 
 impl Roster for Watch {
-    fn reload(&mut self, text: &str) -> Result<bool, ConfigError> {
-        let address = Config::read(text)?.discovery();
+    fn move_to(&mut self, address: SocketAddr) -> bool {
         // Versions are discovery's own, the same at each of its addresses: the watch goes on after this one.
-        Ok(std::mem::replace(&mut self.address, address) != address)
+        std::mem::replace(&mut self.address, address) != address
     }
 
     fn address(&self) -> SocketAddr {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,6 +24,10 @@
     TooFew { field: &'static str, found: usize, wanted: usize },
     #[error("field `settings.{0}` is empty or 0; give at least 1")]
     Nothing(&'static str),
+    #[error("field `settings.{field}` is {value}; give a number above 0")]
+    NotAbove0 { field: String, value: f64 },
+    #[error("field `{0}` is missing, which the file taken before has; write it, or start anew without it")]
+    Lacks(String),
     #[error("field `settings.classes[{class}]`: {why}")]
     Unsupported { class: usize, why: &'static str },
     #[error("field `contracts`, team `{team}`: no class `{class}`; name classes of `settings.classes`")]
@@ -165,6 +169,7 @@
                 return Err(ConfigError::Nothing(field));
             }
         }
+        self.check_numbers()?;
         let mut classes = Vec::new();
         for (n, class) in self.classes.iter().enumerate() {
             let wanted = self.classes.len();
@@ -241,6 +246,15 @@
         })
     }
 
+    /// Checks the numbers that must be above 0.
+    fn check_numbers(&self) -> Result<(), ConfigError> {
+        let deadlines = self.classes.iter().enumerate();
+        let deadlines = deadlines.map(|(n, class)| (format!("classes[{n}].deadline_ms"), class.deadline_ms));
+        let tries = ("policy_limits.try_limit".to_string(), self.policy_limits.try_limit as f64);
+        let wrong = deadlines.chain([tries]).find(|(_, value)| !(value.is_finite() && *value > 0.0));
+        wrong.map_or(Ok(()), |(field, value)| Err(ConfigError::NotAbove0 { field, value }))
+    }
+
     /// What the connections and the core need beside the decisions.
     pub fn transport(&self) -> Transport {
         let limits = &self.policy_limits;
