Tell operators the figures at /_vars

Each is read where it is counted: results by class in the platform's dialect, attempts written whole in the node connections (also those called off in the middle of their frame), open requests in the server, nodes in the core and the module (Aggregator::avoided), files in the front.

Response can be plain text.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -16,6 +16,8 @@
     pub overdue: u64,
     pub gone: u64,
     pub sent: u64,
+    /// Attempts whose last byte was written to a node, also where they were called off meanwhile.
+    pub written: u64,
     pub repeats: u64,
     pub served: u64,
     pub errors: u64,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -171,6 +171,8 @@
     /// It drains or is gone. When that was told is never known exactly (the agent may have had it before a watch was
     /// open), so nothing new goes out from the news on, and what had not begun is taken back: the grace is not used.
     off: bool,
+    /// The list holds it.
+    listed: bool,
 }
 
 /// The coordinator without its wires.
@@ -235,6 +237,16 @@
         self.replicas.values().any(|known| !known.off)
     }
 
+    /// Replicas in the list, draining ones too.
+    pub fn listed(&self) -> usize {
+        self.replicas.values().filter(|known| known.listed).count()
+    }
+
+    /// Replicas in service that are left alone for what was seen of them.
+    pub fn avoided(&self) -> usize {
+        self.module.avoided()
+    }
+
     /// How long a node usually takes to serve an attempt.
     pub fn answer_time(&self) -> Ms {
         self.answer_time
@@ -313,6 +325,7 @@
         if matches!(kind, ListKind::Replace | ListKind::Restored) {
             let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.id).collect();
             for (id, known) in self.replicas.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                known.listed = false;
                 off(*id, known);
             }
         }
@@ -320,8 +333,9 @@
             let (id, cell, size, born, lifecycle) =
                 (entry.id.0, entry.cell, entry.size, entry.born, entry.lifecycle);
             tracing::trace!(id, cell, size, ?born, ?lifecycle, now, "listed");
-            let known = self.replicas.entry(entry.id).or_insert(Known { cell: entry.cell, off: false });
-            known.cell = entry.cell;
+            let known =
+                self.replicas.entry(entry.id).or_insert(Known { cell: entry.cell, off: false, listed: true });
+            (known.cell, known.listed) = (entry.cell, entry.lifecycle != Lifecycle::Off);
             if entry.lifecycle == Lifecycle::On {
                 known.off = false;
             } else {
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use steppick::cli::{self, Cli, Command};
 use steppick::net::admin::Admin;
-use steppick::net::{run, Clock, Front, Loop, ServeError};
+use steppick::net::{run, Clock, Front, Loop, Reloads, ServeError};
 use steppick::settings::ConfigError;
 use steppick::{opensearch, platform};
 
@@ -37,7 +37,14 @@
         admin_address = admin_address.or(config.admin());
         let server = config.server(&event_loop, clock, fronts.len(), count)?;
         let (name, served, coordinator) = ("platform", Box::new(server), config.name().to_string());
-        fronts.push(Front { name, path, coordinator, placement: cli.placement.clone(), served });
+        fronts.push(Front {
+            name,
+            path,
+            coordinator,
+            placement: cli.placement.clone(),
+            served,
+            reloads: Reloads::default(),
+        });
     }
     if let Some(path) = cli.opensearch {
         let folder = path.parent().unwrap_or(Path::new("."));
@@ -46,7 +53,14 @@
         let coordinator = config.name().to_string();
         let served = Box::new(config.front(&event_loop, clock, fronts.len(), count)?);
         let name = "opensearch";
-        fronts.push(Front { name, path, coordinator, placement: cli.placement.clone(), served });
+        fronts.push(Front {
+            name,
+            path,
+            coordinator,
+            placement: cli.placement.clone(),
+            served,
+            reloads: Reloads::default(),
+        });
     }
     fronts.iter_mut().try_for_each(Front::place)?;
     let admin = admin_address.map(|address| listen_for_operators(&event_loop, fronts.len(), address));
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -4,6 +4,7 @@
 //! clients or nodes could have.
 
 use super::client::{ClientConn, ClientState};
+use super::figures::Figures;
 use super::http::{Bad, Request, Response};
 use super::{read_all, Front, Gathered, Key, Loop, Watched};
 use crate::interface::Ms;
@@ -185,7 +186,12 @@
             let takes_clients = fronts.iter().all(|front| front.served.takes_clients());
             Response::new(if takes_clients { 200 } else { 503 }, "")
         }
-        ("/_ready", _) => Response { allow: Some("GET"), ..Response::new(405, "") },
+        ("/_vars", "GET") => {
+            let mut figures = Figures::default();
+            fronts.iter().for_each(|front| figures.add(front.figures()));
+            Response { plain_text: true, ..Response::new(200, figures.to_string()) }
+        }
+        ("/_ready" | "/_vars", _) => Response { allow: Some("GET"), ..Response::new(405, "") },
         _ => Response::new(404, ""),
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod client;
 mod fault;
+pub mod figures;
 pub mod http;
 pub mod node;
 mod server;
@@ -18,7 +19,9 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use figures::{Figures, Results};
 use placement::{Favour, Placement};
+use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsFd;
@@ -79,6 +82,11 @@
     fn cancel(&self, name: &str) -> Option<Vec<u8>>;
     /// The frame of a probe for load, where there is one.
     fn probe(&self) -> Option<Vec<u8>>;
+    /// How requests ended, by class.
+    fn results(&self) -> BTreeMap<String, Results> {
+        BTreeMap::new()
+    }
+
     /// Takes in a new text of the front's file.
     ///
     /// # Errors
@@ -205,6 +213,8 @@
     fn has_ended(&self, now: Ms) -> bool;
     /// What is counted.
     fn counters(&self) -> &Counters;
+    /// What operators read, but for the files taken in.
+    fn figures(&self) -> Figures;
 }
 
 /// A front of the program.
@@ -219,6 +229,16 @@
     pub placement: Option<PathBuf>,
     /// What the loop drives.
     pub served: Box<dyn Served>,
+    /// Files at `SIGHUP`.
+    pub reloads: Reloads,
+}
+
+/// Files taken in and turned down at `SIGHUP`.
+#[derive(Debug, Default, Clone, Copy)]
+#[allow(missing_docs)]
+pub struct Reloads {
+    pub applied: u64,
+    pub rejected: u64,
 }
 
 impl Front {
@@ -231,6 +251,8 @@
                 let named = |why| ServeError::Config { path: self.path.clone(), why };
                 self.served.reload(&text, now).map_err(named)
             });
+        self.reloads.applied += u64::from(read.is_ok());
+        self.reloads.rejected += u64::from(read.is_err());
         match read {
             Ok(()) => tracing::info!("{}: {} taken in", self.name, self.path.display()),
             Err(why) => tracing::warn!("{}: {why}; what was read before is served on", self.name),
@@ -240,6 +262,12 @@
         }
     }
 
+    /// What operators read.
+    pub fn figures(&self) -> Figures {
+        let Reloads { applied: sighup_applied, rejected: sighup_rejected } = self.reloads;
+        Figures { sighup_applied, sighup_rejected, ..self.served.figures() }
+    }
+
     /// Reads the placement, where there is one, and follows it.
     ///
     /// # Errors
--- a/src/net/node.rs
+++ b/src/net/node.rs
@@ -33,6 +33,15 @@
     bytes: Vec<u8>,
     /// By when its last byte must have left, if at all.
     leave_by: Option<Ms>,
+    /// It carries an attempt, also where that was called off meanwhile.
+    is_attempt: bool,
+}
+
+impl Frame {
+    fn new(purpose: Purpose, bytes: Vec<u8>) -> Frame {
+        let is_attempt = matches!(purpose, Purpose::Part(..));
+        Frame { purpose, bytes, leave_by: None, is_attempt }
+    }
 }
 
 /// What calling an attempt off asks of the connection.
@@ -65,6 +74,8 @@
     waits_since: Option<Ms>,
     /// The node answered on another connection then, while this one was silent.
     pub overtaken: Option<Ms>,
+    /// Attempts whose last byte was written.
+    pub attempts_written: u64,
 }
 
 impl NodeConn {
@@ -80,6 +91,7 @@
             waited: 0.0,
             waits_since: None,
             overtaken: None,
+            attempts_written: 0,
         }
     }
 
@@ -154,7 +166,7 @@
 
     /// Queues a frame.
     pub fn push(&mut self, purpose: Purpose, bytes: Vec<u8>, now: Ms) {
-        self.queue.push_back(Frame { purpose, bytes, leave_by: None });
+        self.queue.push_back(Frame::new(purpose, bytes));
         self.waits(now);
     }
 
@@ -170,7 +182,9 @@
         let mut whole = None;
         if self.queue.front().is_some_and(|frame| self.written >= frame.bytes.len()) {
             self.written = 0;
-            let purpose = self.queue.pop_front().map(|frame| frame.purpose);
+            let frame = self.queue.pop_front();
+            self.attempts_written += u64::from(frame.as_ref().is_some_and(|frame| frame.is_attempt));
+            let purpose = frame.map(|frame| frame.purpose);
             if let Some(Purpose::Part(id, _)) = &purpose {
                 whole = Some(*id);
             }
@@ -230,7 +244,7 @@
             }
             let Some(bytes) = told(&self.queue[0].purpose) else { return Called::MustClose };
             self.queue[0].purpose = Purpose::Other;
-            self.queue.insert(1, Frame { purpose: Purpose::Other, bytes, leave_by: None });
+            self.queue.insert(1, Frame::new(Purpose::Other, bytes));
             return Called::Told;
         }
         let Some(place) = self.out.iter().position(is) else { return Called::Removed };
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -5,6 +5,7 @@
 mod roster;
 
 use super::client::{ClientConn, ClientState};
+use super::figures::Figures;
 use super::node::{Called, NodeConn, NodeState, Purpose};
 use super::trail::Trail;
 use super::{Dialect, Gathered, Key, Loop, News, Roster, Served, Watched};
@@ -500,4 +501,15 @@
     fn counters(&self) -> &Counters {
         &self.core.counters
     }
+
+    fn figures(&self) -> Figures {
+        Figures {
+            results: self.dialect.results(),
+            forwards: self.core.counters.written,
+            outstanding: self.asked.len(),
+            discovered: self.core.listed(),
+            ejected: self.core.avoided(),
+            ..Figures::default()
+        }
+    }
 }
--- a/src/net/server/nodes.rs
+++ b/src/net/server/nodes.rs
@@ -143,7 +143,9 @@
         while !matches!(node.conn.state(), NodeState::Connecting(_)) && !node.conn.output().is_empty() {
             match (&*node.link.socket).write(node.conn.output()) {
                 Ok(count) if count > 0 => {
+                    let before = node.conn.attempts_written;
                     let whole = node.conn.wrote(count, now);
+                    self.core.counters.written += node.conn.attempts_written - before;
                     if let Some((id, query)) = whole.and_then(|id| Some((id, self.placed.get(&id)?.1))) {
                         self.trail.wrote(query, id.number, now);
                     }
--- a/src/opensearch/config.rs
+++ b/src/opensearch/config.rs
@@ -4,6 +4,7 @@
 use super::{Contract, OpenSearch};
 use crate::core::{Core, Counters};
 use crate::interface::*;
+use crate::net::figures::Figures;
 use crate::net::{Clock, Key, Loop, ServeError, Served, Server, Sockets};
 use crate::settings::{ConfigError, Profile, Transport};
 use serde::Deserialize;
@@ -233,4 +234,8 @@
     fn counters(&self) -> &Counters {
         self.server.counters()
     }
+
+    fn figures(&self) -> Figures {
+        self.server.figures()
+    }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,13 +7,14 @@
 
 use crate::core::{Failure, NewQuery, Send};
 use crate::interface::*;
+use crate::net::figures::Results;
 use crate::net::http::{Bad, Request, Response};
 use crate::net::{Dialect, NodeReply, PeerError, Reload, Take};
 use crate::settings::ConfigError;
 use config::Config;
 use form::Form;
 use miniserde::json;
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// Most of a request's time that its way here can have taken, ms: kept back from `X-Deadline`, which runs
 /// from the client's send.
@@ -49,6 +50,8 @@
 
 /// What the frames of a query need.
 struct Held {
+    /// Its class.
+    class: usize,
     name: String,
     text: String,
     key: Option<String>,
@@ -69,6 +72,8 @@
     longest: Ms,
     /// The keys of the file that was taken last; none where there is no file.
     form: Option<Form>,
+    /// How requests ended, by class.
+    results: BTreeMap<String, Results>,
 }
 
 /// Ended ids remembered at most: some 130 queries a second for the longest deadline, several times over; 32 bytes
@@ -108,6 +113,11 @@
     text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
 }
 
+/// The first part of the path, which names the class.
+fn class_name(request: &Request) -> &str {
+    request.path.trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
 /// An id as a number; it was checked to be one.
 fn number(id: &str) -> u64 {
     u64::from_str_radix(id, 16).unwrap_or_default()
@@ -131,7 +141,8 @@
     pub fn new(classes: Vec<(String, bool)>, deadlines: Vec<Ms>, shards: usize) -> Self {
         let longest = deadlines.iter().copied().fold(0.0, f64::max);
         let (held, names, ended) = (HashMap::new(), BTreeSet::new(), Ended::default());
-        Platform { classes, deadlines, shards, held, names, ended, longest, form: None }
+        let results = classes.iter().map(|(name, _)| (name.clone(), Results::default())).collect();
+        Platform { classes, deadlines, shards, held, names, ended, longest, form: None, results }
     }
 
     /// The same, for the file whose keys these are.
@@ -140,7 +151,7 @@
     }
 
     fn query(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<NewQuery, Declined> {
-        let first = request.path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        let first = class_name(request);
         let class = self.classes.iter().position(|(name, _)| name == first);
         let class = class.ok_or_else(|| declined(404, "no such path"))?;
         if request.method != "POST" {
@@ -186,7 +197,7 @@
         }
         let key = key.filter(|_| self.classes[class].1).map(str::to_string);
         let until = at + waits.max(self.longest).min(2.0 * self.longest);
-        self.held.insert(id, Held { name: name.to_string(), text: ask.q, key, until });
+        self.held.insert(id, Held { class, name: name.to_string(), text: ask.q, key, until });
         Ok(NewQuery {
             class,
             expires_at: at + (waits - CLIENT_TRIP).max(0.0),
@@ -200,10 +211,18 @@
         })
     }
 
-    fn forget(&mut self, query: RequestId) {
-        if let Some(held) = self.held.remove(&query) {
-            self.names.remove(&held.name);
-            self.ended.add(number(&held.name), held.until);
+    /// Lets go of a query that is over; its class, unless that was done before.
+    fn forget(&mut self, query: RequestId) -> Option<usize> {
+        let held = self.held.remove(&query)?;
+        self.names.remove(&held.name);
+        self.ended.add(number(&held.name), held.until);
+        Some(held.class)
+    }
+
+    /// The query has its final answer.
+    fn finish(&mut self, query: RequestId, count: fn(&mut Results)) {
+        if let Some(class) = self.forget(query) {
+            count(self.results.entry(self.classes[class].0.clone()).or_default());
         }
     }
 }
@@ -221,23 +240,27 @@
         }
         match self.query(id, request, at) {
             Ok(query) => Take::Query(query),
-            Err(response) => Take::Answer(response),
+            Err(response) => {
+                let named = self.results.get_mut(class_name(request)).filter(|_| response.status == 400);
+                named.into_iter().for_each(|results| results.aborted += 1);
+                Take::Answer(response)
+            }
         }
     }
 
     fn answer(&mut self, query: RequestId, whole: bool, values: Vec<(usize, String)>, _: Ms) -> Response {
-        self.forget(query);
+        self.finish(query, |results| results.succeeded += 1);
         let hits = values.into_iter().map(|(shard, doc)| Hit { shard, doc }).collect();
         Response::new(200, json::to_string(&Reply { complete: whole, hits }))
     }
 
     fn refuse(&mut self, query: RequestId, after: Option<Ms>) -> Response {
-        self.forget(query);
+        self.finish(query, |results| results.declined += 1);
         declined(503, "refused, ask again later").after(after)
     }
 
     fn fail(&mut self, query: RequestId, why: Failure, after: Option<Ms>) -> Response {
-        self.forget(query);
+        self.finish(query, |results| results.aborted += 1);
         let response = match why {
             Failure::TimedOut => declined(504, "not answered in time"),
             Failure::Unserved => declined(500, "a part could not be had"),
@@ -250,7 +273,7 @@
     }
 
     fn gone(&mut self, query: RequestId) {
-        self.forget(query);
+        let _ = self.forget(query);
     }
 
     fn bad(&self, bad: Bad) -> Response {
@@ -274,6 +297,10 @@
         Some(frames::frame(b'L', b""))
     }
 
+    fn results(&self) -> BTreeMap<String, Results> {
+        self.results.clone()
+    }
+
     fn reload(&mut self, text: &str) -> Result<Reload, ConfigError> {
         let config = Config::read(text)?;
         self.form.as_ref().map_or(Ok(()), |form| form.fits(config.form()))?;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -40,8 +40,7 @@
 const FULL_WAIT: f64 = 0.4; // Of the time to the aim, before the last attempt where all are full.
 const ERROR_PACE: f64 = 4.0; // Pace of an error: one alone makes no replica slow, three do.
 const TWIN_STRAIN: f64 = 1.5; // Pace of all replicas past which twins stop: it is load.
-/// Siblings up to which own counts tell of nearly all load; beyond, in proportion.
-const FEW: f64 = 3.0;
+const FEW: f64 = 3.0; // Siblings up to which own counts tell of nearly all load; beyond, in proportion.
 /// Wait over slack at which least and most worth per work are refused: of very many, and what own counts add.
 const ADMIT: ([f64; 2], [f64; 2]) = ([0.2, 0.45], [0.2, 0.25]);
 /// Outlook over time to the aim at which a partial class sheds first and most parts; what it always keeps.
@@ -258,6 +257,12 @@
         self.favours = weights;
     }
 
+    /// Replicas in service that are left alone for what was seen of them: silent, unreachable or faulty ones.
+    pub fn avoided(&self) -> usize {
+        let shunned = |r: &&Replica| r.listed.lifecycle == Lifecycle::On && self.rank(r) > FULL;
+        self.replicas.values().filter(shunned).count()
+    }
+
     /// Takes in all events of one tick and appends what to do, in order.
     pub fn step(&mut self, now: Ms, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -56,6 +56,8 @@
         ("GET /_ready HTTP/1.1\r\n\r\n", 200),
         ("GET /_ready?x=1 HTTP/1.1\r\nHost: x\r\n\r\n", 200),
         ("POST /_ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+        ("POST /_vars HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+        ("GET /_vars HTTP/1.1\r\n\r\n", 200),
         ("GET /ready HTTP/1.1\r\n\r\n", 404),
         ("POST /view HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 404),
         ("GET /_ready HTTP/9\r\n\r\n", 400),
@@ -113,11 +115,6 @@
     assert!(silent[1].is_ended() && silent[22].is_ended());
 }
 
-/// A configuration with an address for operators.
-fn with_admin(config: &str, address: &str) -> String {
-    config.replacen('{', &format!("{{\"admin_addr\":\"{address}\","), 1)
-}
-
 #[test]
 fn the_program_says_yes_until_it_ends_and_nothing_else_tells_of_it() {
     let folder = Folder::new("admin-ready");
--- a/tests/support/front.rs
+++ b/tests/support/front.rs
@@ -3,6 +3,7 @@
 use super::hand::Hand;
 use super::site::*;
 use super::{Client, Folder, Program};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, Sender};
 
@@ -69,3 +70,19 @@
     let rest = line.split(&format!(" {name}: ")).nth(1).expect("a counter");
     rest.split(',').next().expect("a number").parse().expect("a number")
 }
+
+/// A configuration with an address for operators.
+pub fn with_admin(config: &str, address: &str) -> String {
+    config.replacen('{', &format!("{{\"admin_addr\":\"{address}\","), 1)
+}
+
+/// The figures that the program tells operators, by name with labels.
+pub fn figures(operators: SocketAddr) -> BTreeMap<String, u64> {
+    let (status, _, text) = Client::new(operators).ask("GET", "/_vars", "", "");
+    assert_eq!(status, 200, "{text}");
+    let line = |line: &str| {
+        let (name, value) = line.rsplit_once(' ').expect("a name and a value");
+        (name.to_string(), value.parse().expect("a number"))
+    };
+    text.lines().map(line).collect()
+}
