--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -27,8 +27,7 @@
 const LEARN_PACE: (f64, f64) = (0.2, 0.5);
 /// Weight of a sample under and over the learned service time: it settles low, where nothing queued.
 const SERVICE_LEARN: (f64, f64) = (0.1, 0.02);
-/// Service time before any was seen, as a share of the aim: an aim leaves room for many parts in turn.
-const SERVICE_GUESS: f64 = 0.05;
+const SERVICE_GUESS: f64 = 0.05; // Service time before any was seen, over the aim: room for many in turn.
 const STALL: f64 = 4.0; // Usual times without progress after which a replica is suspect.
 /// Slower than its peers by this factor weighs in the choice; less is taken for chance. Then of many.
 const SLOW_WEIGHED: (f64, f64) = (1.7, 6.0);
@@ -36,6 +35,7 @@
 /// Time in which the pace of an idle replica is forgotten, ms, and least mean gaps between its calls.
 const PACE_AGE: (Ms, f64) = (4000.0, 4.0);
 const TRIAL_GAP: Ms = 800.0; // Pause between trials of a shunned replica: quick back from a blip.
+const SHUN_LASTS: Ms = 1000.0; // Silence that operators are told of: a trial or more was in vain.
 const RETRY_PAUSE: Ms = 150.0; // Pause between a part's further attempts; the first goes at once.
 const FULL_WAIT: f64 = 0.4; // Of the time to the aim, before the last attempt where all are full.
 const ERROR_PACE: f64 = 4.0; // Pace of an error: one alone makes no replica slow, three do.
@@ -257,10 +257,11 @@
         self.favours = weights;
     }
 
-    /// Replicas in service that are left alone for what was seen of them: silent, unreachable or faulty ones.
+    /// Replicas in service left alone for what was seen: faulty ones, and silent ones once that lasts.
     pub fn avoided(&self) -> usize {
-        let shunned = |r: &&Replica| r.listed.lifecycle == Lifecycle::On && self.rank(r) > FULL;
-        self.replicas.values().filter(shunned).count()
+        let lasts = |r: &Replica| r.shunned.is_none_or(|since| self.now - since > SHUN_LASTS);
+        let avoided = |r: &&Replica| r.listed.lifecycle == Lifecycle::On && self.rank(r) > FULL && lasts(r);
+        self.replicas.values().filter(avoided).count()
     }
 
     /// Takes in all events of one tick and appends what to do, in order.
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -102,14 +102,17 @@
     site.check();
     // Refusals: more than the settings let in. All others wait.
     let mut open: Vec<Client> = (0..30).map(|_| site.begin("view", "60000m", &[0, 1, 2, 3])).collect();
-    let answered =
-        |open: &mut Vec<Client>| -> Vec<Client> { open.extract_if(.., |client| client.has_more()).collect() };
     let mut refused = 0;
     site.until("coordinator_outstanding", |count| count >= 14);
     let until = Instant::now() + SOON;
     while refused + figures(site.operators)["coordinator_outstanding"] < 30 {
         assert!(Instant::now() < until, "{:?}", figures(site.operators));
-        for mut client in answered(&mut open) {
+        let (answered, waiting): (Vec<_>, Vec<_>) = open
+            .into_iter()
+            .map(|mut client| (client.has_more(), client))
+            .partition(|(answered, _): &(bool, Client)| *answered);
+        open = waiting.into_iter().map(|(_, client)| client).collect();
+        for (_, mut client) in answered {
             assert_eq!(site.read("view", &mut client), 503);
             refused += 1;
         }
