--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod client;
 mod fault;
+pub mod figures;
 pub mod http;
 mod listen;
 pub mod node;
@@ -20,7 +21,9 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use figures::{Figures, Results};
 use placement::{Favour, Placement};
+use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsFd;
@@ -81,6 +84,19 @@
     fn cancel(&self, name: &str) -> Option<Vec<u8>>;
     /// The frame of a probe for load, where there is one.
     fn probe(&self) -> Option<Vec<u8>>;
+    /// How requests ended, by class.
+    fn results(&self) -> BTreeMap<String, Results> {
+        BTreeMap::new()
+    }
+
+    /// Takes in a new text of the front's file.
+    ///
+    /// # Errors
+    /// Tells what makes no sense; then nothing has changed.
+    fn reload(&mut self, _text: &str) -> Result<Reload, ConfigError> {
+        Ok(Reload::default())
+    }
+
     /// Reads one reply off the front of `input`.
     ///
     /// # Errors
@@ -88,6 +104,13 @@
     fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<Self::Value>>, PeerError>;
 }
 
+/// What a new text of a front's file says to the rest of the front.
+#[derive(Debug, Default)]
+pub struct Reload {
+    /// Where news of the list comes from.
+    pub roster: Option<SocketAddr>,
+}
+
 /// News of the list of replicas.
 #[derive(Debug)]
 pub struct News {
@@ -113,11 +136,8 @@
     /// # Errors
     /// Tells why the connection can't go on.
     fn received(&mut self, bytes: &[u8], now: Ms, news: &mut Vec<News>) -> Result<bool, PeerError>;
-    /// Takes in a new text of the front's file; tells whether it names another address.
-    ///
-    /// # Errors
-    /// Tells what makes no sense; then nothing has changed.
-    fn reload(&mut self, text: &str) -> Result<bool, ConfigError>;
+    /// It is there from now on; tells whether it was elsewhere.
+    fn move_to(&mut self, address: SocketAddr) -> bool;
 }
 
 /// The clock of the core: monotonic, from the start of the program.
@@ -195,6 +215,8 @@
     fn has_ended(&self, now: Ms) -> bool;
     /// What is counted.
     fn counters(&self) -> &Counters;
+    /// What operators read, but for the files taken in.
+    fn figures(&self) -> Figures;
 }
 
 /// A front of the program.
@@ -209,6 +231,16 @@
     pub placement: Option<PathBuf>,
     /// What the loop drives.
     pub served: Box<dyn Served>,
+    /// Files at `SIGHUP`.
+    pub reloads: Reloads,
+}
+
+/// Files taken in and turned down at `SIGHUP`.
+#[derive(Debug, Default, Clone, Copy)]
+#[allow(missing_docs)]
+pub struct Reloads {
+    pub applied: u64,
+    pub rejected: u64,
 }
 
 impl Front {
@@ -221,6 +253,8 @@
                 let named = |why| ServeError::Config { path: self.path.clone(), why };
                 self.served.reload(&text, now).map_err(named)
             });
+        self.reloads.applied += u64::from(read.is_ok());
+        self.reloads.rejected += u64::from(read.is_err());
         match read {
             Ok(()) => tracing::info!("{}: {} taken in", self.name, self.path.display()),
             Err(why) => tracing::warn!("{}: {why}; what was read before is served on", self.name),
@@ -230,6 +264,12 @@
         }
     }
 
+    /// What operators read.
+    pub fn figures(&self) -> Figures {
+        let Reloads { applied: sighup_applied, rejected: sighup_rejected } = self.reloads;
+        Figures { sighup_applied, sighup_rejected, ..self.served.figures() }
+    }
+
     /// Reads the placement, where there is one, and follows it.
     ///
     /// # Errors
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -6,6 +6,7 @@
 mod roster;
 
 use super::client::{ClientConn, ClientState};
+use super::figures::Figures;
 use super::node::{Called, NodeConn, NodeState, Purpose};
 use super::trail::Trail;
 use super::{Dialect, Gathered, Key, Loop, News, Roster, Served, Watched};
@@ -403,7 +404,10 @@
 
 impl<D: Dialect> Served for Server<D> {
     fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError> {
-        if self.roster.as_mut().map_or(Ok(false), |roster| roster.reload(text))? {
+        // All of the file is judged before anything of it is used.
+        let reload = self.dialect.reload(text)?;
+        let moved = self.roster.as_mut().zip(reload.roster).is_some_and(|(roster, at)| roster.move_to(at));
+        if moved {
             // The old place may take connections no more and end this one: the new one is asked at once.
             self.dial_roster(now);
         }
@@ -513,4 +517,15 @@
     fn counters(&self) -> &Counters {
         &self.core.counters
     }
+
+    fn figures(&self) -> Figures {
+        Figures {
+            results: self.dialect.results(),
+            forwards: self.core.counters.written,
+            outstanding: self.asked.len(),
+            discovered: self.core.listed(),
+            ejected: self.core.avoided(),
+            ..Figures::default()
+        }
+    }
 }
