Retune at SIGHUP: classes come, go and change, open requests keep theirs

A table of classes (src/platform/classes.rs) now gives each class a place that the core and the module know it by; open requests keep theirs. While a class changes the stricter effect holds; fewer attempts hold at once, more once the requests before are over. Aggregator::retune keeps what was learned of a class that has not changed. Where data lies can't change (ConfigError::Fixed).

`ejected` counts nodes that were not heard for 1 s: one error leaves a node to trials for a moment.

Changed tests: tests/bad_input.rs builds its Platform from settings (Platform::new takes the table), same class and shards as before. Pinned decisions are the same. Whole workspace passes.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -221,6 +221,13 @@
         self.module.favour(weights);
     }
 
+    /// Takes in settings for the queries to come. Those that are open find their class in its place.
+    pub fn retune(&mut self, set: Settings, limits: Transport) {
+        tracing::debug!(?set, ?limits, "settings");
+        self.module.retune(set.clone());
+        (self.set, self.limits) = (set, limits);
+    }
+
     /// An id that was never given out.
     pub fn new_id(&mut self) -> RequestId {
         self.next_id += 1;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -25,7 +25,7 @@
 }
 
 /// One class of queries.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Class {
     /// Full worth is earned inside this time.
     pub aim: Ms,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::core::{Counters, Failure, NewQuery, Send};
 use crate::interface::*;
-use crate::settings::ConfigError;
+use crate::settings::{ConfigError, Tuned};
 use admin::Admin;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -91,9 +91,13 @@
     ///
     /// # Errors
     /// Tells what makes no sense; then nothing has changed.
-    fn reload(&mut self, _text: &str) -> Result<Reload, ConfigError> {
+    fn reload(&mut self, _text: &str, _now: Ms) -> Result<Reload, ConfigError> {
         Ok(Reload::default())
     }
+    /// The settings, where they have changed since they were asked for last.
+    fn retuned(&mut self, _now: Ms) -> Option<Tuned> {
+        None
+    }
 
     /// Reads one reply off the front of `input`.
     ///
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -13,7 +13,7 @@
 use crate::favours::Favours;
 use crate::interface::*;
 use crate::members::clock::Standing;
-use crate::settings::{ConfigError, Transport};
+use crate::settings::{ConfigError, Transport, Tuned};
 use calloop::LoopHandle;
 use placement::Favour;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -131,6 +131,11 @@
     }
 }
 
+/// The longest time that any client waits.
+fn longest_deadline(settings: &Settings) -> Ms {
+    settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+}
+
 /// One front with its core and its sockets.
 pub struct Server<D: Dialect> {
     number: usize,
@@ -181,7 +186,7 @@
         roster: Option<Box<dyn Roster>>,
     ) -> io::Result<Self> {
         let handle = event_loop.handle();
-        let slow_reader = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let slow_reader = longest_deadline(core.settings());
         let socket = TcpListener::bind(listen)?;
         socket.set_nonblocking(true)?;
         let listener = Watched::new(&handle, number, Key::Listener, socket)?;
@@ -281,6 +286,15 @@
         }
     }
 
+    /// Takes in settings that have changed.
+    fn retune(&mut self, now: Ms) {
+        let Some(Tuned { settings, limits }) = self.dialect.retuned(now) else { return };
+        self.ending = Ending::of(&settings.classes);
+        self.slow_reader = longest_deadline(&settings);
+        self.limits = limits;
+        self.core.retune(settings, limits);
+    }
+
     /// Takes in news of the list of replicas.
     pub fn take_news(&mut self, news: News) {
         let on = news.entries.iter().filter(|entry| entry.lifecycle == Lifecycle::On).count();
@@ -395,7 +409,7 @@
 impl<D: Dialect> Served for Server<D> {
     fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError> {
         // All of the file is judged before anything of it is used.
-        let reload = self.dialect.reload(text)?;
+        let reload = self.dialect.reload(text, now)?;
         let moved = self.roster.as_mut().zip(reload.roster).is_some_and(|(roster, at)| roster.move_to(at));
         if moved {
             // The old place may take connections no more and end this one: the new one is asked at once.
@@ -469,6 +483,7 @@
     }
 
     fn turn(&mut self, now: Ms, ready: &[(usize, Key)]) {
+        self.retune(now);
         let mine = self.number;
         let ready = ready.iter().filter(|(number, _)| *number == mine).map(|(_, key)| *key);
         let unread = std::mem::take(&mut self.unread);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,5 +1,6 @@
 //! The configuration that the platform hands to a coordinator.
 
+use super::classes::Classes;
 use super::form::Form;
 use super::watch::{Directory, List, Watch};
 use super::Platform;
@@ -37,7 +38,7 @@
     seed: u64,
     sockets: usize,
     known: List,
-    classes: Vec<(String, bool)>,
+    classes: Vec<String>,
     set: Settings,
     limits: Transport,
     form: Form,
@@ -51,7 +52,6 @@
     pub fn read(text: &str) -> Result<Config, ConfigError> {
         let file: File = ConfigError::parse(text)?;
         let set = file.settings.settings()?;
-        let keyed = set.classes.iter().map(|class| matches!(class.effect, Effect::Keyed(_)));
         Ok(Config {
             listen: ConfigError::address("listen", &file.listen)?,
             discovery: ConfigError::address("discovery", &file.discovery)?,
@@ -59,7 +59,7 @@
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
             sockets: file.limits.sockets,
             known: file.known,
-            classes: file.settings.classes.iter().map(|class| class.name.clone()).zip(keyed).collect(),
+            classes: file.settings.classes.iter().map(|class| class.name.clone()).collect(),
             limits: file.settings.transport(),
             form: Form::read(text)?,
             set,
@@ -77,6 +77,21 @@
         &self.form
     }
 
+    /// The names of the classes, in order.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
+    /// The settings of the core and the module.
+    pub fn settings(&self) -> &Settings {
+        &self.set
+    }
+
+    /// The limits of the connections.
+    pub fn limits(&self) -> Transport {
+        self.limits
+    }
+
     /// Where discovery is.
     pub fn discovery(&self) -> SocketAddr {
         self.discovery
@@ -100,9 +115,8 @@
     ) -> Result<Server<Platform>, ServeError> {
         let directory = Directory::new(clock.unix_start());
         let (watch, known) = Watch::new(self.discovery, directory, &self.known);
-        let deadlines = self.set.classes.iter().map(|class| class.deadline).collect();
-        let dialect = Platform::new(self.classes.clone(), deadlines, self.limits.shards);
-        let dialect = dialect.of_form(self.form.clone());
+        let classes = Classes::new(&self.classes, self.set.clone(), self.limits);
+        let dialect = Platform::new(classes).of_form(self.form.clone());
         let core = Core::new(self.set.clone(), self.limits, self.seed);
         let sockets = Sockets::of(self.sockets, fronts);
         let roster = Some(Box::new(watch) as _);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's protocol: HTTP for clients, frames for book nodes, a watch for discovery.
 
+pub mod classes;
 pub mod config;
 pub mod form;
 pub mod frames;
@@ -10,7 +11,8 @@
 use crate::net::figures::Results;
 use crate::net::http::{Bad, Request, Response};
 use crate::net::{Dialect, NodeReply, PeerError, Reload, Take};
-use crate::settings::ConfigError;
+use crate::settings::{ConfigError, Tuned};
+use classes::{Classes, Unclassed};
 use config::Config;
 use form::Form;
 use miniserde::json;
@@ -50,8 +52,10 @@
 
 /// What the frames of a query need.
 struct Held {
-    /// Its class.
+    /// The place of its class.
     class: usize,
+    /// When it came.
+    at: Ms,
     name: String,
     text: String,
     key: Option<String>,
@@ -61,15 +65,11 @@
 
 /// The platform's dialect.
 pub struct Platform {
-    /// Names of the classes, in order, and whether they are keyed.
-    classes: Vec<(String, bool)>,
-    deadlines: Vec<Ms>,
-    shards: usize,
+    classes: Classes,
     held: HashMap<RequestId, Held>,
     /// Names of the queries that are held: a part's name must stay unique.
     names: BTreeSet<String>,
     ended: Ended,
-    longest: Ms,
     /// The keys of the file that was taken last; none where there is no file.
     form: Option<Form>,
     /// How requests ended, by class.
@@ -138,11 +138,10 @@
 
 impl Platform {
     /// A dialect for these classes.
-    pub fn new(classes: Vec<(String, bool)>, deadlines: Vec<Ms>, shards: usize) -> Self {
-        let longest = deadlines.iter().copied().fold(0.0, f64::max);
+    pub fn new(classes: Classes) -> Self {
         let (held, names, ended) = (HashMap::new(), BTreeSet::new(), Ended::default());
-        let results = classes.iter().map(|(name, _)| (name.clone(), Results::default())).collect();
-        Platform { classes, deadlines, shards, held, names, ended, longest, form: None, results }
+        let results = classes.names().map(|name| (name.to_string(), Results::default())).collect();
+        Platform { classes, held, names, ended, form: None, results }
     }
 
     /// The same, for the file whose keys these are.
@@ -152,12 +151,18 @@
 
     fn query(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<NewQuery, Declined> {
         let first = class_name(request);
-        let class = self.classes.iter().position(|(name, _)| name == first);
-        let class = class.ok_or_else(|| declined(404, "no such path"))?;
+        let header = |name: &str| request.headers.get(name);
+        // The key is written into a list of the frame: its separators would forge entries.
+        let fits =
+            |key: &&str| !key.is_empty() && key.len() <= 128 && key.bytes().all(|b| b.is_ascii_graphic());
+        let key = header("Idempotency-Key").filter(|key| fits(key) && !key.contains([',', '=']));
+        let class = self.classes.find(first, at, key.is_some());
+        if class == Err(Unclassed::Unknown) {
+            return Err(declined(404, "no such path"));
+        }
         if request.method != "POST" {
             return Err(Response { allow: Some("POST"), ..declined(405, "queries are posted") });
         }
-        let header = |name: &str| request.headers.get(name);
         if header("X-Class").is_some_and(|told| told != first) {
             return Err(declined(400, "X-Class is not the class of the path"));
         }
@@ -165,19 +170,16 @@
         let name = name.ok_or_else(|| declined(400, "X-Request-Id is not 16 hex digits"))?;
         let waits = match header("X-Deadline") {
             Some(text) => deadline(text).ok_or_else(|| declined(400, "X-Deadline is not a time"))?,
-            None => self.deadlines[class],
+            None => class.map_or(0.0, |class| self.classes.rules(class).deadline),
         };
-        // The key is written into a list of the frame: its separators would forge entries.
-        let fits =
-            |key: &&str| !key.is_empty() && key.len() <= 128 && key.bytes().all(|b| b.is_ascii_graphic());
-        let key = header("Idempotency-Key").filter(|key| fits(key) && !key.contains([',', '=']));
-        if self.classes[class].1 && key.is_none() {
-            return Err(declined(400, "this class needs an Idempotency-Key"));
-        }
+        let class = class.map_err(|_| declined(400, "this class needs an Idempotency-Key"))?;
         let text = std::str::from_utf8(&request.body).map_err(|_| declined(400, "the body is not UTF-8"))?;
         let ask: Ask = json::from_str(text).map_err(|_| declined(400, "the body is not a query"))?;
         let sound = |part: &AskPart| {
-            part.shard < self.shards && part.weight.is_finite() && part.weight > 0.0 && part.weight <= 1.0
+            part.shard < self.classes.shards()
+                && part.weight.is_finite()
+                && part.weight > 0.0
+                && part.weight <= 1.0
         };
         let distinct: BTreeSet<usize> = ask.shards.iter().map(|part| part.shard).collect();
         let sum: f64 = ask.shards.iter().map(|part| part.weight).sum();
@@ -195,9 +197,11 @@
         if !self.names.insert(name.to_string()) {
             return Err(declined(400, "a request with this X-Request-Id is being answered"));
         }
-        let key = key.filter(|_| self.classes[class].1).map(str::to_string);
-        let until = at + waits.max(self.longest).min(2.0 * self.longest);
-        self.held.insert(id, Held { class, name: name.to_string(), text: ask.q, key, until });
+        let is_keyed = matches!(self.classes.rules(class).effect, Effect::Keyed(_));
+        let key = key.filter(|_| is_keyed).map(str::to_string);
+        let longest = self.classes.longest_deadline();
+        let until = at + waits.max(longest).min(2.0 * longest);
+        self.held.insert(id, Held { class, at, name: name.to_string(), text: ask.q, key, until });
         Ok(NewQuery {
             class,
             expires_at: at + (waits - CLIENT_TRIP).max(0.0),
@@ -222,7 +226,7 @@
     /// The query has its final answer.
     fn finish(&mut self, query: RequestId, count: fn(&mut Results)) {
         if let Some(class) = self.forget(query) {
-            count(self.results.entry(self.classes[class].0.clone()).or_default());
+            count(self.results.entry(self.classes.name(class).to_string()).or_default());
         }
     }
 }
@@ -301,13 +305,26 @@
         self.results.clone()
     }
 
-    fn reload(&mut self, text: &str) -> Result<Reload, ConfigError> {
+    fn reload(&mut self, text: &str, now: Ms) -> Result<Reload, ConfigError> {
         let config = Config::read(text)?;
         self.form.as_ref().map_or(Ok(()), |form| form.fits(config.form()))?;
+        let (settings, limits) = (config.settings(), config.limits());
+        self.classes.check(settings, &limits)?;
         self.form = Some(config.form().clone());
+        let told = self.classes.retune(config.classes(), settings.clone(), limits, now);
+        tracing::info!("settings: {told}");
+        self.classes.names().for_each(|name| {
+            self.results.entry(name.to_string()).or_default();
+        });
         Ok(Reload { roster: Some(config.discovery()) })
     }
 
+    fn retuned(&mut self, now: Ms) -> Option<Tuned> {
+        let held = &self.held;
+        let is_held = |class: usize| held.values().any(|held| held.class == class);
+        self.classes.changed(now, is_held, || held.values().map(|held| held.at).min_by(f64::total_cmp))
+    }
+
     fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, PeerError> {
         frames::reply(input)
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -29,13 +29,11 @@
 const SERVICE_LEARN: (f64, f64) = (0.1, 0.02);
 const SERVICE_GUESS: f64 = 0.05; // Service time before any was seen, over the aim: room for many in turn.
 const STALL: f64 = 4.0; // Usual times without progress after which a replica is suspect.
-/// Slower than its peers by this factor weighs in the choice; less is taken for chance. Then of many.
-const SLOW_WEIGHED: (f64, f64) = (1.7, 6.0);
+const SLOW_WEIGHED: (f64, f64) = (1.7, 6.0); // So much slower than peers weighs; less is chance. Of many.
 const UNPLACED: f64 = 1e-3; // Weight among ties of a replica that the placement leaves out.
-/// Time in which the pace of an idle replica is forgotten, ms, and least mean gaps between its calls.
-const PACE_AGE: (Ms, f64) = (4000.0, 4.0);
+const PACE_AGE: (Ms, f64) = (4000.0, 4.0); // An idle replica's pace fades in this, or mean gaps of its calls.
 const TRIAL_GAP: Ms = 800.0; // Pause between trials of a shunned replica: quick back from a blip.
-const SHUN_LASTS: Ms = 1000.0; // Silence that operators are told of: a trial or more was in vain.
+const UNHEARD: Ms = 1000.0; // After so long operators are told that a replica is left alone.
 const RETRY_PAUSE: Ms = 150.0; // Pause between a part's further attempts; the first goes at once.
 const FULL_WAIT: f64 = 0.4; // Of the time to the aim, before the last attempt where all are full.
 const ERROR_PACE: f64 = 4.0; // Pace of an error: one alone makes no replica slow, three do.
@@ -49,12 +47,10 @@
 const PROBES: (f64, f64) = (64.0, 0.0075);
 const UNLOADED: f64 = 0.5; // Pace of a replica with nothing to do.
 const PROBE_WAIT: Ms = 15.0; // Wait for answers to probes: a round trip and some steps.
-/// Time in which a load report is believed, ms: a few service times. Own answers tell for twice as long.
-const NEWS_AGE: Ms = 500.0;
+const NEWS_AGE: Ms = 500.0; // Load reports are believed for a few service times, own answers twice that.
 const REPLY_LEAD: Ms = 4.0; // Time kept for a reply to reach the client, ms, beside two ticks.
-/// Gap between looks at what is held, ms, and how much later than asked for a step tells of a sleep.
-const LOOK_GAP: Ms = 10.0;
-const SLEPT: Ms = 150.0;
+const LOOK_GAP: Ms = 10.0; // Gap between looks at what is held.
+const SLEPT: Ms = 150.0; // So much later than asked for, a step tells of a sleep.
 /// Times without news of any replica, which blame none; after a short one its answers are on their way.
 const GAPS: Gaps = Gaps { long: (8.0, 50.0), short: (12.0, 5.0), longest: 200.0, weight: 0.1 };
 const RESUBSCRIBE: Ms = 400.0; // Mean pause before subscribing again: the service is shared.
@@ -95,8 +91,7 @@
     attempts: Vec<Attempt>,
     spare: bool, // Held back: the answer is whole without it.
     not_before: Ms,
-    /// Its work as the request states it; used in a large fleet, where no answer is free of others' queues.
-    work: Option<Ms>,
+    work: Option<Ms>, // As the request states it; for large fleets, whose answers all have others' queues.
 }
 
 impl Part {
@@ -167,14 +162,12 @@
     calls: BTreeMap<u64, Call>,
     out: usize,
     progress_at: Ms,
-    answered: Ms, // When the latest-sent of its answered attempts was sent.
-    pace: Sparse, // Latency over service time x (place + 1).
-    /// Since when it is silent: work out and no progress, or no connection. It may come back cold.
-    shunned: Option<Ms>,
+    answered: Ms,        // When the latest-sent of its answered attempts was sent.
+    pace: Sparse,        // Latency over service time x (place + 1).
+    shunned: Option<Ms>, // Since when it is silent: work out, no progress or connection. May come back cold.
     trial_at: Ms,
-    /// Until when it is left alone after it turned parts away, and how often it did in a row.
-    full: (Ms, i32),
-    faults: f64, // Share of errors among its answers lately.
+    full: (Ms, i32), // Until when it is left alone, having turned parts away, and how often in a row it did.
+    faults: f64,     // Share of errors among its answers lately.
     cold_since: Option<Ms>,
     /// Work that may be sent to it while it is cold, and whether the part that is being placed may go there.
     credit: Share,
@@ -212,19 +205,16 @@
     judged_at: Ms,
     hearing: Hearing, // When any replica was last heard of.
     started_at: Option<Ms>,
-    /// Mean pause between trials of a replica: those of a hundred aggregators must not feed it up.
-    trial_gap: Ms,
+    trial_gap: Ms, // Mean pause between trials of a replica: those of a hundred must not feed it up.
     strain: Pooled, // Answer time over service time of all replicas together: each alone is met too seldom.
     first: Majority, // The share of its class's time that a client gives its first try: that of most.
-    /// Weights of a placement, by shard and replica: they break ties of first sends.
-    favours: BTreeMap<(usize, ReplicaId), f64>,
+    favours: BTreeMap<(usize, ReplicaId), f64>, // A placement's weights: they break ties of first sends.
 }
 
 impl Aggregator {
     /// A fresh aggregator; all its random choices come from `seed`.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let learned = |class: &Class| Learned { service: SERVICE_GUESS * class.aim, ..Learned::default() };
-        Aggregator {
+        let mut aggregator = Aggregator {
             rng: SmallRng::seed_from_u64(seed),
             now: 0.0,
             replicas: BTreeMap::new(),
@@ -232,7 +222,7 @@
             queries: BTreeMap::new(),
             owners: BTreeMap::new(),
             flights: BTreeMap::new(),
-            learned: settings.classes.iter().map(learned).collect(),
+            learned: Vec::new(),
             pace: 1.0,
             twins_left: 0.0,
             probes_left: PROBES.0 * settings.probe_share(PROBES.1, FEW),
@@ -248,8 +238,19 @@
             strain: Pooled::new(STRAIN),
             first: Majority::default(),
             favours: BTreeMap::new(),
-            set: settings,
-        }
+            set: settings.clone(),
+        };
+        aggregator.retune(settings);
+        aggregator
+    }
+
+    /// Takes in settings for the queries to come; what was learned of a class stays while its rules do.
+    pub fn retune(&mut self, settings: Settings) {
+        let fresh = |class: &Class| Learned { service: SERVICE_GUESS * class.aim, ..Learned::default() };
+        let mut known = std::mem::take(&mut self.learned).into_iter().zip(&self.set.classes);
+        let mut kept = |class| known.next().filter(|(_, old)| *old == class).map(|(learned, _)| learned);
+        let each = settings.classes.iter().map(|class| kept(class).unwrap_or_else(|| fresh(class)));
+        (self.learned, self.set) = (each.collect(), settings);
     }
 
     /// Takes in a placement that was worked out ahead, in place of an earlier one.
@@ -257,9 +258,9 @@
         self.favours = weights;
     }
 
-    /// Replicas in service left alone for what was seen: faulty ones, and silent ones once that lasts.
+    /// Replicas in service that are left alone, for faults or silence, and were not heard for a while.
     pub fn avoided(&self) -> usize {
-        let lasts = |r: &Replica| r.shunned.is_none_or(|since| self.now - since > SHUN_LASTS);
+        let lasts = |r: &Replica| self.now - r.progress_at > UNHEARD;
         let avoided = |r: &&Replica| r.listed.lifecycle == Lifecycle::On && self.rank(r) > FULL && lasts(r);
         self.replicas.values().filter(avoided).count()
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -28,6 +28,8 @@
     NotAbove0 { field: String, value: f64 },
     #[error("field `{0}` is missing, which the file taken before has; write it, or start anew without it")]
     Lacks(String),
+    #[error("field `settings.{0}` can't change while the program serves; put it back, or start anew")]
+    Fixed(&'static str),
     #[error("field `settings.classes[{class}]`: {why}")]
     Unsupported { class: usize, why: &'static str },
     #[error("field `contracts`, team `{team}`: no class `{class}`; name classes of `settings.classes`")]
@@ -269,7 +271,7 @@
 }
 
 /// Limits on connections and on what is held at once.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Transport {
     /// A connection not up by then counts as never made.
     pub dial_timeout: Ms,
@@ -282,3 +284,12 @@
     /// How many shards there are.
     pub shards: usize,
 }
+
+/// Settings that hold from now on, while the program serves.
+#[derive(Debug, Clone)]
+pub struct Tuned {
+    /// The module's and the core's; a class keeps its index while requests of it are open.
+    pub settings: Settings,
+    /// Those of the connections.
+    pub limits: Transport,
+}
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -8,11 +8,13 @@
 use steppick::opensearch::config::Config as OpenSearchConfig;
 use steppick::opensearch::records::Records;
 use steppick::opensearch::{Contract, OpenSearch};
+use steppick::platform::classes::Classes;
 use steppick::platform::config::Config;
 use steppick::platform::watch::{Directory, List, Watch};
 use steppick::platform::{frames, Platform};
-use steppick::RequestId;
-use support::{check, Step};
+use steppick::settings::Transport;
+use steppick::{Class, Effect, RequestId, Settings};
+use support::{check, class, settings, transport, Step};
 
 fn spoil(sound: &[u8], steps: &[Step]) -> Vec<u8> {
     let mut bytes = sound.to_vec();
@@ -43,6 +45,12 @@
     format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
+fn platform() -> Platform {
+    let view = Class { deadline: 1000.0, ..class(Effect::Keyed(400.0), 0) };
+    let set = Settings { classes: vec![view], ..settings() };
+    Platform::new(Classes::new(&["view".into()], set, Transport { shards: 24, ..transport() }))
+}
+
 fn opensearch() -> OpenSearch {
     let contract = Contract::new("*", vec![0], 1000.0, 1e9, 1e9);
     OpenSearch::new("books".into(), vec!["view".into()], vec![1000.0], 4, 500.0, vec![contract], 1)
@@ -52,7 +60,7 @@
     let spoilt = |text: &str| spoil(text.as_bytes(), &steps);
     if let Ok(Some((request, used))) = http::request(&spoilt(&message(QUERY_HEAD, QUERY))) {
         assert!(used > 0);
-        let mut platform = Platform::new(vec![("view".into(), true)], vec![1000.0], 24);
+        let mut platform = platform();
         if let Take::Query(query) = platform.take(RequestId(1), &request, 0.0, true) {
             assert!(query.parts.iter().all(|(shard, weight)| *shard < 24 && *weight > 0.0));
         }
@@ -106,7 +114,7 @@
 #[test]
 fn the_sound_inputs_are_taken() {
     let (request, _) = http::request(message(QUERY_HEAD, QUERY).as_bytes()).expect("sound").expect("whole");
-    let mut platform = Platform::new(vec![("view".into(), true)], vec![1000.0], 24);
+    let mut platform = platform();
     // The cost of a part is its work in µs: the query carries it in ms.
     let Take::Query(query) = platform.take(RequestId(1), &request, 0.0, true) else { panic!("a query") };
     assert_eq!(query.work, vec![Some(9.0)]);
