--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -15,7 +15,7 @@
 use crate::interface::*;
 use crate::members::clock::Standing;
 use crate::net;
-use crate::settings::{ConfigError, Transport};
+use crate::settings::{ConfigError, Transport, Tuned};
 use calloop::LoopHandle;
 use placement::Favour;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -133,6 +133,11 @@
     }
 }
 
+/// The longest time that any client waits.
+fn longest_deadline(settings: &Settings) -> Ms {
+    settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+}
+
 /// One front with its core and its sockets.
 pub struct Server<D: Dialect> {
     number: usize,
@@ -189,7 +194,7 @@
         roster: Option<Box<dyn Roster>>,
     ) -> io::Result<Self> {
         let handle = event_loop.handle();
-        let slow_reader = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let slow_reader = longest_deadline(core.settings());
         let listening = net::listen::listen(listen)?;
         let address = listening.socket.local_addr()?;
         let listener = Some(Watched::new(&handle, number, Key::Listener, listening.socket)?);
@@ -291,6 +296,15 @@
         }
     }
 
+    /// Takes in settings that have changed.
+    fn retune(&mut self, now: Ms) {
+        let Some(Tuned { settings, limits }) = self.dialect.retuned(now) else { return };
+        self.ending = Ending::of(&settings.classes);
+        self.slow_reader = longest_deadline(&settings);
+        self.limits = limits;
+        self.core.retune(settings, limits);
+    }
+
     /// Takes in news of the list of replicas.
     pub fn take_news(&mut self, news: News) {
         let on = news.entries.iter().filter(|entry| entry.lifecycle == Lifecycle::On).count();
@@ -405,7 +419,7 @@
 impl<D: Dialect> Served for Server<D> {
     fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError> {
         // All of the file is judged before anything of it is used.
-        let reload = self.dialect.reload(text)?;
+        let reload = self.dialect.reload(text, now)?;
         let moved = self.roster.as_mut().zip(reload.roster).is_some_and(|(roster, at)| roster.move_to(at));
         if moved {
             // The old place may take connections no more and end this one: the new one is asked at once.
@@ -481,6 +495,7 @@
     }
 
     fn turn(&mut self, now: Ms, ready: &[(usize, Key)]) {
+        self.retune(now);
         let mine = self.number;
         let ready = ready.iter().filter(|(number, _)| *number == mine).map(|(_, key)| *key);
         let unread = std::mem::take(&mut self.unread);
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -17,7 +17,7 @@
 /// A file is renewed this often, ms, ...
 pub const RENEW: Ms = 100.0;
 /// ... and says nothing when it was written longer ago than this, or so far ahead of the clock, ms.
-pub const STALE: Ms = 1000.0;
+pub const STALE: Ms = 500.0;
 /// A longer file is none of ours, bytes.
 const LONGEST: u64 = 4096;
 
