--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -6,6 +6,7 @@
 mod roster;
 
 use super::client::{ClientConn, ClientState};
+use super::figures::Figures;
 use super::node::{Called, NodeConn, NodeState, Purpose};
 use super::trail::Trail;
 use super::{Dialect, Gathered, Key, Loop, News, Roster, Served, Watched};
@@ -14,7 +15,7 @@
 use crate::interface::*;
 use crate::members::clock::Standing;
 use crate::net;
-use crate::settings::{ConfigError, Transport};
+use crate::settings::{ConfigError, Transport, Tuned};
 use calloop::LoopHandle;
 use placement::Favour;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -25,8 +26,8 @@
 const RETIRE_SHARE: f64 = 0.8;
 /// Descriptors kept free for the loop itself, logs, signals and the roster.
 const RESERVE: usize = 64;
-/// After the order to end: how long idle connections stay, and how long the program does, at least, ms.
-/// Clients may go on opening connections for 0.4 s.
+/// After the order to end: how long idle connections stay, and how long the program goes on accepting, ms. Clients may go
+/// on opening connections for 0.4 s.
 const LINGER_IDLE: Ms = 500.0;
 const LINGER: Ms = 800.0;
 /// The platform kills a program so long after the longest deadline from the order to end, ms, and counts a
@@ -132,6 +133,11 @@
     }
 }
 
+/// The longest time that any client waits.
+fn longest_deadline(settings: &Settings) -> Ms {
+    settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+}
+
 /// One front with its core and its sockets.
 pub struct Server<D: Dialect> {
     number: usize,
@@ -188,7 +194,7 @@
         roster: Option<Box<dyn Roster>>,
     ) -> io::Result<Self> {
         let handle = event_loop.handle();
-        let slow_reader = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let slow_reader = longest_deadline(core.settings());
         let listening = net::listen::listen(listen)?;
         let address = listening.socket.local_addr()?;
         let listener = Some(Watched::new(&handle, number, Key::Listener, listening.socket)?);
@@ -290,6 +296,15 @@
         }
     }
 
+    /// Takes in settings that have changed.
+    fn retune(&mut self, now: Ms) {
+        let Some(Tuned { settings, limits }) = self.dialect.retuned(now) else { return };
+        self.ending = Ending::of(&settings.classes);
+        self.slow_reader = longest_deadline(&settings);
+        self.limits = limits;
+        self.core.retune(settings, limits);
+    }
+
     /// Takes in news of the list of replicas.
     pub fn take_news(&mut self, news: News) {
         let on = news.entries.iter().filter(|entry| entry.lifecycle == Lifecycle::On).count();
@@ -403,7 +418,10 @@
 
 impl<D: Dialect> Served for Server<D> {
     fn reload(&mut self, text: &str, now: Ms) -> Result<(), ConfigError> {
-        if self.roster.as_mut().map_or(Ok(false), |roster| roster.reload(text))? {
+        // All of the file is judged before anything of it is used.
+        let reload = self.dialect.reload(text, now)?;
+        let moved = self.roster.as_mut().zip(reload.roster).is_some_and(|(roster, at)| roster.move_to(at));
+        if moved {
             // The old place may take connections no more and end this one: the new one is asked at once.
             self.dial_roster(now);
         }
@@ -439,7 +457,7 @@
         let leaves = |client: &Client| matches!(client.conn.state(), ClientState::Lingering(_));
         let settled = |c: &Client| c.conn.may_go(now - STALE_REQUEST) && !fresh(c) && !leaves(c);
         let over = self.clients.is_empty() || self.is_closing(now) && self.clients.values().all(settled);
-        over && if self.is_replaced { self.listener.is_none() } else { now - since >= LINGER }
+        over && self.listener.is_none()
     }
 
     fn next_due(&self, now: Ms) -> Option<Ms> {
@@ -478,6 +496,7 @@
     }
 
     fn turn(&mut self, now: Ms, ready: &[(usize, Key)]) {
+        self.retune(now);
         let mine = self.number;
         let ready = ready.iter().filter(|(number, _)| *number == mine).map(|(_, key)| *key);
         let unread = std::mem::take(&mut self.unread);
@@ -514,4 +533,15 @@
     fn counters(&self) -> &Counters {
         &self.core.counters
     }
+
+    fn figures(&self) -> Figures {
+        Figures {
+            results: self.dialect.results(),
+            forwards: self.core.counters.written,
+            outstanding: self.asked.len(),
+            discovered: self.core.listed(),
+            ejected: self.core.avoided(),
+            ..Figures::default()
+        }
+    }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,15 +1,22 @@
 //! The platform's protocol: HTTP for clients, frames for book nodes, a watch for discovery.
 
+pub mod classes;
 pub mod config;
+pub mod form;
 pub mod frames;
 pub mod watch;
 
 use crate::core::{Failure, NewQuery, Send};
 use crate::interface::*;
+use crate::net::figures::Results;
 use crate::net::http::{Bad, Request, Response};
-use crate::net::{Dialect, NodeReply, PeerError, Take};
+use crate::net::{Dialect, NodeReply, PeerError, Reload, Take};
+use crate::settings::{ConfigError, Tuned};
+use classes::{Classes, Unclassed};
+use config::Config;
+use form::Form;
 use miniserde::json;
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// Most of a request's time that its way here can have taken, ms: kept back from `X-Deadline`, which runs
 /// from the client's send.
@@ -45,6 +52,10 @@
 
 /// What the frames of a query need.
 struct Held {
+    /// The place of its class.
+    class: usize,
+    /// When it came.
+    at: Ms,
     name: String,
     text: String,
     key: Option<String>,
@@ -54,15 +65,15 @@
 
 /// The platform's dialect.
 pub struct Platform {
-    /// Names of the classes, in order, and whether they are keyed.
-    classes: Vec<(String, bool)>,
-    deadlines: Vec<Ms>,
-    shards: usize,
+    classes: Classes,
     held: HashMap<RequestId, Held>,
     /// Names of the queries that are held: a part's name must stay unique.
     names: BTreeSet<String>,
     ended: Ended,
-    longest: Ms,
+    /// The keys of the file that was taken last; none where there is no file.
+    form: Option<Form>,
+    /// How requests ended, by class.
+    results: BTreeMap<String, Results>,
 }
 
 /// Ended ids remembered at most: some 130 queries a second for the longest deadline, several times over; 32 bytes
@@ -102,6 +113,11 @@
     text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit())
 }
 
+/// The first part of the path, which names the class.
+fn class_name(request: &Request) -> &str {
+    request.path.trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
 /// An id as a number; it was checked to be one.
 fn number(id: &str) -> u64 {
     u64::from_str_radix(id, 16).unwrap_or_default()
@@ -122,20 +138,31 @@
 
 impl Platform {
     /// A dialect for these classes.
-    pub fn new(classes: Vec<(String, bool)>, deadlines: Vec<Ms>, shards: usize) -> Self {
-        let longest = deadlines.iter().copied().fold(0.0, f64::max);
+    pub fn new(classes: Classes) -> Self {
         let (held, names, ended) = (HashMap::new(), BTreeSet::new(), Ended::default());
-        Platform { classes, deadlines, shards, held, names, ended, longest }
+        let results = classes.names().map(|name| (name.to_string(), Results::default())).collect();
+        Platform { classes, held, names, ended, form: None, results }
+    }
+
+    /// The same, for the file whose keys these are.
+    pub fn of_form(self, form: Form) -> Self {
+        Platform { form: Some(form), ..self }
     }
 
     fn query(&mut self, id: RequestId, request: &Request, at: Ms) -> Result<NewQuery, Declined> {
-        let first = request.path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.classes.iter().position(|(name, _)| name == first);
-        let class = class.ok_or_else(|| declined(404, "no such path"))?;
+        let first = class_name(request);
+        let header = |name: &str| request.headers.get(name);
+        // The key is written into a list of the frame: its separators would forge entries.
+        let fits =
+            |key: &&str| !key.is_empty() && key.len() <= 128 && key.bytes().all(|b| b.is_ascii_graphic());
+        let key = header("Idempotency-Key").filter(|key| fits(key) && !key.contains([',', '=']));
+        let class = self.classes.find(first, at, key.is_some());
+        if class == Err(Unclassed::Unknown) {
+            return Err(declined(404, "no such path"));
+        }
         if request.method != "POST" {
             return Err(Response { allow: Some("POST"), ..declined(405, "queries are posted") });
         }
-        let header = |name: &str| request.headers.get(name);
         if header("X-Class").is_some_and(|told| told != first) {
             return Err(declined(400, "X-Class is not the class of the path"));
         }
@@ -143,19 +170,16 @@
         let name = name.ok_or_else(|| declined(400, "X-Request-Id is not 16 hex digits"))?;
         let waits = match header("X-Deadline") {
             Some(text) => deadline(text).ok_or_else(|| declined(400, "X-Deadline is not a time"))?,
-            None => self.deadlines[class],
+            None => class.map_or(0.0, |class| self.classes.rules(class).deadline),
         };
-        // The key is written into a list of the frame: its separators would forge entries.
-        let fits =
-            |key: &&str| !key.is_empty() && key.len() <= 128 && key.bytes().all(|b| b.is_ascii_graphic());
-        let key = header("Idempotency-Key").filter(|key| fits(key) && !key.contains([',', '=']));
-        if self.classes[class].1 && key.is_none() {
-            return Err(declined(400, "this class needs an Idempotency-Key"));
-        }
+        let class = class.map_err(|_| declined(400, "this class needs an Idempotency-Key"))?;
         let text = std::str::from_utf8(&request.body).map_err(|_| declined(400, "the body is not UTF-8"))?;
         let ask: Ask = json::from_str(text).map_err(|_| declined(400, "the body is not a query"))?;
         let sound = |part: &AskPart| {
-            part.shard < self.shards && part.weight.is_finite() && part.weight > 0.0 && part.weight <= 1.0
+            part.shard < self.classes.shards()
+                && part.weight.is_finite()
+                && part.weight > 0.0
+                && part.weight <= 1.0
         };
         let distinct: BTreeSet<usize> = ask.shards.iter().map(|part| part.shard).collect();
         let sum: f64 = ask.shards.iter().map(|part| part.weight).sum();
@@ -173,9 +197,11 @@
         if !self.names.insert(name.to_string()) {
             return Err(declined(400, "a request with this X-Request-Id is being answered"));
         }
-        let key = key.filter(|_| self.classes[class].1).map(str::to_string);
-        let until = at + waits.max(self.longest).min(2.0 * self.longest);
-        self.held.insert(id, Held { name: name.to_string(), text: ask.q, key, until });
+        let is_keyed = matches!(self.classes.rules(class).effect, Effect::Keyed(_));
+        let key = key.filter(|_| is_keyed).map(str::to_string);
+        let longest = self.classes.longest_deadline();
+        let until = at + waits.max(longest).min(2.0 * longest);
+        self.held.insert(id, Held { class, at, name: name.to_string(), text: ask.q, key, until });
         Ok(NewQuery {
             class,
             expires_at: at + (waits - CLIENT_TRIP).max(0.0),
@@ -189,10 +215,18 @@
         })
     }
 
-    fn forget(&mut self, query: RequestId) {
-        if let Some(held) = self.held.remove(&query) {
-            self.names.remove(&held.name);
-            self.ended.add(number(&held.name), held.until);
+    /// Lets go of a query that is over; its class, unless that was done before.
+    fn forget(&mut self, query: RequestId) -> Option<usize> {
+        let held = self.held.remove(&query)?;
+        self.names.remove(&held.name);
+        self.ended.add(number(&held.name), held.until);
+        Some(held.class)
+    }
+
+    /// The query has its final answer.
+    fn finish(&mut self, query: RequestId, count: fn(&mut Results)) {
+        if let Some(class) = self.forget(query) {
+            count(self.results.entry(self.classes.name(class).to_string()).or_default());
         }
     }
 }
@@ -210,23 +244,27 @@
         }
         match self.query(id, request, at) {
             Ok(query) => Take::Query(query),
-            Err(response) => Take::Answer(response),
+            Err(response) => {
+                let named = self.results.get_mut(class_name(request)).filter(|_| response.status == 400);
+                named.into_iter().for_each(|results| results.aborted += 1);
+                Take::Answer(response)
+            }
         }
     }
 
     fn answer(&mut self, query: RequestId, whole: bool, values: Vec<(usize, String)>, _: Ms) -> Response {
-        self.forget(query);
+        self.finish(query, |results| results.succeeded += 1);
         let hits = values.into_iter().map(|(shard, doc)| Hit { shard, doc }).collect();
         Response::new(200, json::to_string(&Reply { complete: whole, hits }))
     }
 
     fn refuse(&mut self, query: RequestId, after: Option<Ms>) -> Response {
-        self.forget(query);
+        self.finish(query, |results| results.declined += 1);
         declined(503, "refused, ask again later").after(after)
     }
 
     fn fail(&mut self, query: RequestId, why: Failure, after: Option<Ms>) -> Response {
-        self.forget(query);
+        self.finish(query, |results| results.aborted += 1);
         let response = match why {
             Failure::TimedOut => declined(504, "not answered in time"),
             Failure::Unserved => declined(500, "a part could not be had"),
@@ -239,7 +277,7 @@
     }
 
     fn gone(&mut self, query: RequestId) {
-        self.forget(query);
+        let _ = self.forget(query);
     }
 
     fn bad(&self, bad: Bad) -> Response {
@@ -263,6 +301,30 @@
         Some(frames::frame(b'L', b""))
     }
 
+    fn results(&self) -> BTreeMap<String, Results> {
+        self.results.clone()
+    }
+
+    fn reload(&mut self, text: &str, now: Ms) -> Result<Reload, ConfigError> {
+        let config = Config::read(text)?;
+        self.form.as_ref().map_or(Ok(()), |form| form.fits(config.form()))?;
+        let (settings, limits) = (config.settings(), config.limits());
+        self.classes.check(settings, &limits)?;
+        self.form = Some(config.form().clone());
+        let told = self.classes.retune(config.classes(), settings.clone(), limits, now);
+        tracing::info!("settings: {told}");
+        self.classes.names().for_each(|name| {
+            self.results.entry(name.to_string()).or_default();
+        });
+        Ok(Reload { roster: Some(config.discovery()) })
+    }
+
+    fn retuned(&mut self, now: Ms) -> Option<Tuned> {
+        let held = &self.held;
+        let is_held = |class: usize| held.values().any(|held| held.class == class);
+        self.classes.changed(now, is_held, || held.values().map(|held| held.at).min_by(f64::total_cmp))
+    }
+
     fn reply(&self, input: &mut Vec<u8>) -> Result<Option<NodeReply<String>>, PeerError> {
         frames::reply(input)
     }
