--- a/crates/feed/src/prefixes.rs
+++ b/crates/feed/src/prefixes.rs
@@ -19,6 +19,17 @@
     parts: HashMap<u64, u32>,
 }
 
+impl Kept {
+    /// Takes a change in; tells whether it is news. Parts beyond the limit are left out.
+    fn take(&mut self, change: PartChange) -> bool {
+        if change.tokens == 0 {
+            return self.parts.remove(&change.part).is_some();
+        }
+        let has_room = self.parts.len() < MOST_PARTS || self.parts.contains_key(&change.part);
+        has_room && self.parts.insert(change.part, change.tokens) != Some(change.tokens)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Change(PartChange),
@@ -63,16 +74,9 @@
 
     fn change(&mut self, replica: &str, change: PartChange) {
         let Some(kept) = self.replicas.get_mut(replica) else { return };
-        if change.tokens == 0 {
-            if kept.parts.remove(&change.part).is_none() {
-                return;
-            }
-        } else if kept.parts.len() >= MOST_PARTS && !kept.parts.contains_key(&change.part) {
-            return;
-        } else if kept.parts.insert(change.part, change.tokens) == Some(change.tokens) {
-            return;
+        if kept.take(change) {
+            self.note(replica, Step::Change(change));
         }
-        self.note(replica, Step::Change(change));
     }
 
     /// Forgets replicas, with what they kept. Receivers learn of their end elsewhere.
