--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -252,8 +252,10 @@
     pub retry_after: Option<String>,
     /// The methods that the path allows, with status 405.
     pub allow: Option<&'static str>,
-    /// The body, JSON unless it is empty.
+    /// The body, JSON unless `plain_text` says otherwise.
     pub body: String,
+    /// The body is plain text.
+    pub plain_text: bool,
 }
 
 impl Response {
@@ -286,7 +288,8 @@
         let mut text =
             format!("HTTP/1.1 {} {reason}\r\nContent-Length: {}\r\n", self.status, self.body.len());
         if !self.body.is_empty() {
-            text += "Content-Type: application/json\r\n";
+            let kind = if self.plain_text { "text/plain; version=0.0.4" } else { "application/json" };
+            text += &format!("Content-Type: {kind}\r\n");
         }
         if let Some(after) = &self.retry_after {
             text += &format!("Retry-After: {after}\r\n");
