--- /dev/null
+++ b/crates/dispatch/src/moving.rs
@@ -0,0 +1,93 @@
+//! Which kept blocks a send has fetched and saved.
+
+use crate::call::Call;
+use crate::choose::ReadRate;
+use crate::dispatcher::Dispatcher;
+use crate::moves::{best, Holder, Move};
+use evidence::Ms;
+use prefix_index::{Kept, Part, ReplicaNumber, Source};
+use std::net::SocketAddrV4;
+
+/// What is known of a prompt before its replica is chosen.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    /// Tokens of the prompt's start that each of the candidates keeps.
+    pub kept: Vec<u32>,
+    /// The same, with what is expected at the prompt's home.
+    pub expected: Vec<u32>,
+    /// Who keeps a start of it, by the version under which it is asked for.
+    pub holders: Vec<(u64, Vec<Kept>)>,
+}
+
+impl Known {
+    fn holders(&self, version: u64) -> &[Kept] {
+        self.holders.iter().find(|(known, _)| *known == version).map_or(&[], |(_, holders)| holders)
+    }
+}
+
+/// Addresses for `Kv-Fetch` and `Kv-Save`.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Errands {
+    pub fetch: Option<SocketAddrV4>,
+    pub save: Option<SocketAddrV4>,
+}
+
+impl Dispatcher {
+    /// The best way for a replica to get what it lacks of a prompt's start.
+    pub(crate) fn best_move(
+        &self,
+        call: &Call,
+        number: ReplicaNumber,
+        kept: u32,
+        known: &Known,
+        now: Ms,
+    ) -> Option<Move> {
+        let engine = self.engines.get(&*call.ask.service)?;
+        let version = self.version_to_expect(number, call.ask.model.as_deref()?, now);
+        let replica = self.replicas.get(&number)?;
+        let holders = known.holders(version).iter().filter_map(|kept| self.holder(kept, now));
+        let others = holders.filter(|holder| holder.address != replica.address);
+        best(engine, others, replica.record.zone.as_str(), kept, self.read_rate(&call.ask.service).0)
+    }
+
+    /// Who keeps a start, if blocks can be fetched there.
+    fn holder(&self, kept: &Kept, now: Ms) -> Option<Holder<'_>> {
+        if let Some(replica) = self.replicas.get(&kept.replica) {
+            let (address, zone) = (replica.address, replica.record.zone.as_str());
+            let is_usable = replica.is_ready() && replica.is_well(now);
+            return is_usable.then_some(Holder { address, zone, tokens: kept.tokens, link_mbps: None });
+        }
+        let store = self.stores.numbered(kept.replica)?;
+        let (address, zone) = (store.address, store.zone.as_str());
+        Some(Holder { address, zone, tokens: kept.tokens, link_mbps: Some(store.link_mbps) })
+    }
+
+    pub(crate) fn read_rate(&self, service: &str) -> ReadRate {
+        self.services.get(service).map(|service| service.speed).unwrap_or_default().rate()
+    }
+
+    /// Where the blocks of a prompt are fetched from, and which store is to have them. To be asked before the send is
+    /// noted in the index: who has the blocks now is what counts.
+    pub(crate) fn errands(&mut self, call: &Call, parts: &[Part], fetched: Option<Move>, now: Ms) -> Errands {
+        let fetch = fetched.map(|fetched| fetched.from);
+        let none = Errands { fetch, save: None };
+        // The last part belongs to the request or its session; what comes before it is shared.
+        let Some((_, shared)) = parts.split_last() else { return none };
+        let Some(first) = shared.first().filter(|_| self.engines.contains_key(&*call.ask.service)) else {
+            return none;
+        };
+        let Some((number, store)) = self.stores.home(first) else { return none };
+        let mut found = Vec::new();
+        self.index.lookup(shared, now, &mut found);
+        let wanted: u32 = shared.iter().map(|part| part.tokens).sum();
+        if found.iter().any(|kept| kept.replica == number && kept.tokens >= wanted) {
+            return none;
+        }
+        for part in shared {
+            self.index.keep(number, part.key, part.tokens, Source::Sent(now));
+        }
+        // Nobody is known to have it: the store may, from another proxy's request.
+        let blind = found.is_empty().then_some(store);
+        Errands { fetch: fetch.or(blind), save: Some(store) }
+    }
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -3,14 +3,14 @@
 
 use http::{BodyReader, Framing, RequestHead, ResponseFraming, ResponseHead};
 use peer::{encode, Fleet, FrameReader, Message, ModelVersion, ReplicaRecord, ReplicaState, Replicas};
-use proxy::{serve, Sockets};
+use process::Control;
+use proxy::{serve, Sockets, Tuning};
 use settings::ProcessSettings;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
-use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
 /// The key of the tenant of tests.
@@ -43,7 +43,7 @@
     ready: SocketAddr,
     /// The agent's side of the link.
     pub agent: TcpStream,
-    end: Rc<Notify>,
+    control: mpsc::Sender<Control>,
     /// The proxy's life.
     pub life: JoinHandle<()>,
 }
@@ -56,7 +56,12 @@
 
     /// A proxy with a configuration and records of replicas.
     pub async fn with(configuration: &str, records: Vec<ReplicaRecord>) -> Fixture {
-        let mut fixture = Fixture::bare().await;
+        Fixture::tuned(configuration, records, Tuning::default()).await
+    }
+
+    /// A proxy with a configuration, records of replicas and a tuning.
+    pub async fn tuned(configuration: &str, records: Vec<ReplicaRecord>, tuning: Tuning) -> Fixture {
+        let mut fixture = Fixture::start(tuning).await;
         fixture.tell(Message::Configuration(whole(configuration))).await;
         fixture.tell(Message::Fleet(Fleet::new(Vec::new(), 1))).await;
         fixture.tell(Message::Replicas(Replicas::from(records))).await;
@@ -66,20 +71,22 @@
 
     /// A proxy that was told nothing.
     pub async fn bare() -> Fixture {
+        Fixture::start(Tuning::default()).await
+    }
+
+    async fn start(tuning: Tuning) -> Fixture {
         let listen = || async { TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port") };
         let (front, ready, agent) = (listen().await, listen().await, listen().await);
         let address = |listener: &TcpListener| listener.local_addr().expect("bound");
         let SocketAddr::V4(at) = address(&agent) else { unreachable!("bound to IPv4") };
         let (front_at, ready_at) = (address(&front), address(&ready));
-        let end = Rc::new(Notify::new());
-        let ended = end.clone();
+        let (tell, control) = mpsc::channel(4);
         let sockets = Sockets { front, ready, agent: at };
-        let serving = serve(settings(), sockets, async move { ended.notified().await }, async || None);
-        let life = spawn_local(serving);
+        let life = spawn_local(serve(settings(), sockets, tuning, control));
         let (mut agent, _) = agent.accept().await.expect("the proxy's link");
         let hello = next_message(&mut agent).await;
         assert!(matches!(hello, Message::Hello(_)), "{hello:?}");
-        Fixture { front: front_at, ready: ready_at, agent, end, life }
+        Fixture { front: front_at, ready: ready_at, agent, control: tell, life }
     }
 
     /// Sends the proxy a message of its agent.
@@ -96,7 +103,7 @@
 
     /// What SIGTERM does.
     pub fn terminate(&self) {
-        self.end.notify_one();
+        self.control.try_send(Control::Terminate).expect("the proxy listens");
     }
 
     /// A client's new connection.
--- a/src/net/server/clients.rs
+++ b/src/net/server/clients.rs
@@ -130,7 +130,9 @@
 
     /// Takes the whole requests that have come; tells whether there were any.
     fn take_requests(&mut self, key: u64, now: Ms) -> bool {
-        let (closing, can_serve) = (self.is_closing(now), self.takes_clients());
+        let closing = self.is_closing(now);
+        // Where another process has taken its place, the coordinator does not end.
+        let can_serve = self.takes_clients() || self.is_replaced && self.core.can_serve();
         let mut took = false;
         while let Some(client) = self.clients.get_mut(&key) {
             let Some(request) = client.conn.next_request() else { break };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,6 +24,12 @@
     TooFew { field: &'static str, found: usize, wanted: usize },
     #[error("field `settings.{0}` is empty or 0; give at least 1")]
     Nothing(&'static str),
+    #[error("field `settings.{field}` is {value}; give a number above 0")]
+    NotAbove0 { field: String, value: f64 },
+    #[error("field `{0}` is missing, which the file taken before has; write it, or start anew without it")]
+    Lacks(String),
+    #[error("field `settings.{0}` can't change while the program serves; put it back, or start anew")]
+    Fixed(&'static str),
     #[error("field `settings.classes[{class}]`: {why}")]
     Unsupported { class: usize, why: &'static str },
     #[error("field `contracts`, team `{team}`: no class `{class}`; name classes of `settings.classes`")]
@@ -165,6 +171,7 @@
                 return Err(ConfigError::Nothing(field));
             }
         }
+        self.check_numbers()?;
         let mut classes = Vec::new();
         for (n, class) in self.classes.iter().enumerate() {
             let wanted = self.classes.len();
@@ -241,6 +248,15 @@
         })
     }
 
+    /// Checks the numbers that must be above 0.
+    fn check_numbers(&self) -> Result<(), ConfigError> {
+        let deadlines = self.classes.iter().enumerate();
+        let deadlines = deadlines.map(|(n, class)| (format!("classes[{n}].deadline_ms"), class.deadline_ms));
+        let tries = ("policy_limits.try_limit".to_string(), self.policy_limits.try_limit as f64);
+        let wrong = deadlines.chain([tries]).find(|(_, value)| !(value.is_finite() && *value > 0.0));
+        wrong.map_or(Ok(()), |(field, value)| Err(ConfigError::NotAbove0 { field, value }))
+    }
+
     /// What the connections and the core need beside the decisions.
     pub fn transport(&self) -> Transport {
         let limits = &self.policy_limits;
@@ -255,7 +271,7 @@
 }
 
 /// Limits on connections and on what is held at once.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Transport {
     /// A connection not up by then counts as never made.
     pub dial_timeout: Ms,
@@ -268,3 +284,12 @@
     /// How many shards there are.
     pub shards: usize,
 }
+
+/// Settings that hold from now on, while the program serves.
+#[derive(Debug, Clone)]
+pub struct Tuned {
+    /// The module's and the core's; a class keeps its index while requests of it are open.
+    pub settings: Settings,
+    /// Those of the connections.
+    pub limits: Transport,
+}
