Controllers read the events of stores too, each store at one controller

Change: stores that the configuration names are read by their home controller and told as Prefixes under their address; a store that does not answer twice counts as empty.

--- a/crates/controller/src/http_client.rs
+++ b/crates/controller/src/http_client.rs
@@ -16,8 +16,8 @@
 pub struct HttpCall<'a> {
     pub method: &'a str,
     pub path: &'a str,
-    /// Id of the replica that is meant; another one at its address does not take the call.
-    pub replica: &'a str,
+    /// Id of the replica that is meant, if it has one; another one at its address does not take the call.
+    pub replica: Option<&'a str>,
     /// How long the replica may hold the call, if that is to be said.
     pub wait_ms: Option<u64>,
     pub body: &'a [u8],
@@ -107,7 +107,9 @@
 
     fn request(&self, call: HttpCall) -> Vec<u8> {
         let mut text = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.path, self.address);
-        text += &format!("Expected-Node: {}\r\n", call.replica);
+        if let Some(replica) = call.replica {
+            text += &format!("Expected-Node: {replica}\r\n");
+        }
         if let Some(wait_ms) = call.wait_ms {
             text += &format!("Wait-Ms: {wait_ms}\r\n");
         }
--- a/crates/controller/src/kv_events/cursor.rs
+++ b/crates/controller/src/kv_events/cursor.rs
@@ -96,8 +96,10 @@
         let first = self.epoch.is_none();
         if self.epoch.is_some_and(|known| known != answer.boot_epoch) {
             // The replica started anew: its events are read from the beginning.
-            *self = Cursor { listed: self.listed, ..Cursor::new(&self.replica) };
-            return Ok(Some(Prefixes::new(&self.replica, answer.boot_epoch, true, Vec::new())));
+            let epoch = answer.boot_epoch;
+            let mut prefixes = self.start_again();
+            prefixes.epoch = epoch;
+            return Ok(Some(prefixes));
         }
         self.epoch = Some(answer.boot_epoch);
         self.since = answer.next_token;
@@ -124,6 +126,13 @@
         Ok(Prefixes::new(&self.replica, answer.boot_epoch, true, changes))
     }
 
+    /// The source is taken for empty, and read from the beginning when it answers again.
+    pub fn start_again(&mut self) -> Prefixes {
+        let epoch = self.epoch.unwrap_or_default();
+        *self = Cursor { listed: self.listed, ..Cursor::new(&self.replica) };
+        Prefixes::new(&self.replica, epoch, true, Vec::new())
+    }
+
     /// The question for all that is kept got no answer; it is not asked again at once.
     pub fn list_failed(&mut self, now: Millis) {
         self.listed = Some(now);
--- a/crates/controller/src/kv_events/reader.rs
+++ b/crates/controller/src/kv_events/reader.rs
@@ -25,7 +25,41 @@
     answer_bytes: 4 * 1024 * 1024,
 };
 
-/// Reads a replica's events for as long as it is held.
+/// Failures in a row after which a store is taken for empty: a source that is down holds up whoever fetches from it.
+const STORE_IS_DOWN: u32 = 2;
+
+/// Whose events are read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    Replica { id: String, address: SocketAddrV4 },
+    Store { address: SocketAddrV4 },
+}
+
+impl Source {
+    /// What messages call it.
+    pub fn name(&self) -> String {
+        match self {
+            Source::Replica { id, .. } => id.clone(),
+            Source::Store { address } => address.to_string(),
+        }
+    }
+
+    fn address(&self) -> SocketAddrV4 {
+        match self {
+            Source::Replica { address, .. } | Source::Store { address } => *address,
+        }
+    }
+
+    /// The id that calls name.
+    fn id(&self) -> Option<&str> {
+        match self {
+            Source::Replica { id, .. } => Some(id),
+            Source::Store { .. } => None,
+        }
+    }
+}
+
+/// Reads a replica's or a store's events for as long as it is held.
 #[derive(Debug)]
 pub struct Reader {
     task: JoinHandle<()>,
@@ -37,20 +71,20 @@
     }
 }
 
-/// Starts to read the events of a replica; what it keeps goes to `news`.
-pub fn read(replica: &str, address: SocketAddrV4, news: mpsc::Sender<Input>) -> Reader {
-    Reader { task: tokio::spawn(run(replica.to_string(), address, news)) }
+/// Starts to read the events of a replica or a store; what it keeps goes to `news`.
+pub fn read(source: Source, news: mpsc::Sender<Input>) -> Reader {
+    Reader { task: tokio::spawn(run(source, news)) }
 }
 
-async fn run(replica: String, address: SocketAddrV4, news: mpsc::Sender<Input>) {
-    let mut cursor = Cursor::new(&replica);
-    let mut client = HttpClient::new(address, PATIENCE);
+async fn run(source: Source, news: mpsc::Sender<Input>) {
+    let mut cursor = Cursor::new(&source.name());
+    let mut client = HttpClient::new(source.address(), PATIENCE);
     let started = Instant::now();
     let mut failures = 0;
     loop {
         let now = started.elapsed().as_millis() as u64;
         let question = cursor.question(now);
-        let answer = client.call(call(&replica, &path(question), question)).await;
+        let answer = client.call(call(source.id(), &path(question), question)).await;
         match answer.filter(|answer| answer.status == 200) {
             Some(answer) => {
                 failures = 0;
@@ -68,6 +102,12 @@
                 }
                 let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures);
                 failures = (failures + 1).min(8);
+                if failures == STORE_IS_DOWN && matches!(source, Source::Store { .. }) {
+                    let prefixes = cursor.start_again();
+                    if news.send(Input::Prefixes { prefixes }).await.is_err() {
+                        return;
+                    }
+                }
                 sleep(pause.min(LONGEST_PAUSE)).await;
             }
         }
@@ -81,7 +121,7 @@
     }
 }
 
-fn call<'a>(replica: &'a str, path: &'a str, question: Question) -> HttpCall<'a> {
+fn call<'a>(replica: Option<&'a str>, path: &'a str, question: Question) -> HttpCall<'a> {
     let wait_ms = matches!(question, Question::Events { .. }).then_some(WAIT_MS);
     HttpCall { method: "GET", path, replica, wait_ms, body: &[], last: false }
 }
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -3,7 +3,7 @@
 use process::Event;
 use std::sync::Arc;
 
-use catalog::{home_of, Controller, Heard, Record, State};
+use catalog::{home_of, Heard, Record, State};
 use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
 use serde::Serialize;
 
@@ -81,10 +81,7 @@
 
     /// Where a replica should send its next heartbeats.
     fn home(&self, id: &str, zone: &str) -> String {
-        let me = Controller { control: self.me.control, zone: self.me.zone.clone() };
-        let others = self.membership.alive();
-        let others = others.map(|one| Controller { control: one.control, zone: one.zone.clone() });
-        let all: Vec<Controller> = others.chain([me]).collect();
+        let all = self.live_controllers();
         let home = home_of(id, zone, &all).map_or(self.me.control, |home| home.control);
         home.to_string()
     }
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod duties;
 mod peers;
+mod sources;
 
 use process::Event;
 use std::collections::{BTreeMap, BTreeSet};
@@ -137,6 +138,7 @@
     started: Millis,
     timing: Timing,
     me: Member,
+    stores: Vec<sources::Store>,
     register: RegisterNode,
     membership: Membership,
     /// Register members that the register was told are out of reach.
@@ -159,8 +161,6 @@
 const UPKEEP_EVERY_MS: Millis = 100;
 /// Time between messages on heartbeats heard to the other controllers.
 const BEATS_EVERY_MS: Millis = 400;
-/// A replica whose heartbeats stay away for so many is not at home here any more.
-const HOME_BEATS: Millis = 3;
 /// A majority was reached lately if its proof is younger.
 const PROVED_MS: Millis = 1_500;
 
@@ -176,6 +176,7 @@
         Machine {
             started: now,
             timing,
+            stores: Vec::new(),
             register,
             membership,
             suspected: BTreeSet::new(),
@@ -240,16 +241,6 @@
         wanted
     }
 
-    /// The replicas with models that send their heartbeats here: their events are read here.
-    pub fn wanted_readers(&self, now: Millis) -> BTreeMap<String, SocketAddrV4> {
-        let lately = |record: &&catalog::Record| {
-            let heard = self.view.replicas.heard_here(&record.id);
-            heard.is_some_and(|at| now < at + HOME_BEATS * self.timing.beat_every_ms)
-        };
-        let with_models = self.view.replicas.live().filter(|record| !record.models.is_empty());
-        with_models.filter(lately).map(|record| (record.id.clone(), record.address)).collect()
-    }
-
     /// Whether nothing is left to finish before the process ends.
     pub fn is_idle(&self) -> bool {
         self.pending.is_empty()
@@ -321,6 +312,7 @@
             Ok(value) => value,
             Err(why) => return ControllerEvent::ConfigurationUnreadable.error(format_args!("{why}")),
         };
+        self.note_stores(&value.body);
         match self.view.take_configuration(value.version, value.body) {
             Ok(_) => ControllerEvent::ConfigurationDecided
                 .info(format_args!("configuration {} is in force", value.version)),
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -320,10 +320,10 @@
     /// Reads the events of the replicas that are at home here, and of no others.
     fn keep_readers(&mut self, now: u64) {
         let wanted = self.machine.wanted_readers(now);
-        self.readers.retain(|replica, _| wanted.contains_key(replica));
-        for (replica, address) in wanted {
+        self.readers.retain(|name, _| wanted.contains_key(name));
+        for (name, source) in wanted {
             let news = &self.replica_answers;
-            self.readers.entry(replica).or_insert_with_key(|replica| read(replica, address, news.clone()));
+            self.readers.entry(name).or_insert_with(|| read(source, news.clone()));
         }
     }
 
--- a/crates/controller/src/replica_calls.rs
+++ b/crates/controller/src/replica_calls.rs
@@ -81,7 +81,7 @@
     replica: &str,
     body: &[u8],
 ) -> Option<HttpAnswer> {
-    let call = HttpCall { method, path, replica, wait_ms: None, body, last: true };
+    let call = HttpCall { method, path, replica: Some(replica), wait_ms: None, body, last: true };
     HttpClient::new(address, PATIENCE).call(call).await
 }
 
--- a/crates/controller/tests/kv_events.rs
+++ b/crates/controller/tests/kv_events.rs
@@ -61,6 +61,15 @@
     assert_eq!(cursor.question(10), Question::Events { since: 0 });
 }
 
+#[rstest]
+fn a_source_that_is_down_is_empty_and_read_from_the_beginning_later() {
+    let mut cursor = Cursor::new("10.0.0.9:80");
+    cursor.take_events(&events(7, 50, false, r#"[1,"+","s1","aa",10,"m"]"#)).expect("read");
+    let told = cursor.start_again();
+    assert_eq!((told.replica.as_str(), told.reset, told.changes.len()), ("10.0.0.9:80", 1, 0));
+    assert_eq!(cursor.question(10), Question::Events { since: 0 });
+}
+
 #[rstest]
 #[case::empty("")]
 #[case::cut(r#"{"boot-epoch":7,"next-token":3,"lost":false,"events":[[1,"+","#)]
--- a/crates/controller/tests/replicas.rs
+++ b/crates/controller/tests/replicas.rs
@@ -106,3 +106,24 @@
     let told = cluster.messages(agent).filter(|message| matches!(message, Message::Replicas(_))).count();
     assert!(cluster.batches(agent) > before && told == 2, "it is told again");
 }
+
+#[rstest]
+fn each_replicas_events_and_each_stores_are_read_at_one_controller() {
+    let mut cluster = started(15);
+    let store = r#"{"name":"store","cache-store":"10.9.0.1:8165","zone":"zone-1","cache-tokens":1000}"#;
+    let body = configuration(1, 1).replace(r#""services":["#, &format!(r#""services":[{store},"#));
+    let reply = cluster.call(0, "POST", "/config/replace", Some("0"), &body).expect("answered");
+    assert_eq!(reply.status, 200);
+    cluster.heartbeat(0, "a", 1, "ready", 1);
+    cluster.heartbeat(2, "b", 2, "ready", 1);
+    cluster.play(200);
+    assert_eq!(cluster.readers(0), ["a"]);
+    assert_eq!(cluster.readers(1), ["10.9.0.1:8165"], "the store is in its zone");
+    assert_eq!(cluster.readers(2), ["b"]);
+    cluster.stop(1);
+    cluster.heartbeat(2, "a", 1, "ready", 2);
+    cluster.play(5_000);
+    let stores = [0, 2].map(|host| cluster.readers(host).iter().any(|name| name.starts_with("10.9")));
+    assert_eq!(stores.iter().filter(|reads| **reads).count(), 1, "another one reads the store");
+    assert!(!cluster.readers(0).contains(&"a".to_string()), "its heartbeats went elsewhere");
+}
--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -365,6 +365,13 @@
         self.reply(call)
     }
 
+    /// Whose events a controller reads.
+    pub fn readers(&self, host: usize) -> Vec<String> {
+        let local = self.now - self.hosts[host].started;
+        let machine = self.hosts[host].machine.as_ref();
+        machine.map(|machine| machine.wanted_readers(local).into_keys().collect()).unwrap_or_default()
+    }
+
     pub fn state_at(&self, host: usize, id: &str) -> Option<State> {
         let machine = self.hosts[host].machine.as_ref()?;
         machine.view().replicas.get(id).map(|record| record.state)
