--- a/crates/controller/src/command.rs
+++ b/crates/controller/src/command.rs
@@ -27,6 +27,8 @@
     NameWeights(WeightsOrder),
     /// The operator reads the configuration.
     ReadConfiguration,
+    /// The operator asks what this controller knows of the fleet.
+    ShowStatus,
 }
 
 /// Answer to a call.
@@ -119,8 +121,9 @@
             configure(ConfigurationOrder::update(based_on(call)?, operator_body(call)?))
         }
         ("GET", ["config", "read"]) => Ok(Command::ReadConfiguration),
+        ("GET", ["fleet", "status"]) => Ok(Command::ShowStatus),
         ("POST", ["version-put"]) => name_weights(operator_body(call)?),
-        (_, ["nodes", _, "heartbeat" | "leave"] | ["config", _] | ["version-put"]) => {
+        (_, ["nodes", _, "heartbeat" | "leave"] | ["config", _] | ["version-put"] | ["fleet", "status"]) => {
             Err(Reply::refusal(405, "this path takes another method"))
         }
         _ => Err(Reply::refusal(404, "no such path; see the operator's API")),
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -56,6 +56,11 @@
         idle.map(|agent| agent.subscriber.deadline(view)).min().unwrap_or(Millis::MAX)
     }
 
+    /// Number of agents that are linked now.
+    pub fn linked(&self) -> usize {
+        self.links.len()
+    }
+
     /// Number of machines with agents, now or lately.
     fn count(&mut self, now: Millis) -> u32 {
         for agent in self.links.values() {
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -57,6 +57,10 @@
             }
             Command::Configure(order) => self.configure(at, call, *order, out),
             Command::NameWeights(order) => self.name_weights(at, call, order, out),
+            Command::ShowStatus => {
+                let reply = Reply::new(200, self.status(at));
+                self.replies.push(Effect::Reply { call, reply });
+            }
             Command::ReadConfiguration => {
                 let (key, deadline) = (RegisterKey::Configuration, at.now + CALL_MS);
                 let pending = Pending::Call { call, kind: CallKind::Read };
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -5,6 +5,7 @@
 mod duties;
 mod peers;
 mod sources;
+mod status;
 
 use process::Event;
 use std::collections::{BTreeMap, BTreeSet};
--- /dev/null
+++ b/crates/controller/src/machine/status.rs
@@ -0,0 +1,140 @@
+//! What a controller shows operators of the fleet.
+
+use std::collections::BTreeMap;
+
+use catalog::State;
+use membership::Status as MemberStatus;
+use serde::Serialize;
+
+use crate::machine::{Machine, Moment};
+use crate::Millis;
+
+/// The fleet as one controller knows it.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Status<'a> {
+    node: &'a str,
+    configuration: u64,
+    /// Age of the newest proof of contact with a majority, milliseconds; none if there is none.
+    majority_age_ms: Option<Millis>,
+    acceptor_set: Acceptors,
+    controllers: Vec<ControllerStatus<'a>>,
+    /// Proxies that share fixed allowances; 0 while that is not known.
+    proxies: u32,
+    agents: usize,
+    weights: Vec<WeightsStatus<'a>>,
+    duty: DutyStatus,
+    replicas: BTreeMap<&'a str, ServiceStatus>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Acceptors {
+    epoch: Option<u32>,
+    members: Vec<String>,
+    /// Whether this machine takes part in it.
+    active: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct ControllerStatus<'a> {
+    node: &'a str,
+    zone: &'a str,
+    control: String,
+    state: &'static str,
+}
+
+#[derive(Debug, Serialize)]
+struct WeightsStatus<'a> {
+    model: &'a str,
+    version: u64,
+    /// Replicas that hold it, of those that serve the model.
+    holding: usize,
+    serving: usize,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct DutyStatus {
+    holder: Option<String>,
+    mine: bool,
+    under_way: usize,
+}
+
+/// Numbers of a service's replicas by state.
+#[derive(Debug, Default, Serialize)]
+struct ServiceStatus {
+    ready: usize,
+    lost: usize,
+    draining: usize,
+}
+
+impl Machine {
+    /// What is known of the fleet, JSON.
+    pub(crate) fn status(&self, at: Moment) -> Vec<u8> {
+        let age = self.majority_age(at.now);
+        let status = Status {
+            node: &self.me.node,
+            configuration: self.view.configuration_version(),
+            majority_age_ms: (age != Millis::MAX).then_some(age),
+            acceptor_set: Acceptors {
+                epoch: self.register.set().map(|set| set.epoch),
+                members: self.set_addresses().iter().map(ToString::to_string).collect(),
+                active: self.register.is_active(),
+            },
+            controllers: self.controller_statuses(),
+            proxies: self.view.proxies(),
+            agents: self.agents.linked(),
+            weights: self.weights_statuses(),
+            duty: DutyStatus {
+                holder: self.holder.last_holder().map(|holder| holder.to_string()),
+                mine: self.holder.is_mine(),
+                under_way: self.moves.under_way().count(),
+            },
+            replicas: self.service_statuses(),
+        };
+        serde_json::to_vec(&status).unwrap_or_default()
+    }
+
+    fn controller_statuses(&self) -> Vec<ControllerStatus<'_>> {
+        let all = self.membership.known().chain([self.membership.me()]);
+        let status = |update: &'_ membership::Update| match update.status {
+            MemberStatus::Alive => "alive",
+            MemberStatus::Suspect { .. } => "suspected",
+            MemberStatus::Down => "down",
+            MemberStatus::Left => "left",
+        };
+        let shown = all.map(|update| ControllerStatus {
+            node: &update.member.node,
+            zone: &update.member.zone,
+            control: update.member.control.to_string(),
+            state: status(update),
+        });
+        shown.collect()
+    }
+
+    fn weights_statuses(&self) -> Vec<WeightsStatus<'_>> {
+        let shown = self.weights.models.iter().map(|named| {
+            let models = self.view.replicas.live().flat_map(|record| &record.models);
+            let versions: Vec<u64> =
+                models.filter(|model| model.name == named.model()).map(|model| model.version).collect();
+            let holding = versions.iter().filter(|version| **version >= named.version).count();
+            WeightsStatus { model: named.model(), version: named.version, holding, serving: versions.len() }
+        });
+        shown.collect()
+    }
+
+    fn service_statuses(&self) -> BTreeMap<&str, ServiceStatus> {
+        let mut services: BTreeMap<&str, ServiceStatus> = BTreeMap::new();
+        for record in self.view.replicas.live() {
+            let service = services.entry(&record.service).or_default();
+            match record.state {
+                State::Ready => service.ready += 1,
+                State::Lost => service.lost += 1,
+                State::Draining => service.draining += 1,
+                State::Gone => {}
+            }
+        }
+        services
+    }
+}
--- a/crates/controller/tests/duty.rs
+++ b/crates/controller/tests/duty.rs
@@ -56,6 +56,20 @@
     check_orders(&cluster);
 }
 
+#[rstest]
+fn the_status_shows_replicas_weights_and_who_holds_the_duty() {
+    let mut cluster = started(7, 4);
+    assert_eq!(name(&mut cluster, 1, 2), Some(200));
+    cluster.play(5_000);
+    let reply = cluster.call(2, "GET", "/fleet/status", None, "").expect("answered");
+    let shown: serde_json::Value = serde_json::from_slice(&reply.body).expect("JSON");
+    assert_eq!(shown["replicas"]["reader"]["ready"], 4);
+    assert_eq!(shown["weights"][0]["holding"], 4);
+    assert_eq!(shown["controllers"].as_array().map(Vec::len), Some(3));
+    assert!(shown["duty"]["holder"].is_string());
+    assert!(shown["majority-age-ms"].as_u64().is_some_and(|age| age < 1_500), "{shown}");
+}
+
 #[rstest]
 fn a_version_is_named_once_and_never_goes_back() {
     let mut cluster = started(5, 3);
