A controller that starts while its disk hangs takes heartbeats already

Cause: opening the store waited on the only thread, so a stalled disk at a restart silenced the control API. Change: the disk is opened on a thread of its own; until then changes are refused at once with 503 and Retry-After.

--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -1,13 +1,13 @@
 //! The register's disk: a storage thread, or memory where the machine has no disk.
 
 use process::Event;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::thread::sleep;
 use std::time::Duration;
 
 use register::{Record, StoredState, Value, WriteFailed, WriteToken};
 use store::{Batch, Done, StorageThread, Store, StoreError};
-use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::error::ControllerError;
 use crate::event::ControllerEvent;
@@ -28,6 +28,9 @@
     thread: Option<StorageThread>,
 }
 
+/// Comes to its end when the disk is open.
+pub type Opening = oneshot::Receiver<Result<Opened, ControllerError>>;
+
 /// What was found on a disk.
 pub struct Opened {
     pub disk: Disk,
@@ -35,27 +38,37 @@
     pub stored: Option<StoredState>,
     /// Whether the disk held something that can't be used any more, so that its acceptor is gone for good.
     pub was_damaged: bool,
-    /// Where the ends of writes come out.
-    pub ends: mpsc::UnboundedReceiver<DiskDone>,
 }
 
 impl Disk {
-    /// Opens the folder. Waits while the disk is full or refuses.
-    pub async fn open(folder: Option<&Path>) -> Result<Opened, ControllerError> {
-        let (done, ends) = mpsc::unbounded_channel();
+    /// Opens the folder on a thread of its own, since a disk may hang. Waits while it is full or refuses. The ends
+    /// of writes go to `done`.
+    pub fn open(folder: Option<PathBuf>, done: mpsc::UnboundedSender<DiskDone>) -> Opening {
+        let (opened, opening) = oneshot::channel();
+        std::thread::spawn(move || {
+            // Nobody waits for it once the process ends.
+            let _ = opened.send(Disk::open_now(folder.as_deref(), done));
+        });
+        opening
+    }
+
+    fn open_now(
+        folder: Option<&Path>,
+        done: mpsc::UnboundedSender<DiskDone>,
+    ) -> Result<Opened, ControllerError> {
         let Some(folder) = folder else {
             let disk = Disk { done, thread: None };
-            return Ok(Opened { disk, stored: None, was_damaged: false, ends });
+            return Ok(Opened { disk, stored: None, was_damaged: false });
         };
         let fault = |why: String| ControllerError::Disk(folder.to_path_buf(), why);
-        let (store, stored, was_damaged) = open_store(folder).await?;
+        let (store, stored, was_damaged) = open_store(folder)?;
         let report = done.clone();
         let thread = StorageThread::start(store, move |end| {
             // Nobody hears of it once the process ends.
             let _ = report.send(ended(&end));
         });
         let thread = thread.map_err(|why| fault(why.to_string()))?;
-        Ok(Opened { disk: Disk { done, thread: Some(thread) }, stored, was_damaged, ends })
+        Ok(Opened { disk: Disk { done, thread: Some(thread) }, stored, was_damaged })
     }
 
     /// Starts a write.
@@ -82,7 +95,7 @@
 
 /// Opens the store and reads the acceptor's state. What is damaged is moved away: the machine is then a new
 /// acceptor, as after the loss of its disk.
-async fn open_store(folder: &Path) -> Result<(Store, Option<StoredState>, bool), ControllerError> {
+fn open_store(folder: &Path) -> Result<(Store, Option<StoredState>, bool), ControllerError> {
     let mut was_damaged = false;
     loop {
         match Store::open(folder) {
@@ -97,7 +110,7 @@
             // A former process of this machine may still be ending.
             Err(why) if why.may_pass() || matches!(why, StoreError::InUse { .. }) => {
                 ControllerEvent::DiskRefused.warn(format_args!("{why}"));
-                sleep(OPEN_AGAIN).await;
+                sleep(OPEN_AGAIN);
                 continue;
             }
             Err(why @ StoreError::Damaged { .. }) => {
@@ -108,7 +121,7 @@
         was_damaged = true;
         if let Err(why) = store::move_away(folder) {
             ControllerEvent::DiskRefused.warn(format_args!("{}: {why}", folder.display()));
-            sleep(OPEN_AGAIN).await;
+            sleep(OPEN_AGAIN);
         }
     }
 }
--- a/crates/controller/src/error.rs
+++ b/crates/controller/src/error.rs
@@ -20,6 +20,9 @@
             display("the runtime can't start: {}; raise the limit of open files", why)
             source(why)
         }
+        NotOpened {
+            display("the thread that opens the disk ended early; start the controller again")
+        }
         Disk(folder: PathBuf, why: String) {
             display("{}: {}", folder.display(), why)
         }
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -43,7 +43,9 @@
 
     /// Gives, renews or takes the duty as needed, and gives the orders that are due.
     pub(crate) fn consider_duty(&mut self, at: Moment, out: &mut Vec<Effect>) {
-        if self.terminating || !self.register.is_confirmed(RegisterKey::Duty) {
+        let confirmed =
+            self.register.as_ref().is_some_and(|register| register.is_confirmed(RegisterKey::Duty));
+        if self.terminating || !confirmed {
             return;
         }
         let has_work = self.moves.has_work(self.view.replicas.live(), &self.weights);
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -140,7 +140,8 @@
     timing: Timing,
     me: Member,
     stores: Vec<sources::Store>,
-    register: RegisterNode,
+    /// Not there before the disk is open: a disk may hang while replicas are heard already.
+    register: Option<RegisterNode>,
     membership: Membership,
     /// Register members that the register was told are out of reach.
     suspected: BTreeSet<SocketAddrV4>,
@@ -166,19 +167,13 @@
 const PROVED_MS: Millis = 1_500;
 
 impl Machine {
-    pub fn new(
-        now: Millis,
-        timing: Timing,
-        me: Member,
-        register: RegisterNode,
-        membership: Membership,
-    ) -> Machine {
+    pub fn new(now: Millis, timing: Timing, me: Member, membership: Membership) -> Machine {
         let limits = catalog::Limits::for_beats(timing.beat_every_ms, timing.reuse_after_ms);
         Machine {
             started: now,
             timing,
             stores: Vec::new(),
-            register,
+            register: None,
             membership,
             suspected: BTreeSet::new(),
             view: View::new(limits),
@@ -197,6 +192,11 @@
         }
     }
 
+    /// The disk is open: from now on the register takes part.
+    pub fn attach(&mut self, register: RegisterNode) {
+        self.register = Some(register);
+    }
+
     /// Takes one input; what is to be done is pushed to `out`.
     pub fn step(&mut self, at: Moment, input: Input, out: &mut Vec<Effect>) {
         match input {
@@ -225,7 +225,7 @@
     pub fn deadline(&self) -> Millis {
         let membership = if self.terminating { Millis::MAX } else { self.membership.deadline() };
         let timers = [
-            self.register.wake_at(),
+            self.register.as_ref().map_or(Millis::MAX, RegisterNode::wake_at),
             membership,
             self.next_upkeep,
             self.next_beats,
@@ -273,13 +273,15 @@
 
     /// Age of the newest proof that this machine is on the majority's side.
     fn majority_age(&self, now: Millis) -> Millis {
-        self.register.confirmed_at(now).map_or(Millis::MAX, |at| now.saturating_sub(at))
+        let proof = self.register.as_ref().and_then(|register| register.confirmed_at(now));
+        proof.map_or(Millis::MAX, |at| now.saturating_sub(at))
     }
 
     /// Runs the register and takes its effects.
     fn register(&mut self, at: Moment, input: RegisterInput, out: &mut Vec<Effect>) {
+        let Some(register) = &mut self.register else { return };
         let mut effects = Vec::new();
-        self.register.step(at.now, input, &mut effects);
+        register.step(at.now, input, &mut effects);
         for effect in effects {
             match effect {
                 RegisterEffect::Send { to, message } => self.send_register(to, &message, out),
@@ -323,7 +325,8 @@
     }
 
     fn set_addresses(&self) -> Vec<SocketAddrV4> {
-        let members = self.register.set().into_iter().flat_map(|set| &set.members);
+        let set = self.register.as_ref().and_then(RegisterNode::set);
+        let members = set.into_iter().flat_map(|set| &set.members);
         members.map(|member| member.address).collect()
     }
 
@@ -338,6 +341,9 @@
         self.last_request += 1;
         let request = RequestId(self.last_request);
         self.pending.insert(request, pending);
+        if self.register.is_none() {
+            return self.request_ended(at, request, Outcome::NoMajority);
+        }
         self.register(at, input(request), out);
     }
 
--- a/crates/controller/src/machine/status.rs
+++ b/crates/controller/src/machine/status.rs
@@ -73,14 +73,15 @@
     /// What is known of the fleet, JSON.
     pub(crate) fn status(&self, at: Moment) -> Vec<u8> {
         let age = self.majority_age(at.now);
+        let register = self.register.as_ref();
         let status = Status {
             node: &self.me.node,
             configuration: self.view.configuration_version(),
             majority_age_ms: (age != Millis::MAX).then_some(age),
             acceptor_set: Acceptors {
-                epoch: self.register.set().map(|set| set.epoch),
+                epoch: register.and_then(|register| register.set()).map(|set| set.epoch),
                 members: self.set_addresses().iter().map(ToString::to_string).collect(),
-                active: self.register.is_active(),
+                active: register.is_some_and(|register| register.is_active()),
             },
             controllers: self.controller_statuses(),
             proxies: self.view.proxies(),
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -68,14 +68,15 @@
     next_readers: u64,
     calls: BTreeMap<CallId, oneshot::Sender<Reply>>,
     last_call: u64,
-    disk: Disk,
+    /// Not there before it is opened.
+    disk: Option<Disk>,
     link_events: mpsc::Sender<LinkEvent>,
     replica_answers: mpsc::Sender<Input>,
 }
 
 /// Runs a controller until it is told to end.
 pub async fn run(
-    mut settings: ProcessSettings,
+    settings: ProcessSettings,
     mut control: mpsc::Receiver<Control>,
 ) -> Result<(), ControllerError> {
     let me = member(&settings)?;
@@ -84,20 +85,20 @@
     let (issue, mut issued) = mpsc::channel(QUEUE);
     let (link_events, mut link_news) = mpsc::channel(QUEUE);
     let (replica_answers, mut replica_news) = mpsc::channel(QUEUE);
-    let Opened { disk, stored, was_damaged, ends: mut disk_news } =
-        Disk::open(settings.data_dir.as_deref()).await?;
-    settings.first_start &= !was_damaged;
+    let (disk_done, mut disk_news) = mpsc::unbounded_channel();
+    let mut opening = Disk::open(settings.data_dir.clone(), disk_done);
     let api = tokio::spawn(serve(control_listener, issue));
     let inner = tokio::spawn(accept_links(peer_listener, link_events.clone()));
     ControllerEvent::Started
         .info(format_args!("controller {} serves {} and {}", me.node, me.control, me.peer));
-    let mut program = Program::new(settings, me, stored, disk, link_events, replica_answers);
+    let mut program = Program::new(settings, me, link_events, replica_answers);
     let mut ending: Option<Instant> = None;
     loop {
         let wake = tokio::time::Instant::from_std(program.next_wake());
         tokio::select! {
             Some(call) = issued.recv() => program.issued(call),
             Some(event) = link_news.recv() => program.link_event(event),
+            opened = &mut opening, if !program.is_open() => program.opened(opened.unwrap_or_else(|_| Err(ControllerError::NotOpened))?),
             Some(done) = disk_news.recv() => program.step(Input::DiskDone { token: done.token, result: done.result }),
             Some(answer) = replica_news.recv() => program.step(answer),
             told = control.recv() => match told {
@@ -155,15 +156,11 @@
     fn new(
         settings: ProcessSettings,
         me: Member,
-        stored: Option<register::StoredState>,
-        disk: Disk,
         link_events: mpsc::Sender<LinkEvent>,
         replica_answers: mpsc::Sender<Input>,
     ) -> Program {
         let seeds = settings.seed_controllers();
         let incarnation = wall_ms();
-        let identity = Identity { address: me.peer };
-        let register = RegisterNode::recover(stored, identity, &seeds, settings.first_start, rand::random());
         let timing = membership::Timing::default();
         let membership = Membership::new(0, me.clone(), incarnation, &seeds, timing, rand::random());
         let timing = Timing {
@@ -172,7 +169,7 @@
             reuse_after_ms: (settings.bounds.reuse_after_s * 1_000.0) as u64,
         };
         Program {
-            machine: Machine::new(0, timing, me.clone(), register, membership),
+            machine: Machine::new(0, timing, me.clone(), membership),
             settings,
             me,
             incarnation,
@@ -185,12 +182,28 @@
             next_readers: 0,
             calls: BTreeMap::new(),
             last_call: 0,
-            disk,
+            disk: None,
             link_events,
             replica_answers,
         }
     }
 
+    fn is_open(&self) -> bool {
+        self.disk.is_some()
+    }
+
+    /// The disk is open: the register takes part from now on.
+    fn opened(&mut self, opened: Opened) {
+        let Opened { disk, stored, was_damaged } = opened;
+        let identity = Identity { address: self.me.peer };
+        let first_start = self.settings.first_start && !was_damaged;
+        let seeds = self.settings.seed_controllers();
+        let register = RegisterNode::recover(stored, identity, &seeds, first_start, rand::random());
+        self.disk = Some(disk);
+        self.machine.attach(register);
+        self.step(Input::Tick);
+    }
+
     fn next_wake(&self) -> Instant {
         self.started + Duration::from_millis(self.machine.deadline())
     }
@@ -219,7 +232,11 @@
             }
             Effect::SendPeer { to, message } => self.send_peer(to, message),
             Effect::SendAgent { link, messages } => self.send_agent(link, &messages),
-            Effect::Write { token, record } => self.disk.write(token, record),
+            Effect::Write { token, record } => {
+                if let Some(disk) = &mut self.disk {
+                    disk.write(token, record);
+                }
+            }
             Effect::CallReplica(replica_call) => {
                 let (answers, holder) = (self.replica_answers.clone(), self.settings.node.clone());
                 tokio::spawn(async move {
--- a/crates/controller/tests/machines.rs
+++ b/crates/controller/tests/machines.rs
@@ -102,6 +102,18 @@
     assert_eq!(replace(&mut cluster, 0, "0", &configuration(1, 2)), Some(200), "two disks are a majority");
 }
 
+#[rstest]
+fn a_controller_that_starts_while_its_disk_hangs_takes_heartbeats_and_refuses_changes_clearly() {
+    let mut cluster = started(8);
+    cluster.stop(0);
+    cluster.hang_disk(0);
+    cluster.start(0, false);
+    cluster.play(200);
+    assert_eq!(status(cluster.heartbeat(0, "a", 1, "ready", 1)), Some(200));
+    assert_eq!(replace(&mut cluster, 0, "0", &configuration(1, 2)), Some(503));
+    assert_eq!(replace(&mut cluster, 1, "0", &configuration(1, 2)), Some(200));
+}
+
 #[rstest]
 fn one_hanging_disk_and_one_machine_down_leave_no_majority() {
     let mut cluster = started(9);
--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -126,7 +126,11 @@
         let membership = Membership::new(0, me.clone(), incarnation, &seeds, timing, self.random.random());
         let timing = Timing { beat_every_ms: 1_200, lease_ms: 3_000, reuse_after_ms: 2_000 };
         self.hosts[host].started = self.now;
-        self.hosts[host].machine = Some(Machine::new(0, timing, me, register, membership));
+        let mut machine = Machine::new(0, timing, me, membership);
+        if !self.hosts[host].disk.hangs {
+            machine.attach(register);
+        }
+        self.hosts[host].machine = Some(machine);
     }
 
     /// Ends a machine without a word.
