Proxy: clients that come while the fleet starts wait unread until the view is complete

Change: connections are accepted once the view is complete, or 1.5 s after the start; the link to the agent is dialled after 10 ms, doubling to 160, in place of every 100; a full replica is left alone for 120 ms at first. Tests: a client that comes before the configuration is served once it is there; the test of what an unconfigured proxy answers sets that patience to zero and checks the same as before. Ruled out: listening later: a port without a listener resets, which costs the client a try.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -7,7 +7,7 @@
 /// The longest time for which a failure counts, ms.
 const AVOID_MOST: Ms = 5_000.0;
 /// How long a replica that was full is left alone at first, ms; doubles with each time in a row.
-const FULL_FIRST: Ms = 60.0;
+const FULL_FIRST: Ms = 120.0;
 /// The longest time for which a full replica is left alone, ms.
 const FULL_MOST: Ms = 500.0;
 /// How long a replica counts as gone whose address answered as another one, ms: a beat would tell by then.
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -13,23 +13,26 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-/// Pause before the link is made anew.
-const PAUSE: Duration = Duration::from_millis(100);
+/// Pause before the link is made anew; doubles while the agent can't be reached.
+const PAUSE: Duration = Duration::from_millis(10);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(160);
 /// Room for one read, bytes.
 const READ_ROOM: usize = 64 * 1024;
 
 /// Keeps the link.
 pub(crate) async fn keep(shared: Rc<Shared>, agent: SocketAddrV4, incarnation: u64) {
+    let mut pause = PAUSE;
     loop {
         if let Ok(mut stream) = TcpStream::connect(agent).await {
             ProxyEvent::AgentLinked.info(format_args!("agent at {agent}"));
             let why = follow(&shared, &mut stream, incarnation).await;
-            ProxyEvent::AgentLost.warn(format_args!(
-                "agent at {agent}: {}",
-                why.err().map_or("closed".into(), |e| e.to_string())
-            ));
+            let why = why.err().map_or("closed".into(), |why| why.to_string());
+            ProxyEvent::AgentLost.warn(format_args!("agent at {agent}: {why}"));
+            pause = PAUSE;
         }
-        sleep(PAUSE).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
@@ -73,6 +76,7 @@
 /// Takes a message; tells what to answer.
 fn take(shared: &Rc<Shared>, message: Message) -> Option<Message> {
     let answer = shared.view.borrow_mut().take(message, shared.now());
+    shared.view_changed.notify_waiters();
     let version = shared.view.borrow().version();
     match answer {
         ViewAnswer::Taken => None,
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, Notify, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -44,12 +44,15 @@
 pub struct Tuning {
     /// The part of a service's requests that may get a twin.
     pub twin_part: f64,
+    /// How long after the start clients' connections wait to be accepted while the view of the fleet is not complete.
+    pub start_patience: Duration,
 }
 
 impl Default for Tuning {
-    /// No twins until a run has shown what they are worth.
+    /// No twins until a run has shown what they are worth. When a whole fleet starts anew, its configuration is there
+    /// after about a second; who is refused before that comes back too early.
     fn default() -> Tuning {
-        Tuning { twin_part: 0.0 }
+        Tuning { twin_part: 0.0, start_patience: Duration::from_millis(1_500) }
     }
 }
 
@@ -102,7 +105,7 @@
     let permits = Arc::new(Semaphore::new(usize::try_from(most_clients).unwrap_or(usize::MAX).max(1)));
     let front_closed = Rc::new(Notify::new());
     spawn_local(link::keep(shared.clone(), agent, seed));
-    spawn_local(accept_clients(shared.clone(), front, permits, front_closed.clone()));
+    spawn_local(accept_clients(shared.clone(), front, permits, tuning.start_patience, front_closed.clone()));
     spawn_local(accept_askers(shared.clone(), ready));
     spawn_local(clean(shared.clone()));
     while let Some(Control::Reload(settings)) = control.recv().await {
@@ -121,7 +124,15 @@
     ProxyEvent::Ended.info(format_args!("{} requests under way", shared.under_way.get()));
 }
 
-async fn accept_clients(shared: Rc<Shared>, front: TcpListener, permits: Arc<Semaphore>, closed: Rc<Notify>) {
+async fn accept_clients(
+    shared: Rc<Shared>,
+    front: TcpListener,
+    permits: Arc<Semaphore>,
+    patience: Duration,
+    closed: Rc<Notify>,
+) {
+    // Until then connections wait in the listener's queue, unread.
+    let _ = timeout(patience, shared.view_complete()).await;
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let accepted = tokio::select! {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -36,6 +36,8 @@
     pub event_limit: EventLimit,
     /// Rings when the phase of life may have changed.
     pub phase_changed: Notify,
+    /// Rings when the view of the fleet has changed.
+    pub view_changed: Notify,
     body_bytes: Cell<usize>,
 }
 
@@ -53,6 +55,7 @@
             random: RefCell::new(SmallRng::seed_from_u64(seed.wrapping_add(1))),
             event_limit: EventLimit::default(),
             phase_changed: Notify::new(),
+            view_changed: Notify::new(),
             body_bytes: Cell::new(0),
         }
     }
@@ -93,6 +96,17 @@
         self.view.borrow().in_force().map(|in_force| in_force.configuration.limits()).unwrap_or_default()
     }
 
+    /// Ends once the view of the fleet is complete.
+    pub async fn view_complete(&self) {
+        loop {
+            let changed = self.view_changed.notified();
+            if self.view.borrow().is_complete() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Whether clients are to be sent here.
     pub fn is_ready(&self) -> bool {
         self.phase() == Phase::Serving && self.view.borrow().is_complete()
--- a/crates/proxy/tests/life.rs
+++ b/crates/proxy/tests/life.rs
@@ -5,12 +5,13 @@
 use peer::{Message, Replicas};
 use proxy::{Lifecycle, Phase};
 use rstest::rstest;
+use std::time::Duration;
 use support::*;
 
 #[test]
 fn it_is_ready_once_it_has_a_configuration_and_replicas() {
     play(|| async {
-        let mut fixture = Fixture::bare().await;
+        let mut fixture = Fixture::bare(Duration::ZERO).await;
         assert_eq!(fixture.readiness().await, 503);
         let mut client = fixture.client().await;
         client.write(ask("write", "a", "")).await;
@@ -22,6 +23,21 @@
     });
 }
 
+#[test]
+fn clients_that_come_before_the_view_is_complete_are_served_once_it_is() {
+    play(|| async {
+        let replica = Replica::new("i-1").await;
+        let mut fixture = Fixture::bare(Duration::from_secs(60)).await;
+        let mut client = fixture.client().await;
+        client.write(ask("write", "a", "")).await;
+        fixture.tell(Message::Configuration(whole(CONFIGURATION))).await;
+        fixture.tell(Message::Replicas(Replicas::from(vec![replica.record()]))).await;
+        let (mut connection, _) = replica.request().await;
+        connection.write(success("a", "served")).await;
+        assert_eq!(client.answer().await.1, "served");
+    });
+}
+
 #[test]
 fn what_is_under_way_at_the_end_is_answered() {
     play(|| async {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use settings::ProcessSettings;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -70,8 +71,8 @@
     }
 
     /// A proxy that was told nothing.
-    pub async fn bare() -> Fixture {
-        Fixture::start(Tuning::default()).await
+    pub async fn bare(start_patience: Duration) -> Fixture {
+        Fixture::start(Tuning { start_patience, ..Tuning::default() }).await
     }
 
     async fn start(tuning: Tuning) -> Fixture {
@@ -237,7 +238,7 @@
     /// Resets the connection.
     pub fn reset(self) {
         let socket = socket2::SockRef::from(&self.stream);
-        socket.set_linger(Some(std::time::Duration::ZERO)).expect("settable");
+        socket.set_linger(Some(Duration::ZERO)).expect("settable");
     }
 
     pub async fn request(&mut self) -> Request {
--- a/crates/proxy/tests/twins.rs
+++ b/crates/proxy/tests/twins.rs
@@ -9,7 +9,8 @@
 /// A proxy that has earned twins, its replicas, and a client.
 async fn earned(one: &Replica, two: &Replica) -> (Fixture, Peer) {
     let records = vec![one.record(), two.record()];
-    let fixture = Fixture::tuned(CONFIGURATION, records, Tuning { twin_part: 0.1 }).await;
+    let fixture =
+        Fixture::tuned(CONFIGURATION, records, Tuning { twin_part: 0.1, ..Tuning::default() }).await;
     let mut client = fixture.client().await;
     for number in 0..10 {
         let id = format!("earn{number}");
