Register: a new member is not put out for what was suspected at its address before

Cause: found while reading how the controller feeds suspicions: it names a machine once when it is missed and once when it is back, and the register kept the old time while the machine was away; a member that returned with an empty disk could be replaced at the next look, within 100 ms. Ruled out: forgetting the suspicion (the controller would not name the machine again if it died at once). Change: the clock of such a suspicion starts again with the set that takes the machine in.

--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -268,11 +268,21 @@
         }
         self.joiners.retain(|_, joiner| !known.set.contains(joiner.id));
         self.contact.retain(|address| known.set.at(address).is_some());
+        self.restart_suspicions(now, &known);
         self.upkeep_at = now;
         out.push(Effect::SetChanged { set: known.set });
         self.pull(out);
     }
 
+    /// A new member was heard when it asked to join: what was suspected at its address before does not count.
+    fn restart_suspicions(&mut self, now: Millis, known: &KnownSet) {
+        for newcomer in known.set.members.iter().filter(|member| !known.previous.contains(member.id)) {
+            if let Some(since) = self.suspected_since.get_mut(&newcomer.address) {
+                *since = now;
+            }
+        }
+    }
+
     fn send_set(&mut self, to: SocketAddrV4, epoch: u32, out: &mut Vec<Effect>) {
         if epoch == NO_EPOCH || epoch < self.acceptor.epoch() {
             if let Some(known) = self.known().cloned() {
--- a/crates/register/tests/simulated/crew.rs
+++ b/crates/register/tests/simulated/crew.rs
@@ -95,9 +95,14 @@
 
     /// Adds an empty machine at a new address and starts it.
     pub fn add_empty(&mut self) {
+        self.add_spare_without_start();
+        self.start(self.world.len() - 1);
+    }
+
+    /// Adds an empty machine at a new address that does not run yet.
+    pub fn add_spare_without_start(&mut self) {
         let machine = self.add(Settings { seeds: Vec::new(), first_start: false });
         self.renew_settings(machine);
-        self.start(machine);
     }
 
     /// Takes a machine away for good.
--- a/crates/register/tests/simulated/in_time.rs
+++ b/crates/register/tests/simulated/in_time.rs
@@ -104,3 +104,22 @@
     }
     println!("whole again after {slowest} ms at most");
 }
+
+/// A machine that was gone for long comes back with an empty disk. It must not be put out again for what was
+/// suspected at its address before.
+#[test]
+fn a_machine_that_was_gone_for_long_stays_when_it_is_back() {
+    for seed in SEEDS {
+        let mut crew = whole_crew(seed, 3);
+        let machine = seed as usize % 3;
+        crew.wipe(machine);
+        run_for(&mut crew, 3 * SUSPICION_MILLIS);
+        crew.add_spare_without_start();
+        crew.start(machine);
+        crew.start(3);
+        run_for(&mut crew, CATCH_UP_MILLIS);
+        let epoch = crew.epoch();
+        run_for(&mut crew, 2 * SUSPICION_MILLIS);
+        assert_eq!(crew.epoch(), epoch, "the set goes on changing:\n{}", crew.summary());
+    }
+}
