--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -189,6 +189,9 @@
     wake_at: Option<Ms>,
     /// Mean time of the attempts that were served lately.
     answer_time: Ms,
+    /// Queries and parts of another process that counts as one coordinator with this one, and how many such there are.
+    open_elsewhere: usize,
+    processes: usize,
     /// Events for the next step: outcomes of this one's own doing, parts of a second step.
     pending: Vec<Event>,
     /// What is counted.
@@ -211,6 +214,8 @@
             replicas: BTreeMap::new(),
             wake_at: None,
             answer_time: limits.dial_timeout,
+            open_elsewhere: 0,
+            processes: 1,
             pending: Vec::new(),
             counters: Counters::default(),
         }
@@ -224,7 +229,7 @@
     /// Takes in settings for the queries to come. Those that are open find their class in its place.
     pub fn retune(&mut self, set: Settings, limits: Transport) {
         tracing::debug!(?set, ?limits, "settings");
-        self.module.retune(set.clone());
+        self.module.retune(set.shared_by(self.processes));
         (self.set, self.limits) = (set, limits);
     }
 
@@ -264,6 +269,20 @@
         self.queries.len()
     }
 
+    /// Queries and parts that are held.
+    pub fn open(&self) -> usize {
+        self.queries.len() + self.parts.len()
+    }
+
+    /// So many processes count as one coordinator from now on, and the others hold so many queries and parts.
+    pub fn share(&mut self, processes: usize, open_elsewhere: usize) {
+        self.open_elsewhere = open_elsewhere;
+        if self.processes != processes {
+            self.processes = processes;
+            self.module.retune(self.set.shared_by(processes));
+        }
+    }
+
     /// When the next step is due without any input.
     pub fn next_step(&self) -> Option<Ms> {
         if !self.pending.is_empty() {
@@ -360,7 +379,7 @@
     ) {
         self.counters.queries += 1;
         // More than this is refused before the module sees it, as the settings state.
-        if self.queries.len() + self.parts.len() >= self.limits.max_open {
+        if self.open() + self.open_elsewhere >= self.limits.max_open {
             self.counters.refused += 1;
             self.counters.refused_full += 1;
             tracing::debug!(query = id.0, class = ask.class, how = "refused_full", "final answer");
--- a/src/main.rs
+++ b/src/main.rs
@@ -35,7 +35,10 @@
         let config = platform::config::Config::read(&read(&path)?)
             .map_err(|why| ServeError::Config { path: path.clone(), why })?;
         admin_address = admin_address.or(config.admin());
-        let server = config.server(&event_loop, clock, fronts.len(), count)?;
+        let mut server = config.server(&event_loop, clock, fronts.len(), count)?;
+        if let Some(folder) = std::env::var_os("TMPDIR") {
+            server.share(Path::new(&folder), clock);
+        }
         let (name, served, coordinator) = ("platform", Box::new(server), config.name().to_string());
         fronts.push(Front {
             name,
@@ -82,7 +85,16 @@
     Ok(admin)
 }
 
+/// Whether the command line names a sub-command of the router fleet.
+fn is_fleet_command() -> bool {
+    let first = std::env::args_os().nth(1);
+    first.is_some_and(|first| cli::fleet::COMMANDS.iter().any(|command| first == *command))
+}
+
 fn main() -> ExitCode {
+    if is_fleet_command() {
+        return cli::fleet::main();
+    }
     let cli = match Cli::try_parse() {
         Ok(cli) => cli,
         Err(error) => {
