--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -52,7 +52,7 @@
     /// No twins until a run has shown what they are worth. When a whole fleet starts anew, its configuration is there
     /// after about a second; who is refused before that comes back too early.
     fn default() -> Tuning {
-        Tuning { twin_part: 0.0, start_patience: Duration::from_millis(1_500) }
+        Tuning { twin_part: dispatch::MOST_TWINS, start_patience: Duration::from_millis(1_500) }
     }
 }
 
