dispatch: reading a start again weighs two and a half times the wait that it saves

Change: a ms of reading costs 2.5 ms of waiting in the choice. Ruled out by trials: homes for short starts (worse), homes always counted in (no change). Tests: the two waits around the break-even of the choice move with the weight, 10 ms and 30 ms from it as before.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -9,6 +9,10 @@
 /// How much cheaper another replica must be before it is taken over one that keeps the longest start, ms.
 const SWITCH_MARGIN: Ms = 20.0;
 
+/// How much more a ms of reading weighs than a ms of waiting: it delays the request as waiting does, and takes the
+/// replica's time from the requests behind it as well.
+const READING_WEIGHT: f64 = 2.5;
+
 /// Prompt tokens that a replica reads in a ms.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct ReadRate(pub f64);
@@ -27,9 +31,10 @@
 }
 
 impl Candidate {
-    /// The time until the prompt is read there, ms.
+    /// What it costs until the prompt is read there, in ms of waiting.
     fn cost(&self, prompt_tokens: u32, rate: ReadRate) -> Ms {
-        self.wait + f64::from(prompt_tokens.saturating_sub(self.kept)) / rate.0
+        let unread = prompt_tokens.saturating_sub(self.kept);
+        self.wait + READING_WEIGHT * f64::from(unread) / rate.0
     }
 }
 
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -28,8 +28,8 @@
 #[case::longest_start(&[candidate(1, 3, 900, 0.0), candidate(2, 0, 800, 0.0)], &[1])]
 #[case::fewest_out(&[candidate(1, 3, 900, 0.0), candidate(2, 1, 900, 0.0), candidate(3, 0, 0, 0.0)], &[2])]
 #[case::ties(&[candidate(1, 1, 0, 0.0), candidate(2, 1, 0, 0.0), candidate(3, 2, 0, 0.0)], &[1, 2])]
-#[case::waiting_longer_than_reading_again(&[candidate(1, 0, 1_000, 130.0), candidate(2, 0, 0, 0.0)], &[2])]
-#[case::waiting_less_than_reading_again(&[candidate(1, 9, 1_000, 90.0), candidate(2, 0, 0, 0.0)], &[1])]
+#[case::waiting_longer_than_reading_again(&[candidate(1, 0, 1_000, 280.0), candidate(2, 0, 0, 0.0)], &[2])]
+#[case::waiting_less_than_reading_again(&[candidate(1, 9, 1_000, 260.0), candidate(2, 0, 0, 0.0)], &[1])]
 #[case::nobody(&[], &[])]
 fn picks(#[case] candidates: &[Candidate], #[case] expected: &[u32]) {
     assert_eq!(picked(candidates), expected);
