--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -9,6 +9,10 @@
 /// How much cheaper another replica must be before it is taken over one that keeps the longest start, ms.
 const SWITCH_MARGIN: Ms = 20.0;
 
+/// How much more a ms of reading weighs than a ms of waiting: it delays the request as waiting does, and takes the
+/// replica's time from the requests behind it as well.
+const READING_WEIGHT: f64 = 2.5;
+
 /// Prompt tokens that a replica reads in a ms.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct ReadRate(pub f64);
@@ -29,16 +33,16 @@
     pub out: u32,
     /// Tokens of the prompt's start that it keeps.
     pub kept: u32,
-    /// How long the request would wait there before its prompt is read, ms.
+    /// How long the request would wait there before its prompt is read, moves of kept blocks included, ms.
     pub wait: Ms,
-    /// How long it would take there to read or fetch what it does not keep, ms.
+    /// How long it would take there to read what it neither keeps nor fetches, ms.
     pub reading: Ms,
 }
 
 impl Candidate {
-    /// The time until the prompt is read there, ms.
+    /// What it costs until the prompt is read there, in ms of waiting.
     fn cost(&self) -> Ms {
-        self.wait + self.reading
+        self.wait + READING_WEIGHT * self.reading
     }
 }
 
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -215,7 +215,8 @@
                 + replica.health.delay(now);
             let fetched = self.best_move(call, *number, kept, known, now);
             let (had, moving) = fetched.map_or((kept, 0.0), |fetched| (fetched.tokens, fetched.takes));
-            let reading = moving + speed.rate().reading(tokens.saturating_sub(had));
+            let reading = speed.rate().reading(tokens.saturating_sub(had));
+            let wait = wait + moving;
             Candidate { replica: *number, out: replica.out, kept, wait, reading }
         };
         numbers.iter().enumerate().map(candidate).collect()
