Store: a file that grows is synced at once, so that its start never tells of a length that can be lost

On core machines that lose power together this could have cost an acknowledged change. Ruled out: shrinking (the header is synced before the file is cut). Change: the layer under redb syncs after each growth (rare: the file doubles). A test that leaves nothing to chance: at every step, all is lost that was not synced except the start of the file.

--- a/crates/store/src/medium.rs
+++ b/crates/store/src/medium.rs
@@ -78,8 +78,15 @@
         self.0.read(offset, length)
     }
 
+    /// A longer file is synced at once. The header that speaks of the new length is written before the next
+    /// sync; if power were lost then, the header could be there without the length.
     fn set_len(&self, length: u64) -> io::Result<()> {
-        self.0.set_len(length)
+        let is_longer = length > self.0.len()?;
+        self.0.set_len(length)?;
+        if is_longer {
+            self.0.sync_data(false)?;
+        }
+        Ok(())
     }
 
     fn sync_data(&self, eventual: bool) -> io::Result<()> {
--- a/crates/store/tests/fault/mod.rs
+++ b/crates/store/tests/fault/mod.rs
@@ -78,6 +78,11 @@
         self.lock().bytes.now.clone()
     }
 
+    /// What a loss of power cannot take.
+    pub fn synced(&self) -> Vec<u8> {
+        self.lock().bytes.synced.clone()
+    }
+
     pub fn syncs(&self) -> usize {
         self.lock().syncs
     }
@@ -106,6 +111,18 @@
         self.lock().record.take().unwrap_or_default()
     }
 
+    /// The file after a loss of power that takes all since the last sync except what was written at its start.
+    pub fn with_only_its_start(&self) -> FaultyFile {
+        let disk = self.lock();
+        let mut bytes = disk.bytes.synced.clone();
+        for change in &disk.bytes.changes {
+            if matches!(change, Change::Write { offset: 0, .. }) {
+                apply(&mut bytes, change, Fate::Present);
+            }
+        }
+        FaultyFile::of_bytes(bytes)
+    }
+
     fn change(&self, change: Change) -> io::Result<()> {
         let mut disk = self.wait_while_hanging();
         disk.keep();
--- a/crates/store/tests/recovery.rs
+++ b/crates/store/tests/recovery.rs
@@ -152,6 +152,25 @@
     }
 }
 
+/// The start of the file tells its length. It may reach the disk when a growth since the last sync does not.
+#[test]
+fn the_start_of_the_file_never_tells_of_a_growth_that_can_be_lost() {
+    let (medium, mut store, before) = written_store(1);
+    let after = [entry(18, &pattern(3 << 20, 99))];
+    let file = medium.file();
+    let snapshots = snapshots_during(&file, || store.write(&after).expect("writes"));
+    let with_changed_start =
+        snapshots.iter().filter(|file| file.with_only_its_start().bytes() != file.synced());
+    let mut looked_at = 0;
+    for file in with_changed_start {
+        looked_at += 1;
+        let found =
+            reopened(file.with_only_its_start()).unwrap_or_else(|error| panic!("{looked_at}: {error}"));
+        assert_eq!(found, before, "{looked_at}");
+    }
+    assert!(looked_at > 0);
+}
+
 /// One life after the other on the same file, each ended by a loss of power within its last write.
 #[test]
 fn a_long_life_of_power_losses_loses_nothing_acknowledged() {
