--- a/crates/store/tests/fault/mod.rs
+++ b/crates/store/tests/fault/mod.rs
@@ -1,6 +1,8 @@
 //! A medium in memory whose disk can fill up, lose power and be cut off.
 #![allow(dead_code)]
 
+pub mod written;
+
 use std::io;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
