A store that controllers can't read is neither asked nor filled until it is heard

Cause: a fetch from a dead store costs about 100 ms and brings nothing; proxies could not tell an empty store from one that is down. Change: epoch 0 means unreachable on the inner wire. Ruled out: taking a reset without changes for down (an empty store would never be filled).

--- a/crates/controller/src/kv_events/cursor.rs
+++ b/crates/controller/src/kv_events/cursor.rs
@@ -2,7 +2,7 @@
 
 use std::borrow::Cow;
 
-use peer::{part_key, PartChange, Prefixes};
+use peer::{part_key, PartChange, Prefixes, UNREACHABLE};
 use serde::Deserialize;
 
 use crate::Millis;
@@ -128,9 +128,8 @@
 
     /// The source is taken for empty, and read from the beginning when it answers again.
     pub fn start_again(&mut self) -> Prefixes {
-        let epoch = self.epoch.unwrap_or_default();
         *self = Cursor { listed: self.listed, ..Cursor::new(&self.replica) };
-        Prefixes::new(&self.replica, epoch, true, Vec::new())
+        Prefixes::new(&self.replica, UNREACHABLE, true, Vec::new())
     }
 
     /// The question for all that is kept got no answer; it is not asked again at once.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
 use crate::twins::Twins;
 use crate::weights::Weights;
 use evidence::Ms;
-use peer::{Prefixes, ReplicaRecord, ReplicaState};
+use peer::{Prefixes, ReplicaRecord, ReplicaState, UNREACHABLE};
 use prefix_index::{PartKey, PrefixIndex, ReplicaNumber, Source};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -176,6 +176,7 @@
         if news.reset != 0 {
             self.index.forget(replica);
         }
+        self.stores.set_down(replica, news.epoch == UNREACHABLE);
         self.index.epoch(replica, news.epoch);
         for change in &news.changes {
             let part = PartKey(change.part);
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -93,6 +93,8 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Stores {
     stores: Vec<(ReplicaNumber, Store)>,
+    /// Those that are told to be down: a fetch from there would cost a wait and bring nothing.
+    down: Vec<ReplicaNumber>,
 }
 
 impl Stores {
@@ -100,18 +102,29 @@
         self.stores = stores;
     }
 
-    /// The store with this number.
+    /// A store was heard, or can't be reached.
+    pub fn set_down(&mut self, number: ReplicaNumber, is_down: bool) {
+        self.down.retain(|known| *known != number);
+        if is_down {
+            self.down.push(number);
+        }
+    }
+
+    /// The store with this number, unless it is down.
     pub fn numbered(&self, number: ReplicaNumber) -> Option<&Store> {
-        self.stores.iter().find(|(known, _)| *known == number).map(|(_, store)| store)
+        let is_this = |(known, _): &&(ReplicaNumber, Store)| *known == number && !self.down.contains(known);
+        self.stores.iter().find(is_this).map(|(_, store)| store)
     }
 
-    /// The store for prompts that begin with this part: the same at every proxy (rendezvous hashing).
+    /// The store for prompts that begin with this part: the same at every proxy (rendezvous hashing). `None` while it
+    /// is down.
     pub fn home(&self, first: &Part) -> Option<(ReplicaNumber, SocketAddrV4)> {
         let weight = |(_, store): &&(ReplicaNumber, Store)| {
             let address = u64::from(u32::from(*store.address.ip())) << 16 | u64::from(store.address.port());
             (first.key.0 ^ address.wrapping_mul(ADDRESS_MIX)).wrapping_mul(WEIGHT_MIX)
         };
-        self.stores.iter().max_by_key(weight).map(|(number, store)| (*number, store.address))
+        let (number, store) = self.stores.iter().max_by_key(weight)?;
+        (!self.down.contains(number)).then_some((*number, store.address))
     }
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,7 +14,7 @@
 pub use message::{
     Alive, Beat, Beats, Blob, Configuration, Fleet, Hello, Message, ModelVersion, NamedVersion, PartChange,
     Prefixes, ReplicaRecord, ReplicaState, Replicas, Role, Weights, MOST_CHANGES, MOST_RECORDS, NEVER,
-    PROTOCOL,
+    PROTOCOL, UNREACHABLE,
 };
 pub use parts::part_key;
 pub use text::{Address, Text};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -15,6 +15,9 @@
 /// Most changes of kept parts in one message.
 pub const MOST_CHANGES: u32 = 262_144;
 
+/// The epoch of a replica or store whose events can't be read: nothing is to be fetched from there.
+pub const UNREACHABLE: u64 = 0;
+
 /// Which program a peer is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8")]
@@ -255,7 +258,7 @@
 pub struct Prefixes {
     /// Id of the replica, or address of the store.
     pub replica: Text,
-    /// Changes with every restart of the replica.
+    /// Changes with every restart of the replica; [`UNREACHABLE`] while it can't be read.
     #[deku(endian = "little")]
     pub epoch: u64,
     /// 1 where all that was known of the replica is to be dropped first.
