--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,8 +1,10 @@
 //! What a program of the router fleet is told from outside.
 
 mod event;
+mod logging;
 
 pub use event::{Event, ProcessEvent};
+pub use logging::{level, start_log, LoggingError, LEVEL_VARIABLE};
 
 use settings::{ProcessSettings, SettingsError};
 use tokio::signal::unix::{signal, SignalKind};
--- a/src/cli/fleet/mod.rs
+++ b/src/cli/fleet/mod.rs
@@ -129,6 +129,7 @@
     settings: ProcessSettings,
     run: impl FnOnce(ProcessSettings) -> Result<(), E>,
 ) -> Result<(), FleetError> {
+    process::start_log().map_err(|why| FleetError::Program(why.to_string()))?;
     run(settings).map_err(|why| FleetError::Program(why.to_string()))
 }
 
