Links between controllers stay up: only what is sent is bounded, and peers are probed

Change: no bound on silence; TCP keep-alive probes beside the bound on what is not acknowledged. Ruled out: answers on these links only to keep them up.

--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -32,11 +32,10 @@
 const ENDING: Duration = Duration::from_millis(700);
 /// Time left for answers to reach their callers.
 const LAST_ANSWERS: Duration = Duration::from_millis(30);
-/// Times of links with other processes.
-const LINKS: LinkTiming =
-    LinkTiming { unacknowledged: Duration::from_millis(1_500), silence: Some(Duration::from_secs(10)) };
-/// Agents have little to say.
-const AGENT_LINKS: LinkTiming = LinkTiming { silence: None, ..LINKS };
+/// Times of links with other processes. No link has to be heard on: a controller only sends on the links that it dials
+/// to other controllers, and agents have little to say. What is sent and not acknowledged ends a link, and so do
+/// keep-alive probes without an answer.
+pub const LINKS: LinkTiming = LinkTiming { unacknowledged: Duration::from_millis(1_500), silence: None };
 
 /// Where a link leads.
 #[derive(Debug)]
@@ -142,7 +141,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(accept(stream, AGENT_LINKS, events.clone()));
+                tokio::spawn(accept(stream, LINKS, events.clone()));
             }
             Err(why) => {
                 ControllerEvent::LinkRefused.warn(format_args!("inner listener: no connection taken: {why}"));
--- a/crates/controller/src/replica_calls.rs
+++ b/crates/controller/src/replica_calls.rs
@@ -60,8 +60,9 @@
             let body = serde_json::to_vec(&order).unwrap_or_default();
             let answer = once(address, "POST", "/order", &replica, &body).await;
             let status = answer.map(|answer| answer.status);
+            let answered = status.map_or_else(|| "no answer".to_string(), |status| status.to_string());
             ControllerEvent::Order
-                .info(format_args!("order to replica {replica}: {model} version {version}: {status:?}"));
+                .info(format_args!("order to replica {replica}: {model} version {version}: {answered}"));
             Input::Ordered { replica, status }
         }
         ReplicaCall::Report { replica, address } => {
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -6,6 +6,7 @@
 
 use peer::{FrameError, FrameReader, Message};
 use quick_error::quick_error;
+use socket2::TcpKeepalive;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
@@ -13,6 +14,12 @@
 
 /// Batches of messages that may wait in an outbox.
 const OUTBOX_BATCHES: usize = 64;
+/// Rest of a link after which the system probes the peer.
+const PROBE_AFTER: Duration = Duration::from_secs(3);
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer that end a link.
+const PROBES: u32 = 3;
 /// Room for bytes read at a time.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -147,7 +154,12 @@
 
 fn prepare(stream: &TcpStream, timing: LinkTiming) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(timing.unacknowledged))
+    let socket = socket2::SockRef::from(stream);
+    // A peer that has vanished is noticed also on a link that only it sends on.
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_INTERVAL).with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(timing.unacknowledged))
 }
 
 async fn read(
