Replicas move to named weights a fifth at a time, whatever the service's size

Change: a fifth of the ready replicas at a time, two at least in services of six or more; asked after 200 ms whether it is done. Sizes of the small sites give what they gave (18: 3, 9: 2).

--- a/crates/controller/src/duty/moves.rs
+++ b/crates/controller/src/duty/moves.rs
@@ -8,12 +8,16 @@
 use crate::values::WeightsValue;
 use crate::Millis;
 
-/// Most replicas that load weights at a time: more make each load longer.
-const MOST_AT_ONCE: usize = 3;
-/// At least this part of a service's replicas is left alone.
+/// One in so many of a service's replicas loads weights at a time: more make each load longer, and fewer leave a large
+/// service on two versions until the time for the move is over.
 const PART_AT_ONCE: usize = 5;
+/// A service of more replicas than [`PART_AT_ONCE`] moves at least so many at a time.
+const FEW_AT_ONCE: usize = 2;
 /// Time from an order to the first question whether it is done, and between questions.
-const REPORT_EVERY_MS: Millis = 400;
+const REPORT_EVERY_MS: Millis = 200;
+/// A report that says so long after an order that nothing is under way means that the order was not taken: reports
+/// tell what was some hundred ms ago.
+const SETTLED_MS: Millis = 800;
 /// After an order that failed, the replica is left alone for so long.
 const RETRY_MS: Millis = 1_000;
 /// An order that was taken is given up, and given anew, after so long.
@@ -145,7 +149,7 @@
 
     fn has_room(&self, record: &Record, replicas: &[Record]) -> bool {
         let same = |other: &&Record| other.service == record.service && other.state == State::Ready;
-        let most = replicas.iter().filter(same).count().div_ceil(PART_AT_ONCE).min(MOST_AT_ONCE);
+        let most = most_at_once(replicas.iter().filter(same).count());
         let of_service = replicas.iter().filter(|other| other.service == record.service);
         of_service.filter(|other| self.moves.contains_key(&other.id)).count() < most
     }
@@ -173,7 +177,7 @@
             return;
         }
         let given_up = now >= one.since + GIVE_UP_MS;
-        let idle = !report.busy && now >= one.since + 2 * REPORT_EVERY_MS;
+        let idle = !report.busy && now >= one.since + SETTLED_MS;
         one.step = if idle || given_up {
             one.since = now;
             Step::Due(now)
@@ -208,6 +212,12 @@
     }
 }
 
+/// How many replicas of a service load weights at a time when so many of it are ready.
+pub fn most_at_once(ready: usize) -> usize {
+    let few = ready.div_ceil(PART_AT_ONCE).min(FEW_AT_ONCE);
+    (ready / PART_AT_ONCE).max(few)
+}
+
 /// The weights that a replica should move to, if it has older ones.
 fn target<'a>(record: &'a Record, weights: &WeightsValue) -> Option<(&'a str, u64)> {
     if record.state != State::Ready {
--- a/crates/controller/tests/duty.rs
+++ b/crates/controller/tests/duty.rs
@@ -6,6 +6,7 @@
 
 use controller::command::Reply;
 use controller::duty::holder::{Circumstances, Holder};
+use controller::duty::moves::most_at_once;
 use controller::machine::Input;
 use controller::values::DutyValue;
 use rstest::rstest;
@@ -56,6 +57,32 @@
     check_orders(&cluster);
 }
 
+/// A service of 71 replicas has 10 s for a move, and no request may begin on older weights from 7 s on: by then nearly
+/// all must have moved.
+#[rstest]
+fn a_large_service_moves_within_its_time(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = started(seed, 71);
+    assert_eq!(name(&mut cluster, 1, 2), Some(200));
+    cluster.play(5_000);
+    assert!(all_at(&cluster, 2));
+    assert_eq!(cluster.replicas.orders.len(), 71);
+    assert!(cluster.replicas.most_loading <= 14, "{} at a time", cluster.replicas.most_loading);
+    check_orders(&cluster);
+}
+
+#[rstest]
+#[case::one(1, 1)]
+#[case::as_many_as_one_part(5, 1)]
+#[case::few(6, 2)]
+#[case::nine(9, 2)]
+#[case::eighteen(18, 3)]
+#[case::many(71, 14)]
+#[case::target(600, 120)]
+#[case::none(0, 0)]
+fn a_fifth_of_a_service_loads_at_a_time(#[case] ready: usize, #[case] most: usize) {
+    assert_eq!(most_at_once(ready), most);
+}
+
 #[rstest]
 fn the_status_shows_replicas_weights_and_who_holds_the_duty() {
     let mut cluster = started(7, 4);
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -303,6 +303,39 @@
     }
 }
 
+/// What is out at one replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct ReplicaLoad {
+    /// The replica, by [`crate::replica_key`].
+    #[deku(endian = "little")]
+    pub replica: u32,
+    /// Prompt tokens of calls that have not begun to answer.
+    #[deku(endian = "little")]
+    pub tokens: u32,
+    /// Calls without a whole answer.
+    #[deku(endian = "little")]
+    pub calls: u16,
+}
+
+/// What the sender, and those it speaks for, have out at replicas.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Loads {
+    /// 1 where nothing is out at replicas that are not named; 0 where what is not named is as it was.
+    pub is_whole: u8,
+    #[deku(assert = "*count <= MOST_RECORDS", endian = "little", update = "self.loads.len()")]
+    count: u32,
+    /// Loads by replica.
+    #[deku(count = "count")]
+    pub loads: Vec<ReplicaLoad>,
+}
+
+impl Loads {
+    /// All loads, or those that changed.
+    pub fn new(is_whole: bool, loads: Vec<ReplicaLoad>) -> Loads {
+        Loads { is_whole: is_whole.into(), count: loads.len() as u32, loads }
+    }
+}
+
 /// The sender lives, and how far it is in step with the majority.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 pub struct Alive {
@@ -351,6 +384,9 @@
     /// The sender has a configuration other than the one that changes build on, and asks for the whole.
     #[deku(id = "11")]
     WantConfiguration,
+    /// What is out at replicas.
+    #[deku(id = "12")]
+    Loads(Loads),
     /// A message of a later version; to be skipped.
     #[deku(id_pat = "_")]
     Unknown {
--- a/crates/peer/src/parts.rs
+++ b/crates/peer/src/parts.rs
@@ -19,3 +19,9 @@
     hash = hash.wrapping_mul(0xd6e8_feb8_6659_fd93);
     hash ^ (hash >> 32)
 }
+
+/// The name of a replica in messages on load: 32 bits over its id. Two of 600 replicas share a name once in about
+/// 24,000 fleets; then each counts with the other's load, and nothing worse happens.
+pub fn replica_key(id: &str) -> u32 {
+    part_key("", "", id) as u32
+}
