Proxies share what they have out at replicas, through their zone's controller

Ruled out: the replicas' own GET /report, which tells what was 200 ms ago and is priced as a probe. What waiting explains is no longer taken for a replica's own delay.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -7,7 +7,7 @@
 use catalog::Limits;
 use feed::{record_to_wire, ConfigurationTaken, Subscriber, View};
 use links::LinkId;
-use peer::{Alive, Fleet, Hello, Message, Replicas, NEVER};
+use peer::{replica_key, Alive, Fleet, Hello, Message, Replicas, NEVER};
 
 use crate::event::AgentEvent;
 use crate::Millis;
@@ -53,10 +53,20 @@
     SendProxy { link: LinkId, messages: Vec<Message> },
 }
 
+/// Where an agent runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// Name of its machine.
+    pub machine: String,
+    /// Zone of its machine.
+    pub zone: String,
+}
+
 /// What a controller said of itself and of the fleet.
 #[derive(Debug, Default)]
 struct Controller {
     up: bool,
+    zone: String,
     /// When it was up last.
     seen: Millis,
     fleet: Option<(BTreeSet<SocketAddrV4>, u32)>,
@@ -81,6 +91,7 @@
 /// One agent.
 #[derive(Debug)]
 pub struct Machine {
+    place: Place,
     seeds: Vec<SocketAddrV4>,
     view: View,
     controllers: BTreeMap<SocketAddrV4, Controller>,
@@ -90,8 +101,9 @@
 
 impl Machine {
     /// An agent that knows the inner addresses of a few controllers.
-    pub fn new(now: Millis, seeds: Vec<SocketAddrV4>, limits: Limits) -> Machine {
+    pub fn new(now: Millis, place: Place, seeds: Vec<SocketAddrV4>, limits: Limits) -> Machine {
         Machine {
+            place,
             seeds,
             view: View::new(limits),
             controllers: BTreeMap::new(),
@@ -124,6 +136,10 @@
                     proxy.subscriber.wants_configuration();
                 }
             }
+            Input::ProxyMessage { message: Message::Loads(loads), .. } => {
+                let message = Message::Loads(loads);
+                out.extend(self.home_controller().map(|to| Effect::SendController { to, message }));
+            }
             Input::ProxyMessage { .. } => {}
             Input::ProxyFlushed { link } => {
                 if let Some(proxy) = self.proxies.get_mut(&link) {
@@ -192,10 +208,36 @@
             Message::Fleet(fleet) => self.fleet(from, &fleet),
             Message::Alive(alive) => self.alive(now, from, alive),
             Message::Prefixes(prefixes) => self.view.prefixes.take(&prefixes),
+            Message::Hello(hello) => {
+                if let Some(controller) = self.controllers.get_mut(&from) {
+                    controller.zone = hello.zone.as_str().to_string();
+                }
+            }
+            Message::Loads(loads) if self.home_controller() == Some(from) => self.pass_loads(&loads, out),
             _ => {}
         }
     }
 
+    /// The controller that hears what this machine's proxy has out, and tells it what all have: one of this zone where
+    /// there is one; agents spread over several.
+    pub fn home_controller(&self) -> Option<SocketAddrV4> {
+        let up = self.controllers.iter().filter(|(_, one)| one.up);
+        let weight = |(address, one): &(&SocketAddrV4, &Controller)| {
+            let spread = replica_key(&format!("{} {address}", self.place.machine));
+            (one.zone == self.place.zone, spread, **address)
+        };
+        up.max_by_key(weight).map(|(address, _)| *address)
+    }
+
+    /// Passes the load of the fleet on. A proxy that is still busy with its last batch misses this; the next whole makes
+    /// up for it.
+    fn pass_loads(&mut self, loads: &peer::Loads, out: &mut Vec<Effect>) {
+        for (link, proxy) in self.proxies.iter_mut().filter(|(_, proxy)| !proxy.busy) {
+            proxy.busy = true;
+            out.push(Effect::SendProxy { link: *link, messages: vec![Message::Loads(loads.clone())] });
+        }
+    }
+
     fn configuration(
         &mut self,
         from: SocketAddrV4,
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -16,7 +16,7 @@
 
 use crate::error::AgentError;
 use crate::event::AgentEvent;
-use crate::machine::{Effect, Input, Machine};
+use crate::machine::{Effect, Input, Machine, Place};
 
 /// Events that may wait for the machine.
 const QUEUE: usize = 256;
@@ -92,8 +92,9 @@
     fn new(settings: ProcessSettings, link_events: mpsc::Sender<LinkEvent>) -> Program {
         let reuse_after_ms = (settings.bounds.reuse_after_s * 1_000.0) as u64;
         let limits = Limits::for_beats(settings.beat_every_ms, reuse_after_ms);
+        let place = Place { machine: settings.node.clone(), zone: settings.zone.clone() };
         Program {
-            machine: Machine::new(0, settings.seed_controllers(), limits),
+            machine: Machine::new(0, place, settings.seed_controllers(), limits),
             settings,
             incarnation: rand::random(),
             started: Instant::now(),
--- a/crates/agent/tests/merging.rs
+++ b/crates/agent/tests/merging.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use agent::machine::{Effect, Input, Machine};
+use agent::machine::{Effect, Input, Machine, Place};
 use catalog::{Limits, State};
 use links::LinkId;
 use peer::{Address, Alive, Configuration, Fleet, Hello, Message, NamedVersion, ReplicaRecord, ReplicaState};
@@ -22,7 +22,8 @@
 impl Bench {
     fn new() -> Bench {
         let seeds = vec![controller(1), controller(2), controller(3)];
-        Bench { machine: Machine::new(0, seeds, Limits::for_beats(1_200, 2_000)), now: 0 }
+        let place = Place { machine: "edge-1".into(), zone: "east".into() };
+        Bench { machine: Machine::new(0, place, seeds, Limits::for_beats(1_200, 2_000)), now: 0 }
     }
 
     fn step(&mut self, input: Input) -> Vec<Effect> {
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -83,16 +83,20 @@
             Message::Replicas(replicas) => {
                 self.view.take_replicas(at.now, &replicas);
             }
+            Message::Loads(news) => self.loads.agent_told(at.now, link, &news),
             _ => {}
         }
     }
 
     /// Sends every agent and controller what it has not heard yet.
     pub(crate) fn feed(&mut self, at: Moment, out: &mut Vec<Effect>) {
-        self.feed_peers(out);
+        self.feed_peers(at.now, out);
         let age = self.majority_age(at.now).min(Millis::from(NEVER)) as u32;
+        // An agent that is still busy with its last batch misses this; the next whole makes up for it.
+        let loads = self.loads.for_agents(at.now, &self.moves);
         for (link, agent) in self.agents.links.iter_mut().filter(|(_, agent)| !agent.busy) {
-            let messages = agent.subscriber.messages(at.now, &self.view, age);
+            let mut messages = agent.subscriber.messages(at.now, &self.view, age);
+            messages.extend(loads.clone());
             if !messages.is_empty() {
                 agent.busy = true;
                 out.push(Effect::SendAgent { link: *link, messages });
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod calls;
 mod duties;
+mod loads;
 mod peers;
 mod sources;
 mod status;
@@ -27,6 +28,7 @@
 
 use agents::Agents;
 use calls::Pending;
+use loads::LoadExchange;
 use peers::Peers;
 
 /// The moment of an input.
@@ -149,6 +151,7 @@
     weights: WeightsValue,
     holder: Holder,
     moves: Moves,
+    loads: LoadExchange,
     peers: Peers,
     agents: Agents,
     pending: BTreeMap<RequestId, Pending>,
@@ -180,6 +183,7 @@
             weights: WeightsValue::default(),
             holder: Holder::new(now, me.peer, timing.lease_ms),
             moves: Moves::default(),
+            loads: LoadExchange::default(),
             peers: Peers::default(),
             agents: Agents::default(),
             pending: BTreeMap::new(),
@@ -207,7 +211,10 @@
             Input::AgentUp { link, hello } => self.agents.up(at.now, link, &hello),
             Input::AgentMessage { link, message } => self.agent_message(at, link, message),
             Input::AgentFlushed { link } => self.agents.flushed(link),
-            Input::AgentDown { link } => self.agents.down(at.now, link),
+            Input::AgentDown { link } => {
+                self.agents.down(at.now, link);
+                self.loads.agent_down(link);
+            }
             Input::DiskDone { token, result } => {
                 self.register(at, RegisterInput::DiskDone { token, result }, out);
             }
@@ -230,6 +237,7 @@
             self.next_upkeep,
             self.next_beats,
             self.agents.deadline(&self.view),
+            self.loads.deadline(),
         ];
         timers.into_iter().min().unwrap_or(self.next_upkeep)
     }
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -63,6 +63,7 @@
                     heard.map(|one| Beat { id: one.id.as_str().to_string(), beat: one.beat }).collect();
                 self.view.replicas.peer_beats(at.now, &heard);
             }
+            Message::Loads(news) => self.loads.peer_told(at.now, from, &news),
             _ => {}
         }
     }
@@ -97,8 +98,13 @@
         }
     }
 
-    /// Tells the other controllers what is new of replicas.
-    pub(crate) fn feed_peers(&mut self, out: &mut Vec<Effect>) {
+    /// Tells the other controllers what is new of replicas and of their load.
+    pub(crate) fn feed_peers(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if let Some(message) = self.loads.for_peers(now, &self.moves) {
+            for to in self.peers.links.keys() {
+                out.push(Effect::SendPeer { to: *to, message: message.clone() });
+            }
+        }
         for (to, replicas) in &mut self.peers.links {
             if let Some(message) = replicas.message(&self.view) {
                 out.push(Effect::SendPeer { to: *to, message });
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -308,6 +308,7 @@
                 self.links.insert(link, Link::Peer { address, _outbox: outbox });
             }
             (Role::Agent, _) => {
+                let _ = outbox.send(&[Message::Hello(self.hello())]);
                 self.links.insert(link, Link::Agent(outbox));
                 self.step(Input::AgentUp { link, hello });
             }
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -150,6 +150,8 @@
     pub at: Ms,
     /// Prompt tokens that the replica did not keep.
     pub unread: f64,
+    /// How long it was expected to wait for the calls before it, ms.
+    pub wait: Ms,
     /// Counted among the tokens that the replica has yet to read.
     pub is_pending: bool,
     pub parts: Vec<PartKey>,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::call::{Ask, Call};
+use crate::fleet_load::FleetLoad;
 use crate::moves::{Engines, Store, Stores};
 use crate::replica::Replica;
 use crate::salt::Salts;
@@ -55,6 +56,7 @@
     pub(crate) index: PrefixIndex,
     pub(crate) engines: Engines,
     pub(crate) stores: Stores,
+    pub(crate) fleet_load: FleetLoad,
     pub(crate) random: SmallRng,
     twin_part: f64,
 }
@@ -76,6 +78,7 @@
             index: PrefixIndex::new(index_bytes),
             engines: Engines::new(),
             stores: Stores::default(),
+            fleet_load: FleetLoad::default(),
             random: SmallRng::seed_from_u64(seed),
             twin_part: 0.0,
         }
@@ -187,6 +190,23 @@
         }
     }
 
+    /// Takes news of what all proxies together have out at replicas.
+    pub fn take_loads(&mut self, news: &peer::Loads, now: Ms) {
+        self.fleet_load.take(news, now);
+    }
+
+    /// When [`Dispatcher::tell_loads`] may have something to tell.
+    pub fn loads_due(&self) -> Ms {
+        self.fleet_load.deadline()
+    }
+
+    /// What the fleet is to hear now of what this proxy has out at replicas.
+    pub fn tell_loads(&mut self, now: Ms) -> Option<peer::Loads> {
+        let out = self.replicas.values().filter(|replica| replica.out > 0);
+        let own = out.map(|replica| (replica.key, replica.load())).collect();
+        self.fleet_load.tell(&own, now)
+    }
+
     /// Replicas that take requests, of all services.
     pub fn ready_replicas(&self) -> usize {
         self.replicas.values().filter(|replica| replica.is_ready()).count()
--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -15,7 +15,7 @@
             return;
         };
         out.is_pending = false;
-        let (after, unread) = (now - out.at, out.unread);
+        let (after, unread, wait) = (now - out.at, out.unread, out.wait);
         if let Some(replica) = self.replicas.get_mut(&replica) {
             replica.pending_tokens = (replica.pending_tokens - unread).max(0.0);
         }
@@ -23,7 +23,8 @@
             service.speed.began(unread, after);
             let reading = unread / service.speed.rate().0;
             if let Some(replica) = self.replicas.get_mut(&replica) {
-                replica.health.delayed((after - reading).max(0.0), now);
+                // What other calls explain is counted with them.
+                replica.health.delayed((after - reading - wait).max(0.0), now);
             }
         }
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod choose;
 mod dispatcher;
+mod fleet_load;
 mod health;
 mod home;
 mod judging;
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -2,7 +2,8 @@
 
 use crate::health::Health;
 use evidence::Ms;
-use peer::{ModelVersion, ReplicaRecord, ReplicaState};
+use load::Load;
+use peer::{replica_key, ModelVersion, ReplicaRecord, ReplicaState};
 use prefix_index::ReplicaNumber;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -12,6 +13,8 @@
 pub(crate) struct Replica {
     pub number: ReplicaNumber,
     pub id: Rc<str>,
+    /// Its name in messages on load.
+    pub key: u32,
     pub address: SocketAddrV4,
     pub record: ReplicaRecord,
     pub health: Health,
@@ -27,9 +30,20 @@
     /// `None` if the record holds no address.
     pub fn new(number: ReplicaNumber, record: ReplicaRecord) -> Option<Replica> {
         let id = Rc::from(record.id.as_str());
+        let key = replica_key(record.id.as_str());
         let address = record.address.socket()?;
         let health = Health::default();
-        Some(Replica { number, id, address, record, health, out: 0, pending_tokens: 0.0, heard: Vec::new() })
+        Some(Replica {
+            number,
+            id,
+            key,
+            address,
+            record,
+            health,
+            out: 0,
+            pending_tokens: 0.0,
+            heard: Vec::new(),
+        })
     }
 
     /// Takes a later record of the same life.
@@ -58,6 +72,12 @@
         heard.or_else(|| told(&self.record, model))
     }
 
+    /// What this proxy has out here.
+    pub fn load(&self) -> Load {
+        let calls = u16::try_from(self.out).unwrap_or(u16::MAX);
+        Load { tokens: self.pending_tokens as u32, calls }
+    }
+
     pub fn is_ready(&self) -> bool {
         self.record.state == ReplicaState::Ready
     }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -8,11 +8,21 @@
 use crate::moving::Known;
 use crate::replica::Replica;
 use evidence::Ms;
+use load::Load;
 use prefix_index::{Kept, Part, ReplicaNumber, Source};
 
 /// The part of the retry budget that must be left for twins to be sent.
 const LEAST_BUDGET: f64 = 0.5;
 
+/// What a replica has to do for a request.
+#[derive(Debug, Clone, Copy)]
+struct Work {
+    /// Prompt tokens that it has to read.
+    unread: f64,
+    /// How long the calls before it take, as far as they are known, ms.
+    wait: Ms,
+}
+
 impl Dispatcher {
     /// Where to send a request next.
     ///
@@ -39,8 +49,10 @@
         call.sends += 1;
         call.tried.push(chosen.replica);
         let had = fetched.map_or(kept, |fetched| fetched.tokens);
+        let delay = self.replicas.get(&chosen.replica).map_or(0.0, |replica| replica.health.delay(now));
         let unread = f64::from(tokens.saturating_sub(had));
-        Ok(self.sent(call, chosen.replica, unread, fetched, now))
+        let work = Work { unread, wait: chosen.wait - delay };
+        Ok(self.sent(call, chosen.replica, work, fetched, now))
     }
 
     /// Where to send a twin of a request that has just been sent for the first time, if it gets one.
@@ -77,7 +89,7 @@
         &mut self,
         call: &mut Call,
         number: ReplicaNumber,
-        unread: f64,
+        work: Work,
         fetched: Option<Move>,
         now: Ms,
     ) -> Target {
@@ -94,7 +106,8 @@
             self.index.keep(number, part.key, part.tokens, Source::Sent(now));
         }
         let parts = parts.iter().map(|part| part.key).collect();
-        call.out.push(Out { replica: number, at: now, unread, is_pending: true, parts });
+        let Work { unread, wait } = work;
+        call.out.push(Out { replica: number, at: now, unread, wait, is_pending: true, parts });
         let replica = self.replicas.get_mut(&number).expect("a candidate is known");
         replica.out += 1;
         replica.pending_tokens += unread;
@@ -203,16 +216,19 @@
         let tokens = prompt_tokens(call.ask.prompt.as_deref());
         let speed = self.services.get(service).map(|service| service.speed).unwrap_or_default();
         let out: u32 = numbers.iter().map(|number| self.replicas[number].out).sum();
-        let others = f64::from(self.proxies.saturating_sub(1)) * f64::from(out) / numbers.len().max(1) as f64;
-        let others = if self.proxies == FIRST_PROXIES { 0.0 } else { others };
+        let mean = f64::from(self.proxies.saturating_sub(1)) * f64::from(out) / numbers.len().max(1) as f64;
+        let mean = if self.proxies == FIRST_PROXIES { 0.0 } else { mean };
+        let is_told = self.fleet_load.is_known(now);
         let candidate = |(at, number): (usize, &ReplicaNumber)| {
             let kept = known.expected[at];
             let replica = &self.replicas[number];
             let slots = f64::from(replica.record.free_slots.max(1));
-            let queued = (f64::from(replica.out) + others - slots).max(0.0);
-            let wait = replica.pending_tokens / speed.rate().0
-                + queued / slots * speed.duration()
-                + replica.health.delay(now);
+            let others = if is_told { self.fleet_load.others(replica.key) } else { Load::default() };
+            let calls = if is_told { f64::from(others.calls) } else { mean };
+            let queued = (f64::from(replica.out) + calls - slots).max(0.0);
+            let unread = replica.pending_tokens + f64::from(others.tokens);
+            let wait =
+                unread / speed.rate().0 + queued / slots * speed.duration() + replica.health.delay(now);
             let fetched = self.best_move(call, *number, kept, known, now);
             let (had, moving) = fetched.map_or((kept, 0.0), |fetched| (fetched.tokens, fetched.takes));
             let reading = speed.rate().reading(tokens.saturating_sub(had));
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 /// Pause before the link is made anew; doubles while the agent can't be reached.
 const PAUSE: Duration = Duration::from_millis(10);
@@ -44,8 +44,20 @@
     let mut room = Vec::with_capacity(READ_ROOM);
     loop {
         room.clear();
-        if stream.read_buf(&mut room).await? == 0 {
-            return Ok(());
+        let due = shared.instant(shared.view.borrow().dispatcher.loads_due());
+        tokio::select! {
+            read = stream.read_buf(&mut room) => {
+                if read? == 0 {
+                    return Ok(());
+                }
+            }
+            () = sleep_until(due) => {
+                let news = shared.view.borrow_mut().dispatcher.tell_loads(shared.now());
+                if let Some(news) = news {
+                    stream.write_all(&frame(&Message::Loads(news))?).await?;
+                }
+                continue;
+            }
         }
         reader.push(&room);
         while let Some(message) = reader.next_message().map_err(io::Error::other)? {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -80,6 +80,7 @@
             }
             Message::Fleet(fleet) if fleet.proxies > 0 => self.dispatcher.set_proxies(fleet.proxies),
             Message::Prefixes(prefixes) => self.take_prefixes(&prefixes),
+            Message::Loads(loads) => self.dispatcher.take_loads(&loads, now),
             _ => {}
         }
         ViewAnswer::Taken
