Reading a start again weighs five times its time; short starts are not moved

Change: a move is taken up to five times the reading that it saves, from 512 tokens on; what others wait for counts fully. Load of the fleet goes only to agents that tell theirs. The break-even waits in choosing.rs moved with the weight, 10 ms either side as before; new cases for homes.

--- a/crates/agent/tests/merging.rs
+++ b/crates/agent/tests/merging.rs
@@ -248,3 +248,47 @@
     });
     assert_eq!(records.sum::<usize>(), 49);
 }
+
+fn hello_from(zone: &str) -> Message {
+    Message::Hello(Hello {
+        protocol: PROTOCOL,
+        role: Role::Controller,
+        machine: "core".into(),
+        zone: zone.into(),
+        incarnation: 1,
+        address: Address::NONE,
+        configuration: 0,
+    })
+}
+
+fn loads(tokens: u32) -> Message {
+    Message::Loads(peer::Loads::new(true, vec![peer::ReplicaLoad { replica: 5, tokens, calls: 1 }]))
+}
+
+#[rstest]
+fn load_passes_through_the_controller_of_the_agents_zone_only() {
+    let mut bench = Bench::new();
+    for (number, zone) in [(1, "west"), (2, "east"), (3, "west")] {
+        bench.up(number);
+        bench.tell(number, hello_from(zone));
+    }
+    let (link, _) = bench.proxy(0);
+    bench.flush(link);
+    let effects = bench.step(Input::ProxyMessage { link, message: loads(7) });
+    assert_eq!(to_controllers(&effects), [controller(2)]);
+    assert_eq!(to_proxy(bench.tell(1, loads(8))), []);
+    assert_eq!(to_proxy(bench.tell(2, loads(9))), [loads(9)]);
+    // Its controller is gone: another one of those that are left takes its place, always the same.
+    bench.down(2);
+    let effects = bench.step(Input::ProxyMessage { link, message: loads(10) });
+    let home = bench.machine.home_controller().expect("one is up");
+    assert_eq!(to_controllers(&effects), [home]);
+    assert!([controller(1), controller(3)].contains(&home));
+}
+
+#[rstest]
+fn load_goes_nowhere_while_no_controller_is_linked() {
+    let mut bench = Bench::new();
+    let (link, _) = bench.proxy(0);
+    assert_eq!(to_controllers(&bench.step(Input::ProxyMessage { link, message: loads(7) })), []);
+}
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -96,7 +96,7 @@
         let loads = self.loads.for_agents(at.now, &self.moves);
         for (link, agent) in self.agents.links.iter_mut().filter(|(_, agent)| !agent.busy) {
             let mut messages = agent.subscriber.messages(at.now, &self.view, age);
-            messages.extend(loads.clone());
+            messages.extend(loads.clone().filter(|_| self.loads.hears(*link)));
             if !messages.is_empty() {
                 agent.busy = true;
                 out.push(Effect::SendAgent { link: *link, messages });
--- a/crates/controller/src/machine/loads.rs
+++ b/crates/controller/src/machine/loads.rs
@@ -27,6 +27,11 @@
         self.agents.take(now, link, news);
     }
 
+    /// Whether an agent tells its load here: it wants that of the others from here, too.
+    pub fn hears(&self, link: LinkId) -> bool {
+        self.agents.hears(&link)
+    }
+
     /// An agent's link has ended.
     pub fn agent_down(&mut self, link: LinkId) {
         self.agents.forget(&link);
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -9,9 +9,9 @@
 /// How much cheaper another replica must be before it is taken over one that keeps the longest start, ms.
 const SWITCH_MARGIN: Ms = 20.0;
 
-/// How much more a ms of reading weighs than a ms of waiting: it delays the request as waiting does, and takes the
-/// replica's time from the requests behind it as well.
-const READING_WEIGHT: f64 = 2.5;
+/// What reading weighs besides its time where some replica or store keeps the tokens already: it takes the time of the
+/// requests behind it, and work that was done is done again.
+pub(crate) const AGAIN_WEIGHT: f64 = 4.0;
 
 /// Prompt tokens that a replica reads in a ms.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -37,12 +37,14 @@
     pub wait: Ms,
     /// How long it would take there to read what it neither keeps nor fetches, ms.
     pub reading: Ms,
+    /// The part of `reading` for tokens that are known to be kept somewhere else, ms.
+    pub again: Ms,
 }
 
 impl Candidate {
-    /// What it costs until the prompt is read there, in ms of waiting.
+    /// What sending the request there costs, in ms of waiting.
     fn cost(&self) -> Ms {
-        self.wait + READING_WEIGHT * self.reading
+        self.wait + self.reading + AGAIN_WEIGHT * self.again
     }
 }
 
--- a/crates/dispatch/src/home.rs
+++ b/crates/dispatch/src/home.rs
@@ -7,6 +7,10 @@
 /// Shortest shared start for which a home is worth its crowd, tokens.
 const LEAST_TOKENS: u32 = 512;
 
+/// What a home is worth to a start that nobody is known to keep, in parts of the time to read it: other proxies may send
+/// it there at the same moment, and two that read it do the work of one twice.
+pub const HOME_SAVES: f64 = 2.5;
+
 /// The place of a part's home among the replicas with these ids.
 pub fn home<'a>(part: &Part, ids: impl Iterator<Item = &'a str>) -> Option<usize> {
     let key = part.key.0.to_string();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,7 +30,7 @@
 pub use dispatcher::{Bounds, Dispatcher};
 pub use evidence::Ms;
 pub use health::Health;
-pub use home::home;
+pub use home::{home, HOME_SAVES};
 pub use moves::{Engine, Engines, Store};
 pub use prefix_index::{Part, ReplicaNumber};
 pub use salt::{isolation_digest, Salts};
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -4,6 +4,7 @@
 //! its link's. A store is asked also where nobody knows whether it has the blocks, since a miss costs about a
 //! millisecond.
 
+use crate::choose::AGAIN_WEIGHT;
 use evidence::Ms;
 use prefix_index::{Part, ReplicaNumber};
 use std::collections::HashMap;
@@ -11,8 +12,9 @@
 
 /// Time that a move takes before its first byte, ms.
 const SETUP: Ms = 2.0;
-/// Fewest tokens that are worth a move: two blocks of most engines.
-const FEWEST_TOKENS: u32 = 32;
+/// Fewest tokens that are worth a move. A replica's moves go one by one: a short one waits for the long ones before it,
+/// which takes longer than reading its tokens.
+pub(crate) const FEWEST_TOKENS: u32 = 512;
 /// Odd numbers that spread addresses and weights over 64 bits.
 const ADDRESS_MIX: u64 = 0x9e37_79b9_7f4a_7c15;
 const WEIGHT_MIX: u64 = 0xd6e8_feb8_6659_fd93;
@@ -81,9 +83,9 @@
         let gained = holder.tokens.checked_sub(kept).filter(|gained| *gained >= FEWEST_TOKENS)?;
         let mbps = holder.link_mbps.unwrap_or(engine.link_mbps);
         let takes = engine.moving(gained, mbps, holder.zone == zone);
-        let saved = f64::from(gained) / rate - takes;
-        // Tokens read twice are a cost by themselves: a move that takes a little longer than reading still pays.
-        (saved > -SETUP).then_some((saved, Move { from: holder.address, tokens: holder.tokens, takes }))
+        // Tokens read again cost more than their time: a move that takes longer than reading still pays.
+        let saved = (1.0 + AGAIN_WEIGHT) * f64::from(gained) / rate - takes;
+        (saved > 0.0).then_some((saved, Move { from: holder.address, tokens: holder.tokens, takes }))
     };
     let moves = holders.filter_map(worth);
     moves.max_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, best)| best)
--- a/crates/dispatch/src/moving.rs
+++ b/crates/dispatch/src/moving.rs
@@ -3,7 +3,7 @@
 use crate::call::Call;
 use crate::choose::ReadRate;
 use crate::dispatcher::Dispatcher;
-use crate::moves::{best, Holder, Move};
+use crate::moves::{best, Holder, Move, FEWEST_TOKENS};
 use evidence::Ms;
 use prefix_index::{Kept, Part, ReplicaNumber, Source};
 use std::net::SocketAddrV4;
@@ -20,6 +20,11 @@
 }
 
 impl Known {
+    /// The most tokens of the prompt's start that anyone keeps under a version.
+    pub fn longest(&self, version: u64) -> u32 {
+        self.holders(version).iter().map(|kept| kept.tokens).max().unwrap_or_default()
+    }
+
     fn holders(&self, version: u64) -> &[Kept] {
         self.holders.iter().find(|(known, _)| *known == version).map_or(&[], |(_, holders)| holders)
     }
@@ -77,9 +82,12 @@
             return none;
         };
         let Some((number, store)) = self.stores.home(first) else { return none };
+        let wanted = shared.iter().fold(0_u32, |sum, part| sum.saturating_add(part.tokens));
+        if wanted < FEWEST_TOKENS {
+            return none;
+        }
         let mut found = Vec::new();
         self.index.lookup(shared, now, &mut found);
-        let wanted: u32 = shared.iter().map(|part| part.tokens).sum();
         if found.iter().any(|kept| kept.replica == number && kept.tokens >= wanted) {
             return none;
         }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -3,7 +3,7 @@
 use crate::call::{Ask, Call, Cause, Final, Out, Target, COME_BACK, LEAST_TIME};
 use crate::choose::{pick, Candidate};
 use crate::dispatcher::{Dispatcher, FIRST_PROXIES};
-use crate::home;
+use crate::home::{self, HOME_SAVES};
 use crate::moves::Move;
 use crate::moving::Known;
 use crate::replica::Replica;
@@ -210,6 +210,12 @@
         }
     }
 
+    /// The most tokens of a call's start that anyone keeps under the weights that this replica has.
+    fn longest_kept(&self, call: &Call, number: ReplicaNumber, known: &Known, now: Ms) -> u32 {
+        let Some(model) = call.ask.model.as_deref() else { return 0 };
+        known.longest(self.version_to_expect(number, model, now))
+    }
+
     /// The replicas with what waiting at each would cost.
     fn costed(&self, call: &Call, numbers: &[ReplicaNumber], known: &Known, now: Ms) -> Vec<Candidate> {
         let service = &*call.ask.service;
@@ -229,11 +235,19 @@
             let unread = replica.pending_tokens + f64::from(others.tokens);
             let wait =
                 unread / speed.rate().0 + queued / slots * speed.duration() + replica.health.delay(now);
-            let fetched = self.best_move(call, *number, kept, known, now);
-            let (had, moving) = fetched.map_or((kept, 0.0), |fetched| (fetched.tokens, fetched.takes));
-            let reading = speed.rate().reading(tokens.saturating_sub(had));
-            let wait = wait + moving;
-            Candidate { replica: *number, out: replica.out, kept, wait, reading }
+            let really_kept = known.kept[at];
+            let fetched = self.best_move(call, *number, really_kept, known, now);
+            let (had, moving) = fetched.map_or((really_kept, 0.0), |fetched| (fetched.tokens, fetched.takes));
+            let rate = speed.rate();
+            let at_home = HOME_SAVES * rate.reading(kept.saturating_sub(had));
+            Candidate {
+                replica: *number,
+                out: replica.out,
+                kept,
+                wait: wait + moving,
+                reading: rate.reading(tokens.saturating_sub(had)) - at_home,
+                again: rate.reading(self.longest_kept(call, *number, known, now).saturating_sub(had)),
+            }
         };
         numbers.iter().enumerate().map(candidate).collect()
     }
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use dispatch::{home, isolation_digest, pick, Candidate, Outcome, ReadRate, ReplicaNumber, Salts, Weights};
+use dispatch::{
+    home, isolation_digest, pick, Candidate, Outcome, ReadRate, ReplicaNumber, Salts, Weights, HOME_SAVES,
+};
 use peer::{part_key, PartChange, Prefixes};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -11,9 +13,16 @@
 use support::*;
 
 fn candidate(replica: u32, out: u32, kept: u32, wait: f64) -> Candidate {
-    // A prompt of 1,000 tokens, of which 10 are read in a ms.
+    // A prompt of 1,000 tokens, of which 10 are read in a ms; what it does not keep, another replica does.
     let reading = ReadRate(10.0).reading(1_000 - kept);
-    Candidate { replica: ReplicaNumber(replica), out, kept, wait, reading }
+    Candidate { replica: ReplicaNumber(replica), out, kept, wait, reading, again: reading }
+}
+
+/// A replica that may be taken to keep so many tokens of a prompt that nobody is known to keep.
+fn unread(replica: u32, expected: u32, wait: f64) -> Candidate {
+    let rate = ReadRate(10.0);
+    let reading = rate.reading(1_000) - HOME_SAVES * rate.reading(expected);
+    Candidate { replica: ReplicaNumber(replica), out: 0, kept: expected, wait, reading, again: 0.0 }
 }
 
 /// The replicas picked over many draws.
@@ -30,8 +39,10 @@
 #[case::longest_start(&[candidate(1, 3, 900, 0.0), candidate(2, 0, 800, 0.0)], &[1])]
 #[case::fewest_out(&[candidate(1, 3, 900, 0.0), candidate(2, 1, 900, 0.0), candidate(3, 0, 0, 0.0)], &[2])]
 #[case::ties(&[candidate(1, 1, 0, 0.0), candidate(2, 1, 0, 0.0), candidate(3, 2, 0, 0.0)], &[1, 2])]
-#[case::waiting_longer_than_reading_again(&[candidate(1, 0, 1_000, 280.0), candidate(2, 0, 0, 0.0)], &[2])]
-#[case::waiting_less_than_reading_again(&[candidate(1, 9, 1_000, 260.0), candidate(2, 0, 0, 0.0)], &[1])]
+#[case::waiting_longer_than_reading_again(&[candidate(1, 0, 1_000, 530.0), candidate(2, 0, 0, 0.0)], &[2])]
+#[case::waiting_less_than_reading_again(&[candidate(1, 9, 1_000, 510.0), candidate(2, 0, 0, 0.0)], &[1])]
+#[case::waiting_longer_than_a_first_reading(&[unread(1, 900, 250.0), unread(2, 0, 0.0)], &[2])]
+#[case::waiting_less_than_a_first_reading(&[unread(1, 900, 220.0), unread(2, 0, 0.0)], &[1])]
 #[case::nobody(&[], &[])]
 fn picks(#[case] candidates: &[Candidate], #[case] expected: &[u32]) {
     assert_eq!(picked(candidates), expected);
@@ -224,3 +235,44 @@
         .collect();
     assert!(ids.len() > 3);
 }
+
+/// What the fleet tells of a replica.
+fn fleet_load(number: u8, tokens: u32, calls: u16) -> peer::Loads {
+    let replica = peer::replica_key(&format!("i-{number}"));
+    peer::Loads::new(true, vec![peer::ReplicaLoad { replica, tokens, calls }])
+}
+
+fn replicas_of_short_prompts(dispatcher: &mut dispatch::Dispatcher, at: f64) -> HashSet<String> {
+    (0..40).map(|n| answered(dispatcher, prompt(&format!("{n:x}c{at}:20")), at).id.to_string()).collect()
+}
+
+#[test]
+fn what_other_proxies_wait_for_keeps_requests_away() {
+    let mut dispatcher = dispatcher(2);
+    dispatcher.take_loads(&fleet_load(1, 40_000, 3), START);
+    assert_eq!(replicas_of_short_prompts(&mut dispatcher, START), HashSet::from(["i-2".to_string()]));
+    dispatcher.take_loads(&fleet_load(1, 0, 0), START + 100.0);
+    assert_eq!(replicas_of_short_prompts(&mut dispatcher, START + 100.0).len(), 2);
+}
+
+#[test]
+fn what_was_told_of_other_proxies_long_ago_counts_no_more() {
+    let mut dispatcher = dispatcher(2);
+    dispatcher.take_loads(&fleet_load(1, 40_000, 3), START);
+    assert_eq!(replicas_of_short_prompts(&mut dispatcher, START + 2_600.0).len(), 2);
+}
+
+#[test]
+fn a_proxys_own_calls_do_not_count_twice() {
+    let mut dispatcher = dispatcher(2);
+    let (_call, target) = sent(&mut dispatcher, prompt("aa:6000"), START);
+    let told = dispatcher.tell_loads(START).expect("news");
+    assert_eq!((told.loads.len(), told.loads[0].tokens, told.loads[0].calls), (1, 6_000, 1));
+    dispatcher.take_loads(&told, START);
+    // The other replica has more to read than this one's own call.
+    let other = if &*target.id == "i-1" { 2 } else { 1 };
+    let mut sum = fleet_load(other, 9_000, 1);
+    sum.is_whole = 0;
+    dispatcher.take_loads(&sum, START);
+    assert_eq!(replicas_of_short_prompts(&mut dispatcher, START), HashSet::from([target.id.to_string()]));
+}
--- a/crates/dispatch/tests/moves.rs
+++ b/crates/dispatch/tests/moves.rs
@@ -80,3 +80,28 @@
     let target = first_send(&mut with_store(3), "aa:5000");
     assert_eq!((target.fetch, target.save), (None, None));
 }
+
+#[test]
+fn short_starts_are_neither_fetched_nor_saved() {
+    let mut dispatcher = with_store(3);
+    take(&mut dispatcher, &told(STORE, 7, "aa", 500));
+    let target = first_send(&mut dispatcher, "aa:500,b1:10");
+    assert_eq!((target.fetch, target.save), (None, None));
+    let target = first_send(&mut dispatcher, "cc:500,b1:10");
+    assert_eq!((target.fetch, target.save), (None, None));
+}
+
+/// Over this link a move of 5,000 tokens takes 328 ms, and reading them 125 ms.
+#[test]
+fn a_move_that_takes_longer_than_reading_is_taken_where_reading_would_be_again() {
+    let mut dispatcher = dispatcher(2);
+    let engine = Engine { token_bytes: 163_840.0, link_mbps: 20_000.0 };
+    dispatcher.set_moves([(String::from("s"), engine)].into(), Vec::new());
+    take(&mut dispatcher, &told("i-2", 7, "aa", 5_000));
+    let (mut held, first) = sent(&mut dispatcher, prompt("aa:5000,b1:40000"), START);
+    assert_eq!((&*first.id, first.fetch), ("i-2", None));
+    // It has a second's reading before it: the other replica takes this one.
+    let (_, second) = sent(&mut dispatcher, prompt("aa:5000,b2:10"), START + 1.0);
+    assert_eq!((&*second.id, second.fetch), ("i-1", Some(first.address)));
+    dispatcher.ended(&mut held, first.replica, Outcome::Abandoned, START + 2.0);
+}
--- a/crates/load/src/sums.rs
+++ b/crates/load/src/sums.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether a source was heard lately.
+    pub fn hears(&self, source: &Source) -> bool {
+        self.sources.contains_key(source)
+    }
+
     /// A source has ended.
     pub fn forget(&mut self, source: &Source) {
         self.sources.remove(source);
