Kept parts are told by interest: proxies name the shared parts that they see

Ruled out: leaving out short parts only, which does not bound what grows with requests. Change: message 13; a proxy names each shared part once in 10 s while it sends it, its agent asks all controllers and asks again of those that come later, a controller tells who keeps a part when it is asked for, and takes it back when nobody has asked for 30 s. Agents of protocol 1 are told all, as before.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddrV4;
 
 use catalog::Limits;
-use feed::{record_to_wire, ConfigurationTaken, Subscriber, View};
+use feed::{record_to_wire, ConfigurationTaken, Subscriber, View, Wanted};
 use links::LinkId;
-use peer::{replica_key, Alive, Fleet, Hello, Message, Replicas, NEVER};
+use peer::{replica_key, Alive, Fleet, Hello, Interest, Message, Replicas, NEVER};
 
 use crate::event::AgentEvent;
 use crate::Millis;
@@ -94,6 +94,8 @@
     place: Place,
     seeds: Vec<SocketAddrV4>,
     view: View,
+    /// Parts of prompts that the proxy wants to hear of.
+    wanted: Wanted,
     controllers: BTreeMap<SocketAddrV4, Controller>,
     proxies: BTreeMap<LinkId, Proxy>,
     next_upkeep: Millis,
@@ -106,6 +108,7 @@
             place,
             seeds,
             view: View::new(limits),
+            wanted: Wanted::default(),
             controllers: BTreeMap::new(),
             proxies: BTreeMap::new(),
             next_upkeep: now + UPKEEP_EVERY_MS,
@@ -118,6 +121,11 @@
             Input::ControllerUp { controller } => {
                 let entry = self.controllers.entry(controller).or_default();
                 (entry.up, entry.seen) = (true, now);
+                let parts: Vec<u64> = self.wanted.all().collect();
+                if !parts.is_empty() {
+                    let message = Message::Interest(Interest::from(parts));
+                    out.push(Effect::SendController { to: controller, message });
+                }
             }
             Input::ControllerDown { controller } => {
                 if let Some(entry) = self.controllers.get_mut(&controller) {
@@ -140,6 +148,9 @@
                 let message = Message::Loads(loads);
                 out.extend(self.home_controller().map(|to| Effect::SendController { to, message }));
             }
+            Input::ProxyMessage { message: Message::Interest(interest), .. } => {
+                self.pass_interest(now, &interest, out);
+            }
             Input::ProxyMessage { .. } => {}
             Input::ProxyFlushed { link } => {
                 if let Some(proxy) = self.proxies.get_mut(&link) {
@@ -188,6 +199,7 @@
         // Only controllers pass judgement on silent replicas; here old ends are forgotten.
         self.view.replicas.tick(now, false);
         self.view.forget_prefixes_of_ended();
+        self.wanted.forget_old(now);
         self.controllers.retain(|_, one| one.up || now.saturating_sub(one.seen) < REMEMBER_MS);
         self.update_fleet();
     }
@@ -229,6 +241,17 @@
         up.max_by_key(weight).map(|(address, _)| *address)
     }
 
+    /// Each controller tells of the replicas that it reads: all of them are asked.
+    fn pass_interest(&mut self, now: Millis, interest: &Interest, out: &mut Vec<Effect>) {
+        for part in &interest.parts {
+            self.wanted.ask(now, *part);
+        }
+        for (to, _) in self.controllers.iter().filter(|(_, one)| one.up) {
+            let message = Message::Interest(interest.clone());
+            out.push(Effect::SendController { to: *to, message });
+        }
+    }
+
     /// Passes the load of the fleet on. A proxy that is still busy with its last batch misses this; the next whole makes
     /// up for it.
     fn pass_loads(&mut self, loads: &peer::Loads, out: &mut Vec<Effect>) {
--- a/crates/agent/tests/merging.rs
+++ b/crates/agent/tests/merging.rs
@@ -292,3 +292,24 @@
     let (link, _) = bench.proxy(0);
     assert_eq!(to_controllers(&bench.step(Input::ProxyMessage { link, message: loads(7) })), []);
 }
+
+#[rstest]
+fn what_the_proxy_wants_is_asked_of_all_controllers_and_of_those_that_come_later() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.up(2);
+    let (link, _) = bench.proxy(0);
+    let message = Message::Interest(peer::Interest::from(vec![5, 6]));
+    let effects = bench.step(Input::ProxyMessage { link, message: message.clone() });
+    assert_eq!(to_controllers(&effects), [controller(1), controller(2)]);
+    let effects = bench.step(Input::ControllerUp { controller: controller(3) });
+    let asked = effects.iter().find_map(|effect| match effect {
+        Effect::SendController { to, message: Message::Interest(interest) } if *to == controller(3) => {
+            Some(interest.parts.clone())
+        }
+        _ => None,
+    });
+    let mut asked = asked.expect("asked");
+    asked.sort_unstable();
+    assert_eq!(asked, [5, 6]);
+}
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -84,6 +84,7 @@
                 self.view.take_replicas(at.now, &replicas);
             }
             Message::Loads(news) => self.loads.agent_told(at.now, link, &news),
+            Message::Interest(interest) => self.view.prefixes.ask(at.now, &interest.parts),
             _ => {}
         }
     }
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-use feed::View;
+use feed::{PrefixTable, View};
 use links::LinkId;
 use membership::{Member, Membership};
 use peer::Message;
@@ -172,6 +172,8 @@
 impl Machine {
     pub fn new(now: Millis, timing: Timing, me: Member, membership: Membership) -> Machine {
         let limits = catalog::Limits::for_beats(timing.beat_every_ms, timing.reuse_after_ms);
+        let mut view = View::new(limits);
+        view.prefixes = PrefixTable::of_wanted_parts();
         Machine {
             started: now,
             timing,
@@ -179,7 +181,7 @@
             register: None,
             membership,
             suspected: BTreeSet::new(),
-            view: View::new(limits),
+            view,
             weights: WeightsValue::default(),
             holder: Holder::new(now, me.peer, timing.lease_ms),
             moves: Moves::default(),
@@ -208,7 +210,12 @@
             Input::PeerUp { peer } => self.peers.up(peer),
             Input::PeerDown { peer } => self.peers.down(peer),
             Input::PeerMessage { from, message } => self.peer_message(at, from, message, out),
-            Input::AgentUp { link, hello } => self.agents.up(at.now, link, &hello),
+            Input::AgentUp { link, hello } => {
+                if hello.protocol < peer::TELLS_INTEREST {
+                    self.view.prefixes.tell_all();
+                }
+                self.agents.up(at.now, link, &hello);
+            }
             Input::AgentMessage { link, message } => self.agent_message(at, link, message),
             Input::AgentFlushed { link } => self.agents.flushed(link),
             Input::AgentDown { link } => {
@@ -276,6 +283,7 @@
             self.update_fleet(at.now);
             self.consider_duty(at, out);
             self.view.forget_prefixes_of_ended();
+            self.view.prefixes.forget_unwanted(at.now);
         }
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -11,11 +11,14 @@
 use crate::weights::Weights;
 use evidence::Ms;
 use peer::{Prefixes, ReplicaRecord, ReplicaState, UNREACHABLE};
-use prefix_index::{PartKey, PrefixIndex, ReplicaNumber, Source};
+use prefix_index::{Part, PartKey, PrefixIndex, ReplicaNumber, Source};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::collections::HashMap;
 
+/// Parts seen that are kept for whoever asks; nobody does while the agent is away.
+const MOST_SEEN: usize = 50_000;
+
 /// The number of proxies until the fleet tells.
 pub(crate) const FIRST_PROXIES: u32 = 64;
 
@@ -57,6 +60,8 @@
     pub(crate) engines: Engines,
     pub(crate) stores: Stores,
     pub(crate) fleet_load: FleetLoad,
+    /// Shared parts of prompts that were sent since they were asked about last.
+    pub(crate) seen_parts: Vec<PartKey>,
     pub(crate) random: SmallRng,
     twin_part: f64,
 }
@@ -79,6 +84,7 @@
             engines: Engines::new(),
             stores: Stores::default(),
             fleet_load: FleetLoad::default(),
+            seen_parts: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
             twin_part: 0.0,
         }
@@ -207,6 +213,19 @@
         self.fleet_load.tell(&own, now)
     }
 
+    /// Notes the parts of a prompt that was sent. The last one belongs to the request or its session: nobody else asks
+    /// for it.
+    pub(crate) fn see(&mut self, parts: &[Part]) {
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let room = MOST_SEEN.saturating_sub(self.seen_parts.len());
+        self.seen_parts.extend(shared.iter().take(room).map(|part| part.key));
+    }
+
+    /// The shared parts of prompts sent since this was asked last.
+    pub fn take_seen_parts(&mut self) -> Vec<PartKey> {
+        std::mem::take(&mut self.seen_parts)
+    }
+
     /// Replicas that take requests, of all services.
     pub fn ready_replicas(&self) -> usize {
         self.replicas.values().filter(|replica| replica.is_ready()).count()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -32,7 +32,7 @@
 pub use health::Health;
 pub use home::{home, HOME_SAVES};
 pub use moves::{Engine, Engines, Store};
-pub use prefix_index::{Part, ReplicaNumber};
+pub use prefix_index::{Part, PartKey, ReplicaNumber};
 pub use salt::{isolation_digest, Salts};
 pub use twins::{Twins, MOST_TWINS};
 pub use weights::Weights;
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -102,6 +102,7 @@
             _ => Vec::new(),
         };
         let errands = self.errands(call, &parts, fetched, now);
+        self.see(&parts);
         for part in &parts {
             self.index.keep(number, part.key, part.tokens, Source::Sent(now));
         }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -3,12 +3,14 @@
 //! same way. No I/O; times are milliseconds of a steady clock that the caller hands in.
 
 mod held;
+mod interest;
 mod prefixes;
 mod records;
 mod subscriber;
 mod view;
 
 pub use held::{ConfigurationTaken, HeldConfiguration};
+pub use interest::{Asked, Wanted, ASK_AGAIN_MS, FORGET_MS};
 pub use prefixes::{PrefixFeed, PrefixTable};
 pub use records::{record_from_wire, record_to_wire};
 pub use subscriber::{ReplicaFeed, Subscriber};
--- a/crates/feed/src/prefixes.rs
+++ b/crates/feed/src/prefixes.rs
@@ -4,6 +4,9 @@
 
 use peer::{Message, PartChange, Prefixes};
 
+use crate::interest::Wanted;
+use crate::Millis;
+
 /// Changes that are kept for subscribers; one that is further behind takes a snapshot.
 const MOST_CHANGES: usize = 20_000;
 /// Parts that are kept of one replica; of a replica that keeps more, the others are not told.
@@ -44,6 +47,8 @@
     steps: VecDeque<(String, Step)>,
     /// Number of the last step.
     last: u64,
+    /// The parts that are told; `None`: all.
+    wanted: Option<Wanted>,
 }
 
 /// How far one receiver has got in the changes of parts.
@@ -54,6 +59,50 @@
 }
 
 impl PrefixTable {
+    /// A table that tells of parts that were asked for, and of no others.
+    pub fn of_wanted_parts() -> PrefixTable {
+        PrefixTable { wanted: Some(Wanted::default()), ..PrefixTable::default() }
+    }
+
+    /// From now on all parts are told: a receiver can't ask for what it wants.
+    pub fn tell_all(&mut self) {
+        if self.wanted.take().is_some() {
+            // Receivers are further behind than the changes that are kept: they take a snapshot.
+            self.steps.clear();
+            self.last += 1;
+        }
+    }
+
+    /// Receivers want to hear of these parts; who keeps them is told at once.
+    pub fn ask(&mut self, now: Millis, parts: &[u64]) {
+        let Some(wanted) = &mut self.wanted else { return };
+        let new: Vec<u64> = parts.iter().copied().filter(|part| wanted.ask(now, *part)).collect();
+        for part in new {
+            self.note_holders(part, |tokens| tokens);
+        }
+    }
+
+    /// Forgets which parts were wanted long ago; receivers are told that nobody keeps them.
+    pub fn forget_unwanted(&mut self, now: Millis) {
+        let Some(wanted) = &mut self.wanted else { return };
+        for part in wanted.forget_old(now) {
+            self.note_holders(part, |_| 0);
+        }
+    }
+
+    /// Notes a change of a part at each of its holders.
+    fn note_holders(&mut self, part: u64, tokens: impl Fn(u32) -> u32) {
+        let kept = self.replicas.iter().filter_map(|(id, kept)| Some((id, *kept.parts.get(&part)?)));
+        let holders: Vec<(String, u32)> = kept.map(|(id, kept)| (id.clone(), kept)).collect();
+        for (replica, kept) in holders {
+            self.note(&replica, Step::Change(PartChange { part, tokens: tokens(kept) }));
+        }
+    }
+
+    fn is_told(&self, part: u64) -> bool {
+        self.wanted.as_ref().is_none_or(|wanted| wanted.has(part))
+    }
+
     /// Takes changes of what a replica keeps.
     pub fn take(&mut self, prefixes: &Prefixes) {
         let replica = prefixes.replica.as_str();
@@ -74,7 +123,7 @@
 
     fn change(&mut self, replica: &str, change: PartChange) {
         let Some(kept) = self.replicas.get_mut(replica) else { return };
-        if kept.take(change) {
+        if kept.take(change) && self.is_told(change.part) {
             self.note(replica, Step::Change(change));
         }
     }
@@ -95,7 +144,7 @@
     /// Everything, each replica from the beginning.
     fn snapshot(&self) -> Vec<Message> {
         let whole = self.replicas.iter().map(|(replica, kept)| {
-            let parts = kept.parts.iter();
+            let parts = kept.parts.iter().filter(|(part, _)| self.is_told(**part));
             let changes = parts.map(|(part, tokens)| PartChange { part: *part, tokens: *tokens }).collect();
             Message::Prefixes(Prefixes::new(replica, kept.epoch, true, changes))
         });
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,7 +4,9 @@
 use deku::prelude::*;
 
 /// The version of the protocol that this program speaks.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
+/// From this version on, agents tell which parts of prompts they want to hear of ([`Interest`]).
+pub const TELLS_INTEREST: u16 = 2;
 
 /// An age that means: not yet, or longer ago than can be said.
 pub const NEVER: u32 = u32::MAX;
@@ -12,7 +14,7 @@
 /// Most records or beats in one message; more go in further messages. Room for a list is made before it is read, so
 /// each count has a limit.
 pub const MOST_RECORDS: u32 = 8192;
-/// Most changes of kept parts in one message.
+/// Most changes or names of kept parts in one message.
 pub const MOST_CHANGES: u32 = 262_144;
 
 /// The epoch of a replica or store whose events can't be read: nothing is to be fetched from there.
@@ -336,6 +338,22 @@
     }
 }
 
+/// Parts of prompts that the sender wants to hear of; it says so again while it does.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Interest {
+    #[deku(assert = "*count <= MOST_CHANGES", endian = "little", update = "self.parts.len()")]
+    count: u32,
+    /// The parts, by [`crate::part_key`].
+    #[deku(count = "count", endian = "little")]
+    pub parts: Vec<u64>,
+}
+
+impl From<Vec<u64>> for Interest {
+    fn from(parts: Vec<u64>) -> Interest {
+        Interest { count: parts.len() as u32, parts }
+    }
+}
+
 /// The sender lives, and how far it is in step with the majority.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 pub struct Alive {
@@ -387,6 +405,9 @@
     /// What is out at replicas.
     #[deku(id = "12")]
     Loads(Loads),
+    /// Parts of prompts that the sender wants to hear of.
+    #[deku(id = "13")]
+    Interest(Interest),
     /// A message of a later version; to be skipped.
     #[deku(id_pat = "_")]
     Unknown {
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -40,11 +40,12 @@
 async fn follow(shared: &Rc<Shared>, stream: &mut TcpStream, incarnation: u64) -> io::Result<()> {
     stream.set_nodelay(true)?;
     stream.write_all(&frame(&hello(shared, incarnation))?).await?;
+    shared.view.borrow_mut().linked();
     let mut reader = FrameReader::default();
     let mut room = Vec::with_capacity(READ_ROOM);
     loop {
         room.clear();
-        let due = shared.instant(shared.view.borrow().dispatcher.loads_due());
+        let due = shared.instant(shared.view.borrow().news_due());
         tokio::select! {
             read = stream.read_buf(&mut room) => {
                 if read? == 0 {
@@ -52,9 +53,9 @@
                 }
             }
             () = sleep_until(due) => {
-                let news = shared.view.borrow_mut().dispatcher.tell_loads(shared.now());
-                if let Some(news) = news {
-                    stream.write_all(&frame(&Message::Loads(news))?).await?;
+                let news = shared.view.borrow_mut().news(shared.now());
+                for message in &news {
+                    stream.write_all(&frame(message)?).await?;
                 }
                 continue;
             }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -2,6 +2,7 @@
 
 use configuration::{Changes, Configuration, ConfigurationError, Document, KeyTable, Router, Service};
 use dispatch::{isolation_digest, Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Store};
+use feed::Asked;
 use peer::{Message, NEVER};
 use std::rc::Rc;
 
@@ -40,13 +41,14 @@
     pub dispatcher: Dispatcher,
     in_force: Option<Rc<InForce>>,
     has_replicas: bool,
+    asked: Asked,
 }
 
 impl View {
     /// Nothing is known yet.
     pub fn new(bounds: Bounds, seed: u64, now: Ms) -> View {
         let dispatcher = Dispatcher::new(bounds, INDEX_BYTES, seed, now);
-        View { dispatcher, in_force: None, has_replicas: false }
+        View { dispatcher, in_force: None, has_replicas: false, asked: Asked::default() }
     }
 
     /// The configuration in force.
@@ -86,6 +88,25 @@
         ViewAnswer::Taken
     }
 
+    /// The agent is another one, or another life of it: it has heard nothing from this process.
+    pub fn linked(&mut self) {
+        self.asked.start_again();
+    }
+
+    /// When [`View::news`] may have something to tell.
+    pub fn news_due(&self) -> Ms {
+        self.dispatcher.loads_due()
+    }
+
+    /// What the agent is to hear now.
+    pub fn news(&mut self, now: Ms) -> Vec<Message> {
+        for part in self.dispatcher.take_seen_parts() {
+            self.asked.see(now as u64, part.0);
+        }
+        let loads = self.dispatcher.tell_loads(now).map(Message::Loads);
+        loads.into_iter().chain(self.asked.message().map(Message::Interest)).collect()
+    }
+
     fn configure(&mut self, message: &peer::Configuration) -> ViewAnswer {
         if message.version <= self.version() {
             return ViewAnswer::Taken;
