A configuration reaches an agent once: from its home, as changes in whatever order

Ruled out: the replicas (idle then; requests took 355 ms from the client to a replica). Change: changes lead to the same items, in whatever order; an agent's home tells it first, the other controllers after 500 ms and only if the agent has not told by then that it has that version.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -270,7 +270,8 @@
         let version = configuration.version;
         match self.view.take_configuration_message(configuration) {
             Ok(ConfigurationTaken::News) => {
-                AgentEvent::ConfigurationTaken.info(format_args!("configuration {version} is in force"))
+                AgentEvent::ConfigurationTaken.info(format_args!("configuration {version} is in force"));
+                self.tell_configuration(version, out);
             }
             Ok(ConfigurationTaken::Known) => {}
             Ok(ConfigurationTaken::OtherBase) => {
@@ -284,6 +285,14 @@
         }
     }
 
+    /// Tells all controllers which configuration is held: those that did not bring it need not.
+    fn tell_configuration(&self, configuration: u64, out: &mut Vec<Effect>) {
+        for (to, _) in self.controllers.iter().filter(|(_, one)| one.up) {
+            let message = Message::Alive(Alive { majority_age_ms: NEVER, configuration });
+            out.push(Effect::SendController { to: *to, message });
+        }
+    }
+
     /// What one controller calls lost is told to the others: one that is cut off from it may hear the replica.
     fn replicas(&mut self, now: Millis, from: SocketAddrV4, replicas: &Replicas, out: &mut Vec<Effect>) {
         let taken = self.view.take_replicas(now, replicas);
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -105,6 +105,15 @@
         Configuration::read(self.to_json().as_bytes())
     }
 
+    /// Whether both have the same version and the same items, in whatever order: nothing depends on their order.
+    pub fn has_same_items(&self, other: &Document) -> bool {
+        self.version == other.version
+            && self.caps == other.caps
+            && sorted(&self.routes) == sorted(&other.routes)
+            && sorted(&self.services) == sorted(&other.services)
+            && sorted(&self.customers) == sorted(&other.customers)
+    }
+
     /// This configuration with changes taken in.
     pub fn with(&self, changes: &Changes) -> Document {
         let upserts = &changes.upsert;
@@ -119,6 +128,12 @@
     }
 }
 
+fn sorted(items: &[Item]) -> Vec<&Item> {
+    let mut items: Vec<&Item> = items.iter().collect();
+    items.sort_unstable_by(|one, other| (&one.name, &one.text).cmp(&(&other.name, &other.text)));
+    items
+}
+
 /// Items with some replaced by name or added at the end, and some removed.
 fn merged(items: &[Item], upserts: &[Item], removed: &[String]) -> Vec<Item> {
     let mut merged: Vec<Item> = items.iter().filter(|item| !removed.contains(&item.name)).cloned().collect();
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -83,6 +83,11 @@
             Message::Replicas(replicas) => {
                 self.view.take_replicas(at.now, &replicas);
             }
+            Message::Alive(alive) => {
+                if let Some(agent) = self.agents.links.get_mut(&link) {
+                    agent.subscriber.has_configuration(alive.configuration);
+                }
+            }
             Message::Loads(news) => self.loads.agent_told(at.now, link, &news),
             Message::Interest(interest) => self.view.prefixes.ask(at.now, &interest.parts),
             _ => {}
@@ -96,6 +101,7 @@
         // An agent that is still busy with its last batch misses this; the next whole makes up for it.
         let loads = self.loads.for_agents(at.now, &self.moves);
         for (link, agent) in self.agents.links.iter_mut().filter(|(_, agent)| !agent.busy) {
+            agent.subscriber.set_home(self.loads.hears(*link));
             let mut messages = agent.subscriber.messages(at.now, &self.view, age);
             messages.extend(loads.clone().filter(|_| self.loads.hears(*link)));
             if !messages.is_empty() {
--- a/crates/controller/tests/replicas.rs
+++ b/crates/controller/tests/replicas.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use catalog::State;
-use peer::{Message, ReplicaState};
+use feed::HOME_FIRST_MS;
+use peer::{Alive, Message, ReplicaState, NEVER};
 use rstest::rstest;
 use support::{configuration, Cluster};
 
@@ -13,6 +14,11 @@
     cluster
 }
 
+/// What an agent tells its home while its proxy has nothing out.
+fn no_load() -> Message {
+    Message::Loads(peer::Loads::new(true, Vec::new()))
+}
+
 #[rstest]
 fn replicas_heard_by_one_are_known_to_all_and_their_draining_too() {
     let mut cluster = started(10);
@@ -52,6 +58,7 @@
 fn agents_get_changes_of_the_configuration_where_they_have_a_base() {
     let mut cluster = started(12);
     let agent = cluster.connect_agent(1, "edge-1");
+    cluster.agent_sends(agent, no_load());
     cluster.call(1, "POST", "/config/replace", Some("0"), &configuration(1, 50));
     cluster.play(50);
     cluster.call(0, "POST", "/config/replace", Some("1"), &configuration(2, 51));
@@ -65,6 +72,43 @@
     assert_eq!(cluster.configurations_told(agent).last().map(|told| told.base), Some(0), "the whole");
 }
 
+/// An agent tells its load to its home only; the other controllers let the home bring a configuration first.
+#[rstest]
+fn a_controller_that_is_not_an_agents_home_tells_only_what_the_agent_has_not_heard(
+    #[values(true, false)] home_told: bool,
+) {
+    let mut cluster = started(16);
+    let agent = cluster.connect_agent(1, "edge-1");
+    cluster.call(1, "POST", "/config/replace", Some("0"), &configuration(1, 50));
+    cluster.play(HOME_FIRST_MS - 100);
+    assert!(cluster.configurations_told(agent).is_empty());
+    if home_told {
+        cluster.agent_sends(agent, Message::Alive(Alive { majority_age_ms: NEVER, configuration: 1 }));
+    }
+    cluster.play(200);
+    assert_eq!(cluster.configurations_told(agent).len(), usize::from(!home_told));
+}
+
+/// Operators send the whole again with items in another order, or put new ones between the old.
+#[rstest]
+fn a_change_is_told_as_such_whatever_the_order_of_items() {
+    let mut cluster = started(17);
+    let agent = cluster.connect_agent(1, "edge-1");
+    cluster.agent_sends(agent, no_load());
+    cluster.call(1, "POST", "/config/replace", Some("0"), &configuration(1, 50));
+    cluster.play(50);
+    let body = configuration(2, 51);
+    let (before, routes) = body.split_once("\"routes\":[{").expect("routes");
+    let (routes, after) = routes.split_once("}],").expect("their end");
+    let mut reversed: Vec<&str> = routes.split("},{").collect();
+    reversed.reverse();
+    let body = format!("{before}\"routes\":[{{{}}}],{after}", reversed.join("},{"));
+    cluster.call(0, "POST", "/config/replace", Some("1"), &body);
+    cluster.play(100);
+    let told = cluster.configurations_told(agent);
+    assert_eq!(told.last().map(|told| (told.base, told.version)), Some((1, 2)));
+}
+
 #[rstest]
 fn a_slow_agent_holds_one_batch_and_then_gets_the_newest() {
     let mut cluster = started(13);
--- a/crates/feed/src/held.rs
+++ b/crates/feed/src/held.rs
@@ -42,7 +42,7 @@
     fn with_document(document: Document, body: Vec<u8>, before: Option<&HeldConfiguration>) -> Self {
         let step = before.and_then(|before| {
             let changes = Changes::between(&before.document, &document);
-            let leads_here = before.document.with(&changes) == document;
+            let leads_here = before.document.with(&changes).has_same_items(&document);
             let changes = changes.to_json().into_bytes();
             (leads_here && changes.len() < body.len()).then_some((before.version(), changes))
         });
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -13,7 +13,7 @@
 pub use interest::{Asked, Wanted, ASK_AGAIN_MS, FORGET_MS};
 pub use prefixes::{PrefixFeed, PrefixTable};
 pub use records::{record_from_wire, record_to_wire};
-pub use subscriber::{ReplicaFeed, Subscriber};
+pub use subscriber::{ReplicaFeed, Subscriber, HOME_FIRST_MS};
 pub use view::{NamedWeights, ReplicasTaken, View};
 
 /// Milliseconds of the caller's steady clock.
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -12,6 +12,10 @@
 /// Changes of what replicas keep are sent at most so often: each message costs its receivers a wake-up.
 const PREFIXES_EVERY_MS: Millis = 100;
 
+/// A receiver hears of a configuration from its home feeder; the others wait for so long, and tell it only if it has not
+/// heard by then.
+pub const HOME_FIRST_MS: Millis = 500;
+
 /// How far one receiver has got in the changes of replicas.
 #[derive(Debug, Clone, Default)]
 pub struct ReplicaFeed {
@@ -38,6 +42,10 @@
 #[derive(Debug, Clone)]
 pub struct Subscriber {
     configuration: u64,
+    /// Whether this feeder is the one that tells the receiver first.
+    is_home: bool,
+    /// The newest configuration here that the receiver lacks, with when it was noticed.
+    lacks: Option<(u64, Millis)>,
     replicas: ReplicaFeed,
     weights: u64,
     fleet: u64,
@@ -51,6 +59,8 @@
     pub fn new(configuration: u64) -> Subscriber {
         Subscriber {
             configuration,
+            is_home: true,
+            lacks: None,
             replicas: ReplicaFeed::default(),
             weights: 0,
             fleet: 0,
@@ -65,9 +75,19 @@
         self.configuration = 0;
     }
 
+    /// Whether this feeder is the receiver's home; the only one is, unless it is said.
+    pub fn set_home(&mut self, is_home: bool) {
+        self.is_home = is_home;
+    }
+
+    /// The subscriber says that it has this version of the configuration, whoever told it.
+    pub fn has_configuration(&mut self, version: u64) {
+        self.configuration = self.configuration.max(version);
+    }
+
     /// When the subscriber is to hear something even if there is no news.
     pub fn deadline(&self, view: &View) -> Millis {
-        let alive = self.alive_deadline();
+        let alive = self.alive_deadline().min(self.configuration_deadline());
         if self.prefixes.is_behind(&view.prefixes) {
             alive.min(self.prefixes_at)
         } else {
@@ -75,6 +95,10 @@
         }
     }
 
+    fn configuration_deadline(&self) -> Millis {
+        self.lacks.map_or(Millis::MAX, |(_, since)| since + HOME_FIRST_MS)
+    }
+
     fn alive_deadline(&self) -> Millis {
         self.alive_at.map_or(0, |at| at + ALIVE_EVERY_MS)
     }
@@ -84,7 +108,7 @@
     pub fn messages(&mut self, now: Millis, view: &View, majority_age_ms: u32) -> Vec<Message> {
         let mut messages = Vec::new();
         messages.extend(self.replicas.message(view));
-        messages.extend(self.configuration(view));
+        messages.extend(self.configuration(now, view));
         messages.extend(self.weights(now, view));
         messages.extend(self.fleet(view));
         messages.extend(self.prefixes(now, view));
@@ -104,8 +128,17 @@
         self.prefixes.messages(&view.prefixes)
     }
 
-    fn configuration(&mut self, view: &View) -> Option<Message> {
-        let held = view.configuration().filter(|held| held.version() > self.configuration)?;
+    fn configuration(&mut self, now: Millis, view: &View) -> Option<Message> {
+        let Some(held) = view.configuration().filter(|held| held.version() > self.configuration) else {
+            self.lacks = None;
+            return None;
+        };
+        let noticed = self.lacks.filter(|(version, _)| *version == held.version());
+        let (_, since) = *self.lacks.insert(noticed.unwrap_or((held.version(), now)));
+        if !self.is_home && now < since + HOME_FIRST_MS {
+            return None;
+        }
+        self.lacks = None;
         let message = held.message_for(self.configuration);
         self.configuration = held.version();
         Some(Message::Configuration(message))
