A change of the configuration is read alone, by proxies and agents

Cause: after each change a proxy read the whole configuration anew: 42 ms of processor time for 1,160 routes (examples/reading.rs: 24.4 ms to cut it into items, 17.6 ms into types), which is 350 ms on an edge machine with 0.12 cores, during which no stream goes on. Change: changes are read and merged in types; the proxy no longer keeps the text; an agent passes a change on as it came in place of working it out again; names of items are read in one pass (15.3 ms in place of 24.4).

--- a/crates/configuration/src/changes.rs
+++ b/crates/configuration/src/changes.rs
@@ -1,6 +1,6 @@
 //! Changes of named items on top of a version.
 
-use crate::document::items;
+use crate::document::{items, Names};
 use crate::json;
 use crate::whole::Whole;
 use crate::{ConfigurationError, Document, Item};
@@ -59,6 +59,12 @@
     caps: Option<RawJson<'text>>,
 }
 
+#[derive(Facet)]
+struct UpsertNames {
+    #[facet(default)]
+    upsert: Option<Names>,
+}
+
 #[derive(Facet)]
 struct Outline<'text> {
     version: Whole,
@@ -74,14 +80,15 @@
     /// # Errors
     /// Tells what can't be read.
     pub fn read(json: &[u8]) -> Result<Changes, ConfigurationError> {
-        let outline: Outline = json::read_borrowed(json)?;
+        let (outline, names): (Outline, UpsertNames) = json::read_twice(json)?;
         let upsert = outline.upsert.unwrap_or_default();
+        let names = names.upsert.unwrap_or_default();
         Ok(Changes {
             version: outline.version.0,
             upsert: Upserts {
-                routes: items(&upsert.routes)?,
-                services: items(&upsert.services)?,
-                customers: items(&upsert.customers)?,
+                routes: items(&upsert.routes, names.routes),
+                services: items(&upsert.services, names.services),
+                customers: items(&upsert.customers, names.customers),
                 caps: upsert.caps.map(|caps| caps.as_str().trim().into()),
             },
             remove: outline.remove.unwrap_or_default(),
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -1,6 +1,7 @@
 //! A configuration as it was sent, cut into its items.
 
 use crate::json;
+use crate::typed_changes::merged;
 use crate::whole::Whole;
 use crate::{Changes, Configuration, ConfigurationError};
 use facet::Facet;
@@ -20,6 +21,12 @@
     pub text: Arc<str>,
 }
 
+impl Item {
+    fn name(&self) -> &str {
+        &self.name
+    }
+}
+
 /// A whole configuration, with the text of each item kept.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Document {
@@ -48,20 +55,29 @@
     customers: Vec<RawJson<'text>>,
 }
 
+/// The name of an item.
 #[derive(Facet)]
-struct Named {
+pub(crate) struct Named {
     name: String,
 }
 
-/// Reads the name of an item.
-pub(crate) fn item(text: &RawJson) -> Result<Item, ConfigurationError> {
-    let text = text.as_str().trim();
-    let named: Named = json::read(text.as_bytes())?;
-    Ok(Item { name: named.name, text: text.into() })
+/// The names of all items. They are read in one pass over the whole text: a pass for each item costs several times as
+/// much.
+#[derive(Facet, Default)]
+pub(crate) struct Names {
+    #[facet(default)]
+    pub routes: Vec<Named>,
+    #[facet(default)]
+    pub services: Vec<Named>,
+    #[facet(default)]
+    pub customers: Vec<Named>,
 }
 
-pub(crate) fn items(texts: &[RawJson]) -> Result<Vec<Item>, ConfigurationError> {
-    texts.iter().map(item).collect()
+/// Items from their texts and names, which come from one JSON text.
+pub(crate) fn items(texts: &[RawJson], names: Vec<Named>) -> Vec<Item> {
+    let item =
+        |(text, named): (&RawJson, Named)| Item { name: named.name, text: text.as_str().trim().into() };
+    texts.iter().zip(names).map(item).collect()
 }
 
 fn list(items: &[Item]) -> String {
@@ -75,12 +91,12 @@
     /// # Errors
     /// Tells what can't be read.
     pub fn read(json: &[u8]) -> Result<Document, ConfigurationError> {
-        let outline: Outline = json::read_borrowed(json)?;
+        let (outline, names): (Outline, Names) = json::read_twice(json)?;
         Ok(Document {
             version: outline.version.0,
-            routes: items(&outline.routes)?,
-            services: items(&outline.services)?,
-            customers: items(&outline.customers)?,
+            routes: items(&outline.routes, names.routes),
+            services: items(&outline.services, names.services),
+            customers: items(&outline.customers, names.customers),
             caps: outline.caps.map(|caps| caps.as_str().trim().into()),
         })
     }
@@ -120,9 +136,9 @@
         let removed = &changes.remove;
         Document {
             version: changes.version,
-            routes: merged(&self.routes, &upserts.routes, &removed.routes),
-            services: merged(&self.services, &upserts.services, &removed.services),
-            customers: merged(&self.customers, &upserts.customers, &removed.customers),
+            routes: merged(&self.routes, upserts.routes.clone(), &removed.routes, Item::name),
+            services: merged(&self.services, upserts.services.clone(), &removed.services, Item::name),
+            customers: merged(&self.customers, upserts.customers.clone(), &removed.customers, Item::name),
             caps: upserts.caps.clone().or_else(|| self.caps.clone()),
         }
     }
@@ -134,20 +150,6 @@
     items
 }
 
-/// Items with some replaced by name or added at the end, and some removed.
-fn merged(items: &[Item], upserts: &[Item], removed: &[String]) -> Vec<Item> {
-    let mut merged: Vec<Item> = items.iter().filter(|item| !removed.contains(&item.name)).cloned().collect();
-    let places: std::collections::HashMap<String, usize> =
-        merged.iter().enumerate().map(|(place, item)| (item.name.clone(), place)).collect();
-    for upsert in upserts {
-        match places.get(&upsert.name) {
-            Some(place) => merged[*place] = upsert.clone(),
-            None => merged.push(upsert.clone()),
-        }
-    }
-    merged
-}
-
 /// The digest of a text.
 pub fn digest(bytes: &[u8]) -> Digest {
     sha2::Sha256::digest(bytes).into()
--- a/crates/configuration/src/json.rs
+++ b/crates/configuration/src/json.rs
@@ -26,10 +26,14 @@
     facet_json::from_str(one_value(json)?).map_err(unreadable)
 }
 
-/// Reads a value that keeps parts of the text.
+/// Reads a value that keeps parts of the text, and another one from the same text.
 ///
 /// # Errors
 /// Tells what can't be read.
-pub(crate) fn read_borrowed<'text, T: Facet<'text>>(json: &'text [u8]) -> Result<T, ConfigurationError> {
-    facet_json::from_str_borrowed(one_value(json)?).map_err(unreadable)
+pub(crate) fn read_twice<'text, One: Facet<'text>, Other: Facet<'static>>(
+    json: &'text [u8],
+) -> Result<(One, Other), ConfigurationError> {
+    let text = one_value(json)?;
+    let one = facet_json::from_str_borrowed(text).map_err(unreadable)?;
+    Ok((one, facet_json::from_str(text).map_err(unreadable)?))
 }
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod model;
 mod router;
+mod typed_changes;
 mod validate;
 mod whole;
 
--- a/crates/configuration/tests/configuration.rs
+++ b/crates/configuration/tests/configuration.rs
@@ -119,3 +119,38 @@
     assert!(changes.to_json().len() < 300);
     assert_eq!(from.with(&changes), to);
 }
+
+/// Taken into types, changes make what reading the changed text anew makes.
+#[rstest]
+#[case::nothing(r#"{"version":9}"#)]
+#[case::replaced(r#"{"version":9,"upsert":{"routes":[{"name":"r-2","host":"h","path-start":"/z/","give-up-ms":9,"service":"s"}]}}"#)]
+#[case::added_and_removed(
+    r#"{"version":9,"upsert":{"routes":[{"name":"new","host":"h","path-start":"/n/","give-up-ms":9,"service":"s"}],"services":[{"name":"s"}],"customers":[{"name":"t9","api-keys":["k9"]}]},"remove":{"routes":["r-2"],"customers":["none-of-that-name"]}}"#
+)]
+#[case::caps(r#"{"version":9,"upsert":{"caps":{"max-header-bytes":1,"max-body-bytes":2,"header-wait-ms":3,"idle-ms":4}}}"#)]
+fn changes_in_types_make_the_same_as_changes_in_text(#[case] changes: &str) {
+    let document = Document::read(WHOLE.as_bytes()).unwrap();
+    let in_text = document.with(&Changes::read(changes.as_bytes()).unwrap()).typed().unwrap();
+    let in_types = document.typed().unwrap().with(changes.as_bytes()).unwrap();
+    assert_eq!(in_types, in_text);
+}
+
+#[rstest]
+#[case::no_version("{}")]
+#[case::no_json("x")]
+#[case::an_item_without_a_name(r#"{"version":9,"upsert":{"routes":[{"host":"h"}]}}"#)]
+fn changes_that_cannot_be_read_are_an_error_in_types_too(#[case] changes: &str) {
+    assert!(Changes::read(changes.as_bytes()).is_err());
+    assert!(whole().with(changes.as_bytes()).is_err());
+}
+
+/// Items in another order are the same configuration.
+#[test]
+fn the_order_of_items_does_not_matter_and_their_text_does() {
+    let one = Document::read(WHOLE.as_bytes()).unwrap();
+    let mut other = one.clone();
+    other.routes.reverse();
+    assert!(one.has_same_items(&other));
+    other.routes[0].text = "{}".into();
+    assert!(!one.has_same_items(&other));
+}
--- a/crates/feed/src/held.rs
+++ b/crates/feed/src/held.rs
@@ -36,7 +36,8 @@
     pub(crate) fn changed(&self, changes: &[u8]) -> Result<HeldConfiguration, ConfigurationError> {
         let document = self.document.with(&Changes::read(changes)?);
         let body = document.to_json().into_bytes();
-        Ok(HeldConfiguration::with_document(document, body, Some(self)))
+        let step = Some((self.version(), changes.to_vec()));
+        Ok(HeldConfiguration { document, body, step })
     }
 
     fn with_document(document: Document, body: Vec<u8>, before: Option<&HeldConfiguration>) -> Self {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,6 +1,6 @@
 //! The proxy's view of the fleet, built from its agent's messages. No I/O.
 
-use configuration::{Changes, Configuration, ConfigurationError, Document, KeyTable, Router, Service};
+use configuration::{Configuration, ConfigurationError, KeyTable, Router, Service};
 use dispatch::{isolation_digest, Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Store};
 use feed::Asked;
 use peer::{Message, NEVER};
@@ -31,7 +31,6 @@
     pub router: Router,
     /// Tenants by key.
     pub keys: KeyTable,
-    document: Document,
 }
 
 /// The view.
@@ -58,7 +57,7 @@
 
     /// The version of the configuration in force; 0 for none.
     pub fn version(&self) -> u64 {
-        self.in_force.as_ref().map_or(0, |in_force| in_force.document.version)
+        self.in_force.as_ref().map_or(0, |in_force| in_force.configuration.version.0)
     }
 
     /// Whether clients can be served: there is a configuration and a list of replicas.
@@ -129,13 +128,12 @@
 
     fn read(&self, message: &peer::Configuration) -> Result<InForce, ConfigurationError> {
         let body = &message.body.bytes;
-        let document = match &self.in_force {
-            Some(in_force) if message.base != 0 => in_force.document.with(&Changes::read(body)?),
-            _ => Document::read(body)?,
+        let configuration = match &self.in_force {
+            Some(in_force) if message.base != 0 => in_force.configuration.with(body)?,
+            _ => Configuration::read(body)?,
         };
-        let configuration = document.typed()?;
         let (router, keys) = (Router::new(&configuration), KeyTable::new(&configuration));
-        Ok(InForce { configuration, router, keys, document })
+        Ok(InForce { configuration, router, keys })
     }
 
     fn take_prefixes(&mut self, prefixes: &peer::Prefixes) {
