--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use steppick::cli::{self, Cli, Command};
 use steppick::net::admin::Admin;
-use steppick::net::{run, Clock, Front, Loop, Reloads, ServeError};
+use steppick::net::{new_loop, run, Clock, Front, Loop, Reloads, ServeError};
 use steppick::settings::ConfigError;
 use steppick::{opensearch, platform};
 
@@ -23,8 +23,7 @@
     if platform_file.is_none() && cli.opensearch.is_none() {
         return Err(ServeError::Nothing);
     }
-    let event_loop = Loop::try_new()
-        .map_err(|error| ServeError::System { what: "an event loop", why: error.to_string() })?;
+    let event_loop = new_loop()?;
     let count = usize::from(platform_file.is_some()) + usize::from(cli.opensearch.is_some());
     let read = |path: &Path| {
         std::fs::read_to_string(path).map_err(|why| ServeError::File { path: path.to_path_buf(), why })
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -295,6 +295,23 @@
 /// Longest sleep of the loop, ms: bounds what a lost wake-up could cost.
 const LONGEST_SLEEP: Ms = 1000.0;
 
+/// A loop that takes signals from now on. It is made before anything listens: a signal that came earlier would end the
+/// process, and whoever sees an address answer may send one.
+///
+/// # Errors
+/// Tells what the system refused.
+pub fn new_loop() -> Result<Loop, ServeError> {
+    let refused = |what| move |error: calloop::Error| ServeError::System { what, why: error.to_string() };
+    let event_loop = Loop::try_new().map_err(refused("an event loop"))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
+        .map_err(refused("signals"))?;
+    event_loop
+        .handle()
+        .insert_source(signals, |event, _, gathered: &mut Gathered| gathered.signals.push(event.signal()))
+        .map_err(|error| ServeError::System { what: "signals", why: error.to_string() })?;
+    Ok(event_loop)
+}
+
 /// Runs the loop over all fronts until they have ended in order. `SIGTERM` and `SIGINT` begin the end;
 /// `SIGHUP` has the files read anew; `SIGUSR1` prints the counters. Operators' calls are answered until the end.
 ///
@@ -307,12 +324,6 @@
     mut admin: Option<Admin>,
 ) -> Result<(), ServeError> {
     let system = |what| move |error: calloop::Error| ServeError::System { what, why: error.to_string() };
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
-        .map_err(|error| ServeError::System { what: "signals", why: error.to_string() })?;
-    event_loop
-        .handle()
-        .insert_source(signals, |event, _, gathered: &mut Gathered| gathered.signals.push(event.signal()))
-        .map_err(|error| ServeError::System { what: "signals", why: error.to_string() })?;
     let mut gathered = Gathered::default();
     loop {
         let now = clock.now();
