Draining and leaving are confirmed by a majority, beats only under a contact lease

Cause: a controller that was cut off acknowledged heartbeats, drainings and leaves, and kept the replicas that were lured to it; nobody in touch was told. Ruled out: refusing beats unread (a fleet that starts would know no replica), trusting the age of the last proof alone (a cut may begin in the moment of the call). Change: beats are taken in always, acknowledged while a proof of contact is younger than 1.5 s; drainings and leaves wait for a digest that left after the record and was answered by a majority.

--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -10,12 +10,13 @@
 use crate::change::{ConfigurationOrder, Verdict, WeightsOrder, WeightsVerdict};
 use crate::command::{too_large, Command, Reply};
 use crate::event::ControllerEvent;
+use crate::machine::contact::without_contact;
 use crate::machine::{CallId, Effect, Machine, Moment};
 use crate::values::{ConfigurationValue, ValueError, WeightsValue};
 use crate::Millis;
 
 /// An operator's call ends within this: callers move on after a second of silence.
-const CALL_MS: Millis = 850;
+pub(crate) const CALL_MS: Millis = 850;
 /// When a caller that was refused may come back.
 const RETRY_AFTER_MS: u64 = 200;
 
@@ -46,14 +47,13 @@
     pub(crate) fn call(&mut self, at: Moment, call: CallId, command: Command, out: &mut Vec<Effect>) {
         match command {
             Command::Heartbeat(record) => {
-                let reply = self.heartbeat(at.now, *record);
-                self.replies.push(Effect::Reply { call, reply });
+                self.heartbeat(at.now, call, *record);
             }
             Command::Leave { id } => {
                 if self.view.replicas.leave(at.now, &id) {
                     ControllerEvent::ReplicaLeft.info(format_args!("replica {id} left"));
                 }
-                self.replies.push(Effect::Reply { call, reply: Reply::empty(200) });
+                self.barrier.hold(at.now, call, Reply::empty(200));
             }
             Command::Configure(order) => self.configure(at, call, *order, out),
             Command::NameWeights(order) => self.name_weights(at, call, order, out),
@@ -69,18 +69,30 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Millis, record: Record) -> Reply {
+    /// Takes a heartbeat in, whether or not it may be acknowledged here: what it tells is true all the same.
+    fn heartbeat(&mut self, now: Millis, call: CallId, record: Record) {
         let (id, zone, state) = (record.id.clone(), record.zone.clone(), record.state);
         match self.view.replicas.heartbeat(now, record) {
-            Heard::Full => return Reply::later(503, "too many replicas; raise the limit", 1_000),
+            Heard::Full => {
+                let reply = Reply::later(503, "too many replicas; raise the limit", 1_000);
+                return self.replies.push(Effect::Reply { call, reply });
+            }
             Heard::News if state == State::Draining => {
                 ControllerEvent::ReplicaDrains.info(format_args!("replica {id} drains"))
             }
             Heard::News => ControllerEvent::ReplicaNews.debug(format_args!("news of replica {id}")),
             Heard::Same | Heard::Late => {}
         }
+        if !self.has_contact(now) {
+            let reply = without_contact();
+            return self.replies.push(Effect::Reply { call, reply });
+        }
         let reply = HeartbeatReply { beat_to: self.home(&id, &zone) };
-        Reply::new(200, serde_json::to_vec(&reply).unwrap_or_default())
+        let reply = Reply::new(200, serde_json::to_vec(&reply).unwrap_or_default());
+        if state == State::Ready {
+            return self.replies.push(Effect::Reply { call, reply });
+        }
+        self.barrier.hold(now, call, reply);
     }
 
     /// Where a replica should send its next heartbeats.
--- /dev/null
+++ b/crates/controller/src/machine/contact.rs
@@ -0,0 +1,108 @@
+//! Contact with a majority, and what a controller confirms without it: nothing.
+//!
+//! Two things rest on the register's digests, which prove contact with a majority of the acceptors:
+//!
+//! * The **contact lease**: a heartbeat of a replica that is ready is taken in at any time, but acknowledged only while
+//!   the newest proof is younger than [`CONTACT_LEASE_MS`]. Otherwise the replica is told to call another controller,
+//!   so a controller that is cut off keeps no replica to itself.
+//! * The **barrier** for a replica that drains or leaves: the answer waits until a majority has answered a digest that
+//!   left *after* the record. Record and digest travel on the same links in this order, so a majority of the
+//!   controllers holds the record by then, and every agent is linked to all of them.
+
+use std::collections::VecDeque;
+
+use register::Input as RegisterInput;
+
+use crate::command::Reply;
+use crate::machine::calls::CALL_MS;
+use crate::machine::{CallId, Effect, Machine, Moment};
+use crate::Millis;
+
+/// Age of the newest proof of contact up to which a controller counts as in contact. Digests leave every 300 ms and come
+/// back in less, so this many milliseconds are several lost digests.
+pub const CONTACT_LEASE_MS: Millis = 1_500;
+/// When a caller that found a controller without contact may come back to it.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// A call whose answer waits for the barrier.
+#[derive(Debug)]
+struct Waiting {
+    call: CallId,
+    since: Millis,
+    reply: Reply,
+}
+
+/// The calls that wait for proof, the oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct Barrier {
+    waiting: VecDeque<Waiting>,
+    /// A digest is to leave after what is fed next.
+    wants_digest: bool,
+}
+
+impl Barrier {
+    /// Holds an answer until a majority has heard what the call told.
+    pub fn hold(&mut self, now: Millis, call: CallId, reply: Reply) {
+        self.waiting.push_back(Waiting { call, since: now, reply });
+        self.wants_digest = true;
+    }
+
+    /// When the oldest call is to be answered, proof or not.
+    pub fn deadline(&self) -> Millis {
+        self.waiting.front().map_or(Millis::MAX, |waiting| waiting.since + CALL_MS)
+    }
+
+    /// Whether no answer waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// The answers that are due: those that `confirmed_at` proves, and those that have waited too long.
+    fn take_due(&mut self, now: Millis, confirmed_at: Option<Millis>) -> Vec<(CallId, Reply)> {
+        let mut due = Vec::new();
+        while let Some(first) = self.waiting.front() {
+            let is_proved = confirmed_at.is_some_and(|at| at >= first.since);
+            if !is_proved && now < first.since + CALL_MS {
+                break;
+            }
+            let Some(Waiting { call, reply, .. }) = self.waiting.pop_front() else { break };
+            due.push((call, if is_proved { reply } else { without_contact() }));
+        }
+        due
+    }
+}
+
+/// The answer of a controller that can't prove contact with a majority.
+pub(crate) fn without_contact() -> Reply {
+    Reply::later(503, "this controller has no contact with a majority; call another one", RETRY_AFTER_MS)
+}
+
+impl Machine {
+    /// Age of the newest proof that this machine is on the majority's side.
+    pub(crate) fn majority_age(&self, now: Millis) -> Millis {
+        self.confirmed_at(now).map_or(Millis::MAX, |at| now.saturating_sub(at))
+    }
+
+    /// Whether the contact lease holds.
+    pub(crate) fn has_contact(&self, now: Millis) -> bool {
+        self.majority_age(now) < CONTACT_LEASE_MS
+    }
+
+    fn confirmed_at(&self, now: Millis) -> Option<Millis> {
+        self.register.as_ref().and_then(|register| register.confirmed_at(now))
+    }
+
+    /// Sends digests behind the records that were just fed, and answers what is proved or has waited too long.
+    pub(crate) fn settle_barrier(&mut self, at: Moment, out: &mut Vec<Effect>) {
+        if std::mem::take(&mut self.barrier.wants_digest) {
+            self.register(at, RegisterInput::ProveContact, out);
+        }
+        if self.barrier.is_empty() {
+            return;
+        }
+        let confirmed_at = self.confirmed_at(at.now);
+        for (call, reply) in self.barrier.take_due(at.now, confirmed_at) {
+            self.replies.push(Effect::Reply { call, reply });
+        }
+    }
+}
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod calls;
+mod contact;
 mod duties;
 mod loads;
 mod peers;
@@ -28,6 +29,8 @@
 
 use agents::Agents;
 use calls::Pending;
+use contact::Barrier;
+pub use contact::CONTACT_LEASE_MS;
 use loads::LoadExchange;
 use peers::Peers;
 
@@ -155,6 +158,8 @@
     peers: Peers,
     agents: Agents,
     pending: BTreeMap<RequestId, Pending>,
+    /// Calls whose answers wait until a majority has heard what they told.
+    barrier: Barrier,
     last_request: u64,
     next_upkeep: Millis,
     next_beats: Millis,
@@ -166,8 +171,6 @@
 const UPKEEP_EVERY_MS: Millis = 100;
 /// Time between messages on heartbeats heard to the other controllers.
 const BEATS_EVERY_MS: Millis = 400;
-/// A majority was reached lately if its proof is younger.
-const PROVED_MS: Millis = 1_500;
 
 impl Machine {
     pub fn new(now: Millis, timing: Timing, me: Member, membership: Membership) -> Machine {
@@ -189,6 +192,7 @@
             peers: Peers::default(),
             agents: Agents::default(),
             pending: BTreeMap::new(),
+            barrier: Barrier::default(),
             last_request: 0,
             next_upkeep: now,
             next_beats: now,
@@ -232,6 +236,7 @@
             Input::Terminate => self.terminate(at, out),
         }
         self.feed(at, out);
+        self.settle_barrier(at, out);
         out.append(&mut self.replies);
     }
 
@@ -245,6 +250,7 @@
             self.next_beats,
             self.agents.deadline(&self.view),
             self.loads.deadline(),
+            self.barrier.deadline(),
         ];
         timers.into_iter().min().unwrap_or(self.next_upkeep)
     }
@@ -259,7 +265,7 @@
 
     /// Whether nothing is left to finish before the process ends.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_empty()
+        self.pending.is_empty() && self.barrier.is_empty()
     }
 
     /// What is known of the fleet.
@@ -278,7 +284,7 @@
         }
         if at.now >= self.next_upkeep {
             self.next_upkeep = at.now + UPKEEP_EVERY_MS;
-            self.view.replicas.tick(at.now, self.majority_age(at.now) < PROVED_MS);
+            self.view.replicas.tick(at.now, self.has_contact(at.now));
             self.compare_membership(at, out);
             self.update_fleet(at.now);
             self.consider_duty(at, out);
@@ -287,12 +293,6 @@
         }
     }
 
-    /// Age of the newest proof that this machine is on the majority's side.
-    fn majority_age(&self, now: Millis) -> Millis {
-        let proof = self.register.as_ref().and_then(|register| register.confirmed_at(now));
-        proof.map_or(Millis::MAX, |at| now.saturating_sub(at))
-    }
-
     /// Runs the register and takes its effects.
     fn register(&mut self, at: Moment, input: RegisterInput, out: &mut Vec<Effect>) {
         let Some(register) = &mut self.register else { return };
--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -434,6 +434,11 @@
         configurations.collect()
     }
 
+    /// Whether an agent was told that a replica is in this state.
+    pub fn told(&self, agent: Agent, id: &str, state: ReplicaState) -> bool {
+        self.agents[agent.0].batches.iter().any(|batch| tells(batch, id, state))
+    }
+
     /// Number of different replicas that an agent was told of.
     pub fn replicas_told(&self, agent: Agent) -> usize {
         let mut ids = BTreeSet::new();
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -62,6 +62,8 @@
     Read { request: RequestId, key: RegisterKey, deadline: Millis },
     /// Time went by; see [`RegisterNode::wake_at`].
     Tick,
+    /// Digests are to leave now: their answers prove contact later than this.
+    ProveContact,
     /// Membership takes this machine as reachable.
     PeerReachable { address: SocketAddrV4 },
     /// Membership suspects this machine.
--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -44,6 +44,7 @@
             }
             Input::Read { request, key, deadline } => self.request(request, key, deadline, Work::Read, out),
             Input::Tick => self.upkeep(now, out),
+            Input::ProveContact => self.send_digests(now, out),
             Input::PeerReachable { address } => self.peer_reachable(address),
             Input::PeerSuspected { address } => self.peer_suspected(now, address),
         }
--- a/crates/register/src/upkeep.rs
+++ b/crates/register/src/upkeep.rs
@@ -42,9 +42,7 @@
         if self.known().is_none() {
             return;
         }
-        for to in self.other_members() {
-            self.send_digest(now, to, out);
-        }
+        self.send_digests(now, out);
         self.ask_to_join(out);
         self.pull(out);
         self.propose_next_set(now);
@@ -66,6 +64,13 @@
         }
     }
 
+    /// Sends a digest to every other member.
+    pub(crate) fn send_digests(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        for to in self.other_members() {
+            self.send_digest(now, to, out);
+        }
+    }
+
     pub(crate) fn send_digest(&mut self, now: Millis, to: SocketAddrV4, out: &mut Vec<Effect>) {
         let stamp = self.contact.stamp(now);
         let digest = Digest::new(
