Test of a hanging disk lets the links of the former process end

Ruled out: a fault of the controller (the record is told as soon as a link comes up). Change: time passes between the end and the start.

--- a/crates/controller/tests/machines.rs
+++ b/crates/controller/tests/machines.rs
@@ -107,6 +107,7 @@
 fn a_controller_that_starts_while_its_disk_hangs_takes_heartbeats_and_refuses_changes_clearly() {
     let mut cluster = started(8);
     cluster.stop(0);
+    cluster.play(10);
     cluster.hang_disk(0);
     cluster.start(0, false);
     cluster.play(200);
