An order is known as taken over 512 changes, and never refused beyond

Cause: a configuration remembered 64 orders; the 65th change made a taken order unknown, and its repeat after a lost answer got 412. Ruled out: remembering all (the value grows with each change), refusing after the bound. Change: 512 orders, 20 KB, and the remembered changes are read as a chain: an order on a version whose successor is known lost, one on a version older than the list is left without a clear answer (504). Lists of 64 may have been shortened by the former release and count so.

--- a/crates/controller/src/change.rs
+++ b/crates/controller/src/change.rs
@@ -2,7 +2,7 @@
 
 use configuration::{digest, Changes, Configuration, ConfigurationError, Digest, Document};
 
-use crate::values::{ConfigurationValue, NamedVersion, WeightsValue};
+use crate::values::{ConfigurationValue, Fate, NamedVersion, WeightsValue};
 
 /// How the operator says what follows.
 #[derive(Debug, Clone)]
@@ -31,6 +31,8 @@
     Taken,
     /// Another version is current.
     OtherVersion(u64),
+    /// Another version is current, and nobody remembers any more whether the order led to it.
+    Forgotten(u64),
     /// It is invalid on top of the current version.
     Invalid(String),
 }
@@ -64,12 +66,13 @@
 
     /// Judges the order on top of the current value.
     pub fn judge(&self, current: Option<&ConfigurationValue>) -> Verdict {
-        if current.is_some_and(|current| current.has_taken(&self.digest)) {
-            return Verdict::Taken;
-        }
         let current_version = current.map_or(0, |current| current.version);
-        if self.based_on != current_version {
-            return Verdict::OtherVersion(current_version);
+        let of_nothing = if self.based_on == 0 { Fate::Open } else { Fate::Lost };
+        match current.map_or(of_nothing, |current| current.fate(&self.digest, self.based_on)) {
+            Fate::Taken => return Verdict::Taken,
+            Fate::Lost => return Verdict::OtherVersion(current_version),
+            Fate::Forgotten => return Verdict::Forgotten(current_version),
+            Fate::Open => {}
         }
         if self.version <= current_version {
             let why =
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -178,6 +178,13 @@
                 412,
                 &format!("version {version} is in place; read it and build the change on it"),
             ),
+            Ok(Verdict::Forgotten(version)) => Reply::later(
+                504,
+                &format!(
+                    "version {version} is in place; too long ago to tell whether the change took effect"
+                ),
+                RETRY_AFTER_MS,
+            ),
             Ok(Verdict::Invalid(why)) => Reply::refusal(400, &why),
             Ok(Verdict::Write(_)) => changed(),
             Err(why) => Reply::refusal(500, &why.to_string()),
--- a/crates/controller/src/values.rs
+++ b/crates/controller/src/values.rs
@@ -7,8 +7,12 @@
 use deku::{DekuContainerRead, DekuContainerWrite, DekuRead, DekuWrite};
 use quick_error::quick_error;
 
-/// Most changes remembered with a configuration, so that one that is sent again is known as taken.
-pub const MOST_TAKEN: usize = 64;
+/// Most changes remembered with a configuration, so that one that is sent again is known as taken. At 1,900 changes a day
+/// that is six hours of repeats, and 20 KB with each configuration. An order on a version older than these is not
+/// refused but left without a clear answer: see [`Fate::Forgotten`].
+pub const MOST_TAKEN: usize = 512;
+/// Shorter lists have never lost an entry, whichever release wrote them: their first change was made on nothing.
+const NEVER_SHORTENED: usize = 64;
 /// Most models whose versions are named.
 pub const MOST_MODELS: usize = 64;
 
@@ -33,6 +37,19 @@
     pub order: Digest,
 }
 
+/// What is known of an order, by what a configuration remembers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It took effect.
+    Taken,
+    /// It builds on the version that is in place, and has not taken effect.
+    Open,
+    /// It has not taken effect and never will: another change was made on its version, or there is no such version.
+    Lost,
+    /// It builds on a version of which nobody remembers what was made of it.
+    Forgotten,
+}
+
 /// Value of the configuration register.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "little")]
@@ -66,9 +83,24 @@
         }
     }
 
-    /// Whether the order of that digest took effect.
-    pub fn has_taken(&self, order: &Digest) -> bool {
-        self.taken.iter().any(|change| change.order == *order)
+    /// What became of the order of that digest, which builds on version `based_on`.
+    ///
+    /// The remembered changes form a chain: each was made on the version of the one before it, and on each version one
+    /// change at most takes effect.
+    pub fn fate(&self, order: &Digest, based_on: u64) -> Fate {
+        if self.taken.iter().any(|change| change.order == *order) {
+            return Fate::Taken;
+        }
+        if based_on == self.version {
+            return Fate::Open;
+        }
+        let oldest = self.taken.first().map_or(self.version, |change| change.version);
+        let is_whole = self.taken.len() < NEVER_SHORTENED;
+        if is_whole || based_on >= oldest {
+            Fate::Lost
+        } else {
+            Fate::Forgotten
+        }
     }
 
     pub fn read(bytes: &[u8]) -> Result<Self, ValueError> {
