Ready replicas are told by an agent's home, together; what ends is told by all at once

Cause: every controller told every agent of every replica in a message of its own. Ruled out: loads and beats (124 KB and 473 KB after 15 s); longer pauses alone (five tellings remain). Change: Subscription (protocol 3) names the home, a controller in contact and of the agent's zone; ready replicas come from it, at most every 100 ms; draining, lost and ended ones from all at once. Agents pass lost ones on to controllers without contact only, and dial their seeds while none linked has contact.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -7,7 +7,7 @@
 use catalog::Limits;
 use feed::{record_to_wire, ConfigurationTaken, Subscriber, View, Wanted};
 use links::LinkId;
-use peer::{replica_key, Alive, Fleet, Hello, Interest, Message, Replicas, NEVER};
+use peer::{replica_key, Alive, Fleet, Hello, Interest, Message, Replicas, Subscription, NEVER};
 
 use crate::event::AgentEvent;
 use crate::Millis;
@@ -72,6 +72,15 @@
     fleet: Option<(BTreeSet<SocketAddrV4>, u32)>,
     /// When it was in step with the majority, by its own word.
     majority_at: Option<Millis>,
+    /// Whether it said anything of that yet.
+    told_contact: bool,
+}
+
+impl Controller {
+    /// Whether what it tells was the majority's a moment ago.
+    fn has_contact(&self, now: Millis) -> bool {
+        self.majority_at.is_some_and(|at| now.saturating_sub(at) < HOME_CONTACT_MS)
+    }
 }
 
 #[derive(Debug)]
@@ -85,6 +94,11 @@
 const MOST_CONTROLLERS: usize = 9;
 /// What a controller said counts for so long after its link went down.
 const REMEMBER_MS: Millis = 30_000;
+/// A controller whose newest proof of contact with a majority is older is no home while there is another one: its view
+/// of the fleet may be old.
+const HOME_CONTACT_MS: Millis = 2_500;
+/// An agent that has just found controllers waits so long for one of its own zone, before it makes another its home.
+const HOME_SETTLES_MS: Millis = 300;
 /// Time between clean-ups.
 const UPKEEP_EVERY_MS: Millis = 5_000;
 
@@ -98,6 +112,10 @@
     wanted: Wanted,
     controllers: BTreeMap<SocketAddrV4, Controller>,
     proxies: BTreeMap<LinkId, Proxy>,
+    /// The controller that was told that it is the home.
+    subscribed: Option<SocketAddrV4>,
+    /// Since when some controller is linked.
+    linked_since: Option<Millis>,
     next_upkeep: Millis,
 }
 
@@ -111,6 +129,8 @@
             wanted: Wanted::default(),
             controllers: BTreeMap::new(),
             proxies: BTreeMap::new(),
+            subscribed: None,
+            linked_since: None,
             next_upkeep: now + UPKEEP_EVERY_MS,
         }
     }
@@ -119,6 +139,7 @@
     pub fn step(&mut self, now: Millis, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::ControllerUp { controller } => {
+                self.linked_since.get_or_insert(now);
                 let entry = self.controllers.entry(controller).or_default();
                 (entry.up, entry.seen) = (true, now);
                 let parts: Vec<u64> = self.wanted.all().collect();
@@ -131,6 +152,7 @@
                 if let Some(entry) = self.controllers.get_mut(&controller) {
                     (entry.up, entry.seen) = (false, now);
                 }
+                self.subscribed.take_if(|home| *home == controller);
             }
             Input::ControllerMessage { controller, message } => {
                 self.controller_message(now, controller, message, out);
@@ -146,7 +168,7 @@
             }
             Input::ProxyMessage { message: Message::Loads(loads), .. } => {
                 let message = Message::Loads(loads);
-                out.extend(self.home_controller().map(|to| Effect::SendController { to, message }));
+                out.extend(self.home_controller(now).map(|to| Effect::SendController { to, message }));
             }
             Input::ProxyMessage { message: Message::Interest(interest), .. } => {
                 self.pass_interest(now, &interest, out);
@@ -162,6 +184,7 @@
             }
             Input::Tick => self.tick(now),
         }
+        self.subscribe(now, out);
         self.feed(now, out);
     }
 
@@ -169,16 +192,20 @@
     pub fn deadline(&self) -> Millis {
         let idle = self.proxies.values().filter(|proxy| !proxy.busy);
         let feeds = idle.map(|proxy| proxy.subscriber.deadline(&self.view));
-        feeds.chain([self.next_upkeep]).min().unwrap_or(self.next_upkeep)
+        let settles = self.linked_since.filter(|_| self.subscribed.is_none());
+        let settles = settles.map(|since| since + HOME_SETTLES_MS);
+        feeds.chain(settles).chain([self.next_upkeep]).min().unwrap_or(self.next_upkeep)
     }
 
-    /// The controllers to which links should be up: those that the linked ones name, and the seeds while none is
-    /// linked.
-    pub fn wanted_controllers(&self) -> BTreeSet<SocketAddrV4> {
+    /// The controllers to which links should be up: those that the linked ones name, and the seeds while none of those
+    /// is in contact with a majority: all that are linked may be cut off.
+    pub fn wanted_controllers(&self, now: Millis) -> BTreeSet<SocketAddrV4> {
         let told = self.view.controllers().iter().copied();
-        let linked = self.controllers.values().any(|controller| controller.up && controller.fleet.is_some());
+        let knows_fleet =
+            |one: &Controller| one.up && one.fleet.is_some() && (one.has_contact(now) || !one.told_contact);
+        let linked = self.controllers.values().any(knows_fleet);
         let seeds = self.seeds.iter().copied().filter(|_| !linked);
-        seeds.chain(told).take(MOST_CONTROLLERS).collect()
+        told.chain(seeds).take(MOST_CONTROLLERS).collect()
     }
 
     /// The settings name other seeds.
@@ -225,22 +252,43 @@
                     controller.zone = hello.zone.as_str().to_string();
                 }
             }
-            Message::Loads(loads) if self.home_controller() == Some(from) => self.pass_loads(&loads, out),
+            Message::Loads(loads) if self.home_controller(now) == Some(from) => self.pass_loads(&loads, out),
             _ => {}
         }
     }
 
-    /// The controller that hears what this machine's proxy has out, and tells it what all have: one of this zone where
-    /// there is one; agents spread over several.
-    pub fn home_controller(&self) -> Option<SocketAddrV4> {
+    /// The controller that hears what this machine's proxy has out, and tells it what all have and which replicas are
+    /// ready: one in contact with a majority where there is one, then one of this zone; agents spread over several.
+    pub fn home_controller(&self, now: Millis) -> Option<SocketAddrV4> {
         let up = self.controllers.iter().filter(|(_, one)| one.up);
         let weight = |(address, one): &(&SocketAddrV4, &Controller)| {
             let spread = replica_key(&format!("{} {address}", self.place.machine));
-            (one.zone == self.place.zone, spread, **address)
+            (one.has_contact(now), one.zone == self.place.zone, spread, **address)
         };
         up.max_by_key(weight).map(|(address, _)| *address)
     }
 
+    /// Tells the home that it is, and the former one that it is no more.
+    fn subscribe(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let home = self.home_controller(now);
+        if home == self.subscribed {
+            return;
+        }
+        let is_near =
+            home.and_then(|home| self.controllers.get(&home)).is_some_and(|one| one.zone == self.place.zone);
+        let has_settled = self.linked_since.is_some_and(|since| now >= since + HOME_SETTLES_MS);
+        if !is_near && !has_settled {
+            return;
+        }
+        let say = |to, is_home| Effect::SendController {
+            to,
+            message: Message::Subscription(Subscription { is_home }),
+        };
+        out.extend(self.subscribed.map(|former| say(former, 0)));
+        out.extend(home.map(|home| say(home, 1)));
+        self.subscribed = home;
+    }
+
     /// Each controller tells of the replicas that it reads: all of them are asked.
     fn pass_interest(&mut self, now: Millis, interest: &Interest, out: &mut Vec<Effect>) {
         for part in &interest.parts {
@@ -293,14 +341,18 @@
         }
     }
 
-    /// What one controller calls lost is told to the others: one that is cut off from it may hear the replica.
+    /// What one controller calls lost is told to those that have no contact with a majority: they hear nothing of it
+    /// from the other controllers, and may hear the replica.
     fn replicas(&mut self, now: Millis, from: SocketAddrV4, replicas: &Replicas, out: &mut Vec<Effect>) {
         let taken = self.view.take_replicas(now, replicas);
         if taken.lost.is_empty() {
             return;
         }
         let lost: Vec<_> = taken.lost.iter().map(record_to_wire).collect();
-        let others = self.controllers.iter().filter(|(address, one)| one.up && **address != from);
+        let others = self
+            .controllers
+            .iter()
+            .filter(|(address, one)| one.up && **address != from && !one.has_contact(now));
         for (to, _) in others {
             let message = Message::Replicas(Replicas::from(lost.clone()));
             out.push(Effect::SendController { to: *to, message });
@@ -329,6 +381,7 @@
 
     fn alive(&mut self, now: Millis, from: SocketAddrV4, alive: Alive) {
         let Some(controller) = self.controllers.get_mut(&from) else { return };
+        controller.told_contact = true;
         let proved =
             (alive.majority_age_ms != NEVER).then(|| now.saturating_sub(alive.majority_age_ms.into()));
         controller.majority_at = controller.majority_at.max(proved);
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -199,7 +199,8 @@
 
     /// Dials the controllers that are known now, and no others.
     fn keep_dialers(&mut self) {
-        let wanted = self.machine.wanted_controllers();
+        let now = self.started.elapsed().as_millis() as u64;
+        let wanted = self.machine.wanted_controllers(now);
         let unwanted: Vec<SocketAddrV4> =
             self.dialers.keys().copied().filter(|address| !wanted.contains(address)).collect();
         for controller in unwanted {
--- a/crates/agent/tests/merging.rs
+++ b/crates/agent/tests/merging.rs
@@ -191,7 +191,7 @@
     assert_eq!(bench.machine.view().proxies(), 7);
     let wanted: BTreeSet<SocketAddrV4> = [1, 2, 4].into_iter().map(controller).collect();
     assert_eq!(
-        bench.machine.wanted_controllers(),
+        bench.machine.wanted_controllers(bench.now),
         wanted,
         "those that were told; not the seed that nobody names"
     );
@@ -281,7 +281,7 @@
     // Its controller is gone: another one of those that are left takes its place, always the same.
     bench.down(2);
     let effects = bench.step(Input::ProxyMessage { link, message: loads(10) });
-    let home = bench.machine.home_controller().expect("one is up");
+    let home = bench.machine.home_controller(bench.now).expect("one is up");
     assert_eq!(to_controllers(&effects), [home]);
     assert!([controller(1), controller(3)].contains(&home));
 }
@@ -313,3 +313,97 @@
     asked.sort_unstable();
     assert_eq!(asked, [5, 6]);
 }
+
+fn alive(majority_age_ms: u32) -> Message {
+    Message::Alive(Alive { majority_age_ms, configuration: 0 })
+}
+
+/// Whom the agent tells that they are its home, or no more.
+fn subscriptions(effects: &[Effect]) -> Vec<(SocketAddrV4, bool)> {
+    let told = effects.iter().filter_map(|effect| match effect {
+        Effect::SendController { to, message: Message::Subscription(subscription) } => {
+            Some((*to, subscription.is_home != 0))
+        }
+        _ => None,
+    });
+    told.collect()
+}
+
+#[rstest]
+fn the_controller_of_its_zone_becomes_the_home_at_once() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    assert_eq!(subscriptions(&bench.tell(1, hello_from("west"))), [], "another one may be nearer");
+    bench.up(2);
+    assert_eq!(subscriptions(&bench.tell(2, hello_from("east"))), [(controller(2), true)]);
+    bench.up(3);
+    assert_eq!(subscriptions(&bench.tell(3, hello_from("west"))), []);
+}
+
+#[rstest]
+fn without_one_in_its_zone_another_becomes_the_home_soon() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.tell(1, hello_from("west"));
+    bench.now = bench.machine.deadline();
+    assert!(bench.now <= 300);
+    assert_eq!(subscriptions(&bench.step(Input::Tick)), [(controller(1), true)]);
+}
+
+#[rstest]
+fn a_home_that_loses_contact_or_its_link_is_left_for_one_that_has_it() {
+    let mut bench = Bench::new();
+    for (number, zone) in [(1, "west"), (2, "east")] {
+        bench.up(number);
+        bench.tell(number, hello_from(zone));
+        bench.tell(number, alive(100));
+    }
+    assert_eq!(bench.machine.home_controller(bench.now), Some(controller(2)));
+    // The home is cut off: it says so, or nothing at all, while the other one goes on.
+    bench.now = 2_300;
+    assert_eq!(subscriptions(&bench.tell(1, alive(100))), []);
+    bench.now = 2_600;
+    let effects = bench.tell(2, alive(2_700));
+    assert_eq!(subscriptions(&effects), [(controller(2), false), (controller(1), true)]);
+    // It is back in contact, and the home of its zone again.
+    bench.now = 3_000;
+    let effects = bench.tell(2, alive(50));
+    assert_eq!(subscriptions(&effects), [(controller(1), false), (controller(2), true)]);
+    bench.down(2);
+    assert_eq!(bench.machine.home_controller(bench.now), Some(controller(1)));
+    let effects = bench.step(Input::ControllerUp { controller: controller(2) });
+    assert_eq!(subscriptions(&effects).last(), Some(&(controller(2), true)), "told anew");
+}
+
+#[rstest]
+fn what_is_lost_is_not_passed_on_to_controllers_in_contact() {
+    let mut bench = Bench::new();
+    bench.now = 20_000;
+    for number in 1..=3 {
+        bench.up(number);
+    }
+    bench.tell(1, alive(100));
+    bench.tell(2, alive(100));
+    bench.tell(3, alive(9_000));
+    bench.tell(1, record("r", 3, ReplicaState::Ready));
+    let effects = bench.tell(2, record("r", 3, ReplicaState::Lost));
+    let told = effects.iter().filter_map(|effect| match effect {
+        Effect::SendController { to, message: Message::Replicas(_) } => Some(*to),
+        _ => None,
+    });
+    assert_eq!(told.collect::<Vec<_>>(), [controller(3)]);
+}
+
+#[rstest]
+fn seeds_are_dialled_again_while_no_controller_that_is_linked_has_contact() {
+    let mut bench = Bench::new();
+    bench.up(4);
+    bench.tell(4, Message::Fleet(Fleet::new(vec![controller(4).into(), controller(5).into()], 7)));
+    let told: BTreeSet<SocketAddrV4> = [4, 5].into_iter().map(controller).collect();
+    assert_eq!(bench.machine.wanted_controllers(bench.now), told);
+    bench.tell(4, alive(NEVER));
+    let all: BTreeSet<SocketAddrV4> = [1, 2, 3, 4, 5].into_iter().map(controller).collect();
+    assert_eq!(bench.machine.wanted_controllers(bench.now), all);
+    bench.tell(4, alive(10));
+    assert_eq!(bench.machine.wanted_controllers(bench.now), told);
+}
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -14,6 +14,8 @@
 const REMEMBER_MS: Millis = 30_000;
 /// A controller that started lately has not heard all agents, and says no number.
 const COUNT_AFTER_MS: Millis = 3_000;
+/// Least time between two messages to one agent on replicas that are ready.
+const READY_EVERY_MS: Millis = 100;
 
 #[derive(Debug)]
 struct Agent {
@@ -35,7 +37,8 @@
     pub fn up(&mut self, now: Millis, link: LinkId, hello: &Hello) {
         let machine = hello.machine.as_str().to_string();
         self.seen.insert(machine.clone(), now);
-        let subscriber = Subscriber::new(hello.configuration);
+        let mut subscriber = Subscriber::new(hello.configuration).with_pause(READY_EVERY_MS);
+        subscriber.set_tells_ready(hello.protocol < peer::TELLS_HOME);
         self.links.insert(link, Agent { machine, subscriber, busy: false });
     }
 
@@ -79,6 +82,11 @@
                     agent.subscriber.wants_configuration();
                 }
             }
+            Message::Subscription(subscription) => {
+                if let Some(agent) = self.agents.links.get_mut(&link) {
+                    agent.subscriber.set_tells_ready(subscription.is_home != 0);
+                }
+            }
             // An agent passes on which replicas others call lost.
             Message::Replicas(replicas) => {
                 self.view.take_replicas(at.now, &replicas);
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -249,6 +249,7 @@
             self.next_upkeep,
             self.next_beats,
             self.agents.deadline(&self.view),
+            self.peers.deadline(&self.view),
             self.loads.deadline(),
             self.barrier.deadline(),
         ];
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 
 use catalog::Beat;
-use feed::ReplicaFeed;
+use feed::{ReplicaFeed, View};
 use peer::{Beats, Message};
 use register::message as register_message;
 use register::{Input as RegisterInput, RegisterMessage};
@@ -17,6 +17,9 @@
 /// A member of the acceptor set that was never heard counts as out of reach after so long.
 const UNHEARD_MS: Millis = 2_000;
 
+/// Least time between two messages to another controller on replicas that are ready.
+const READY_EVERY_MS: Millis = 20;
+
 /// The links to other controllers that are up.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -25,7 +28,12 @@
 
 impl Peers {
     pub fn up(&mut self, peer: SocketAddrV4) {
-        self.links.insert(peer, ReplicaFeed::default());
+        self.links.insert(peer, ReplicaFeed::of_home(READY_EVERY_MS));
+    }
+
+    /// When a message that is held back is due.
+    pub fn deadline(&self, view: &View) -> Millis {
+        self.links.values().map(|replicas| replicas.deadline(view)).min().unwrap_or(Millis::MAX)
     }
 
     pub fn down(&mut self, peer: SocketAddrV4) {
@@ -106,7 +114,7 @@
             }
         }
         for (to, replicas) in &mut self.peers.links {
-            if let Some(message) = replicas.message(&self.view) {
+            if let Some(message) = replicas.message(now, &self.view) {
                 out.push(Effect::SendPeer { to: *to, message });
             }
         }
--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -9,7 +9,7 @@
 use controller::machine::{CallId, Effect, Input, Machine, Moment, Timing};
 use links::LinkId;
 use membership::{Member, Membership};
-use peer::{Hello, Message, ReplicaState, Role, PROTOCOL};
+use peer::{Hello, Message, ReplicaState, Role, Subscription, PROTOCOL, TELLS_HOME};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use register::{Identity, RegisterNode};
@@ -400,7 +400,11 @@
             configuration: 0,
         };
         self.step(host, Input::AgentUp { link, hello });
-        Agent(self.agents.len() - 1)
+        let agent = Agent(self.agents.len() - 1);
+        if protocol >= TELLS_HOME {
+            self.agent_sends(agent, Message::Subscription(Subscription { is_home: 1 }));
+        }
+        agent
     }
 
     /// Hands in what an agent sends.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -6,6 +6,7 @@
 mod interest;
 mod prefixes;
 mod records;
+mod replicas;
 mod subscriber;
 mod view;
 
@@ -13,7 +14,8 @@
 pub use interest::{Asked, Wanted, ASK_AGAIN_MS, FORGET_MS};
 pub use prefixes::{PrefixFeed, PrefixTable};
 pub use records::{record_from_wire, record_to_wire};
-pub use subscriber::{ReplicaFeed, Subscriber, HOME_FIRST_MS};
+pub use replicas::ReplicaFeed;
+pub use subscriber::{Subscriber, HOME_FIRST_MS};
 pub use view::{NamedWeights, ReplicasTaken, View};
 
 /// Milliseconds of the caller's steady clock.
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -1,9 +1,9 @@
 //! How far a subscriber has got.
 
-use peer::{Alive, Message, Replicas};
+use peer::{Alive, Message};
 
 use crate::prefixes::PrefixFeed;
-use crate::records::record_to_wire;
+use crate::replicas::ReplicaFeed;
 use crate::view::View;
 use crate::Millis;
 
@@ -16,28 +16,6 @@
 /// heard by then.
 pub const HOME_FIRST_MS: Millis = 500;
 
-/// How far one receiver has got in the changes of replicas.
-#[derive(Debug, Clone, Default)]
-pub struct ReplicaFeed {
-    /// Number of the last change that was sent; `None` before the snapshot.
-    seen: Option<u64>,
-}
-
-impl ReplicaFeed {
-    /// The records that the receiver has not got yet; what is returned counts as sent.
-    pub fn message(&mut self, view: &View) -> Option<Message> {
-        let newest = view.replicas.last_change();
-        if self.seen == Some(newest) {
-            return None;
-        }
-        let changes = self.seen.and_then(|seen| view.replicas.changes_since(seen));
-        let records = changes.unwrap_or_else(|| view.replicas.snapshot());
-        self.seen = Some(newest);
-        let records: Vec<_> = records.iter().map(record_to_wire).collect();
-        (!records.is_empty()).then(|| Message::Replicas(Replicas::from(records)))
-    }
-}
-
 /// What one subscriber has been sent.
 #[derive(Debug, Clone)]
 pub struct Subscriber {
@@ -61,7 +39,7 @@
             configuration,
             is_home: true,
             lacks: None,
-            replicas: ReplicaFeed::default(),
+            replicas: ReplicaFeed::of_home(0),
             weights: 0,
             fleet: 0,
             alive_at: None,
@@ -75,7 +53,20 @@
         self.configuration = 0;
     }
 
-    /// Whether this feeder is the receiver's home; the only one is, unless it is said.
+    /// Ready replicas are told at most so often.
+    #[must_use]
+    pub fn with_pause(mut self, pause: Millis) -> Subscriber {
+        self.replicas = ReplicaFeed::of_home(pause);
+        self
+    }
+
+    /// Whether this feeder tells the receiver of ready replicas; the only one does, unless it is said.
+    pub fn set_tells_ready(&mut self, tells_ready: bool) {
+        self.replicas.set_home(tells_ready);
+    }
+
+    /// Whether this feeder is the one that tells the receiver of configurations first; the only one is, unless it is
+    /// said.
     pub fn set_home(&mut self, is_home: bool) {
         self.is_home = is_home;
     }
@@ -88,6 +79,7 @@
     /// When the subscriber is to hear something even if there is no news.
     pub fn deadline(&self, view: &View) -> Millis {
         let alive = self.alive_deadline().min(self.configuration_deadline());
+        let alive = alive.min(self.replicas.deadline(view));
         if self.prefixes.is_behind(&view.prefixes) {
             alive.min(self.prefixes_at)
         } else {
@@ -107,7 +99,7 @@
     /// newest proof that the feeder's knowledge is the majority's.
     pub fn messages(&mut self, now: Millis, view: &View, majority_age_ms: u32) -> Vec<Message> {
         let mut messages = Vec::new();
-        messages.extend(self.replicas.message(view));
+        messages.extend(self.replicas.message(now, view));
         messages.extend(self.configuration(now, view));
         messages.extend(self.weights(now, view));
         messages.extend(self.fleet(view));
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,10 +4,13 @@
 use deku::prelude::*;
 
 /// The version of the protocol that this program speaks.
-pub const PROTOCOL: u16 = 2;
+pub const PROTOCOL: u16 = 3;
 /// From this version on, agents tell which parts of prompts they want to hear of ([`Interest`]).
 pub const TELLS_INTEREST: u16 = 2;
 
+/// From this version on, agents tell which controller is their home ([`Subscription`]).
+pub const TELLS_HOME: u16 = 3;
+
 /// An age that means: not yet, or longer ago than can be said.
 pub const NEVER: u32 = u32::MAX;
 
@@ -365,6 +368,14 @@
     pub configuration: u64,
 }
 
+/// What the sender wants to hear from the receiver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Subscription {
+    /// 1 where the receiver is the sender's home: it tells of all replicas. The others tell only of those that are not
+    /// ready.
+    pub is_home: u8,
+}
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8")]
@@ -408,6 +419,9 @@
     /// Parts of prompts that the sender wants to hear of.
     #[deku(id = "13")]
     Interest(Interest),
+    /// What the sender wants to hear.
+    #[deku(id = "14")]
+    Subscription(Subscription),
     /// A message of a later version; to be skipped.
     #[deku(id_pat = "_")]
     Unknown {
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -35,6 +35,7 @@
         Message::WantConfiguration,
         Message::Loads(Loads::new(true, vec![ReplicaLoad { replica: 5, tokens: 70_000, calls: 3 }])),
         Message::Interest(vec![1, u64::MAX].into()),
+        Message::Subscription(Subscription { is_home: 1 }),
     ]
 }
 
