Calls to replicas begin on quiet connections only; late answers about events change nothing

Cause, found by reading: the controllers' HTTP client took an interim answer for the answer and kept the connection, and looked for bytes behind an answer only at its end, so a late second answer became that of the next call. An older answer about events brought dropped parts back. Change: a connection rests as Quiet and is dropped if anything came meanwhile; answers below 200 end it; events that were asked for before are skipped.

--- a/crates/controller/src/http_client.rs
+++ b/crates/controller/src/http_client.rs
@@ -1,5 +1,10 @@
 //! Calls to replicas over a connection that is kept between calls.
+//!
+//! One call is under way on a connection at a time, and the next may begin only on one that is [`Quiet`]: the answer before
+//! was whole and framed, and nothing has come since. So a late second answer, an interim answer or bytes behind the end
+//! never become the answer to another call. No call is sent twice here: whoever calls decides what may be repeated.
 
+use std::mem::MaybeUninit;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -45,25 +50,47 @@
 pub struct HttpClient {
     address: SocketAddrV4,
     patience: Patience,
-    stream: Option<TcpStream>,
+    rested: Option<Quiet>,
+}
+
+/// A connection on which nothing is due.
+#[derive(Debug)]
+struct Quiet(TcpStream);
+
+impl Quiet {
+    /// The connection, unless something came while it rested, be it its end.
+    fn wake(self) -> Option<TcpStream> {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.0).peek(&mut byte);
+        let is_quiet = matches!(peeked, Err(why) if why.kind() == std::io::ErrorKind::WouldBlock);
+        is_quiet.then_some(self.0)
+    }
 }
 
 impl HttpClient {
     pub fn new(address: SocketAddrV4, patience: Patience) -> HttpClient {
-        HttpClient { address, patience, stream: None }
+        HttpClient { address, patience, rested: None }
+    }
+
+    /// Comes to its end when something has come on the connection that rests, or none rests. For tests.
+    pub async fn rested_has_news(&self) {
+        if let Some(Quiet(stream)) = &self.rested {
+            // Only that there is something counts here; the next call looks what.
+            let _ = stream.readable().await;
+        }
     }
 
     /// Makes a call; `None` if no whole answer came. A connection on which that happens is reset, so that what has
     /// not arrived does not arrive later.
     pub async fn call(&mut self, call: HttpCall<'_>) -> Option<HttpAnswer> {
-        let mut stream = match self.stream.take() {
+        let mut stream = match self.rested.take().and_then(Quiet::wake) {
             Some(stream) => stream,
             None => timeout(self.patience.connect, TcpStream::connect(self.address)).await.ok()?.ok()?,
         };
         let exchange = timeout(self.patience.answer, self.exchange(&mut stream, call));
         match exchange.await.ok().flatten() {
             Some((answer, true)) => {
-                self.stream = Some(stream);
+                self.rested = Some(Quiet(stream));
                 Some(answer)
             }
             Some((answer, false)) => Some(answer),
@@ -86,6 +113,10 @@
             }
             read_some(stream, &mut buffer).await?;
         };
+        // Nothing was asked for that an interim answer could answer, so what follows it can't be told apart either.
+        if head.status < 200 {
+            return None;
+        }
         let ResponseFraming::Framed(framing) = head.framing else {
             return Some((HttpAnswer { status: head.status, body: Vec::new() }, false));
         };
--- a/crates/controller/src/kv_events/cursor.rs
+++ b/crates/controller/src/kv_events/cursor.rs
@@ -22,7 +22,7 @@
 /// `[number, + or -, salt, id, tokens kept now, model]`
 #[derive(Deserialize)]
 struct Event<'a>(
-    #[allow(dead_code)] u64,
+    u64,
     #[allow(dead_code)]
     #[serde(borrow)]
     Cow<'a, str>,
@@ -101,11 +101,16 @@
             prefixes.epoch = epoch;
             return Ok(Some(prefixes));
         }
+        if answer.next_token < self.since {
+            // The answer to an earlier question, come late: it would bring back parts that were dropped since.
+            return Ok(None);
+        }
+        let since = std::mem::replace(&mut self.since, answer.next_token);
         self.epoch = Some(answer.boot_epoch);
-        self.since = answer.next_token;
         self.has_gap |= answer.lost;
+        let news = answer.events.iter().filter(|event| event.0 >= since);
         let changes: Vec<PartChange> =
-            answer.events.iter().map(|event| change(&event.5, &event.2, &event.3, event.4)).collect();
+            news.map(|event| change(&event.5, &event.2, &event.3, event.4)).collect();
         if changes.is_empty() && !first {
             return Ok(None);
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod duty;
 mod error;
 pub mod event;
-mod http_client;
+pub mod http_client;
 pub mod kv_events;
 pub mod machine;
 pub mod program;
--- a/crates/controller/tests/kv_events.rs
+++ b/crates/controller/tests/kv_events.rs
@@ -79,3 +79,17 @@
     assert!(cursor.take_events(body.as_bytes()).is_err());
     assert_eq!(cursor.question(0), Question::Events { since: 0 });
 }
+
+#[rstest]
+fn the_late_answer_to_an_earlier_question_changes_nothing() {
+    let mut cursor = Cursor::new("r");
+    let early = events(7, 3, false, r#"[1,"+","s1","aa",800,"m"],[2,"+","s1","bb",128,"m"]"#);
+    cursor.take_events(&early).expect("read");
+    cursor.take_events(&events(7, 5, false, r#"[4,"-","s1","aa",0,"m"]"#)).expect("read");
+    assert_eq!(cursor.take_events(&early).expect("read"), None);
+    assert_eq!(cursor.question(0), Question::Events { since: 5 });
+    // An answer that begins before what was asked for brings only what is new.
+    let body = events(7, 6, false, r#"[2,"+","s1","aa",800,"m"],[5,"+","s1","cc",9,"m"]"#);
+    let told = cursor.take_events(&body).expect("read").expect("news");
+    assert_eq!(told.changes, vec![change("cc", 9)]);
+}
