A request answered before it is in leaves its connection to no other

Cause, found by reading: a proxy wrote a whole request before it looked for an answer, so a long one that was turned away early was held until its deadline, and a connection that had taken a part of it could come to rest. Ruled out: a resting connection with bytes due is noticed (only bytes of the replica are). Change: the answer is looked for while the request is written; a connection that has a part of a request bears no other (Written, may_go_on).

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// Room for one read, bytes.
 const READ_ROOM: usize = 8 * 1024;
@@ -32,6 +32,17 @@
     stream: TcpStream,
     /// What was read and not used.
     pub input: Vec<u8>,
+    /// A request was written in part: what is written next would be taken for its rest.
+    is_half_written: bool,
+}
+
+/// How much of a request was written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Written {
+    /// Not a byte: the connection had ended.
+    Nothing,
+    /// Some of it or all; an answer may come. Only a connection that has all of it may bear another request.
+    Begun,
 }
 
 impl Connection {
@@ -53,7 +64,7 @@
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
         let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
         socket.set_tcp_keepalive(&probes)?;
-        Ok(Connection { stream, input: Vec::new() })
+        Ok(Connection { stream, input: Vec::new(), is_half_written: false })
     }
 
     /// Reads what is there; 0 at the end. May be dropped at any time without loss.
@@ -84,6 +95,33 @@
         Ok(())
     }
 
+    /// Writes a request until all of it is taken, an answer to it begins (the peer may turn a long one away before it is
+    /// in), the connection ends or the time is over.
+    pub async fn write_request(&mut self, bytes: &[u8], until: Instant) -> Written {
+        self.is_half_written = true;
+        let (mut reader, mut writer) = self.stream.split();
+        let mut taken = 0;
+        while taken < bytes.len() {
+            let begun = if taken > 0 { Written::Begun } else { Written::Nothing };
+            tokio::select! {
+                biased;
+                wrote = writer.write(&bytes[taken..]) => match wrote {
+                    Ok(count) if count > 0 => taken += count,
+                    _ => return begun,
+                },
+                _ = reader.read_buf(&mut self.input), if taken > 0 => return begun,
+                () = sleep_until(until) => return begun,
+            }
+        }
+        self.is_half_written = false;
+        Written::Begun
+    }
+
+    /// Whether another request may follow on this connection once its answer is whole.
+    pub fn may_go_on(&self) -> bool {
+        !self.is_half_written && self.input.is_empty()
+    }
+
     /// Ends once the peer has closed or broken the connection; what it sends before is taken in, up to a bound.
     pub async fn left(&mut self) {
         loop {
--- a/crates/proxy/src/opening.rs
+++ b/crates/proxy/src/opening.rs
@@ -1,6 +1,6 @@
 //! One send of a request to one replica, up to the beginning of its answer.
 
-use crate::connection::Connection;
+use crate::connection::{Connection, Written};
 use crate::event::ProxyEvent;
 use crate::plan::Plan;
 use crate::shared::Shared;
@@ -89,17 +89,16 @@
     async fn send(&self) -> Option<(Connection, bool)> {
         let rested = self.shared.pool.borrow_mut().take(self.target.replica, self.shared.now());
         if let Some(mut rested) = rested {
-            match rested.write_by(&self.bytes, self.deadline).await {
-                // It had ended; nothing was written.
-                Err(0) => {}
-                // A part may have been read: the answer, or its absence, decides.
-                _ => return Some((rested, false)),
+            match rested.write_request(&self.bytes, self.deadline).await {
+                Written::Nothing => {}
+                // The answer, or its absence, decides.
+                Written::Begun => return Some((rested, false)),
             }
         }
         let mut fresh = Connection::dial(self.target.address).await.ok()?;
-        match fresh.write_by(&self.bytes, self.deadline).await {
-            Err(0) => None,
-            _ => Some((fresh, true)),
+        match fresh.write_request(&self.bytes, self.deadline).await {
+            Written::Nothing => None,
+            Written::Begun => Some((fresh, true)),
         }
     }
 
@@ -139,7 +138,7 @@
 
 /// Lays a connection to rest after a whole answer, unless something else came on it.
 pub(crate) fn recycle(shared: &Shared, target: &Target, head: &ResponseHead, replica: Connection) {
-    if head.close || !replica.input.is_empty() {
+    if head.close || !replica.may_go_on() {
         return;
     }
     let now = shared.now();
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -252,6 +252,17 @@
         }
     }
 
+    /// The head of the next request; its body stays unread.
+    pub async fn request_head(&mut self) -> RequestHead {
+        loop {
+            if let Some((head, length)) = RequestHead::read(&self.input, 1 << 20).expect("a sound request") {
+                self.input.drain(..length);
+                return head;
+            }
+            assert!(self.more().await, "the connection ended before a request");
+        }
+    }
+
     /// The whole body, if it comes whole.
     async fn body(&mut self, framing: Framing) -> Option<Vec<u8>> {
         let (mut reader, mut body) = (BodyReader::new(framing), Vec::new());
