--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -72,6 +72,8 @@
     pub replicas: Replicas,
     /// Calls to replicas that are on their way, with when they arrive and who made them.
     replica_calls: Vec<(u64, usize, ReplicaCall)>,
+    /// Bytes of other controllers' messages that arrived at each controller.
+    arrived: BTreeMap<usize, usize>,
 }
 
 fn address(host: usize) -> SocketAddrV4 {
@@ -95,6 +97,7 @@
             next_call: 1,
             replicas: Replicas { load_ms: 300, ..Replicas::default() },
             replica_calls: Vec::new(),
+            arrived: BTreeMap::new(),
         };
         for host in 0..size {
             cluster.hosts.push(Host::default());
@@ -199,6 +202,8 @@
                 continue;
             }
             let from = address(flight.from);
+            *self.arrived.entry(flight.to).or_default() +=
+                peer::encode(&flight.message).map_or(0, |it| it.len());
             self.step(flight.to, Input::PeerMessage { from, message: flight.message });
         }
     }
@@ -385,8 +390,17 @@
         self.connect_agent_of(host, name, PROTOCOL)
     }
 
+    /// Links an agent that has this version of the configuration.
+    pub fn connect_agent_with(&mut self, host: usize, name: &str, configuration: u64) -> Agent {
+        self.link_agent(host, name, PROTOCOL, configuration)
+    }
+
     /// Links an agent that speaks this version of the protocol.
     pub fn connect_agent_of(&mut self, host: usize, name: &str, protocol: u16) -> Agent {
+        self.link_agent(host, name, protocol, 0)
+    }
+
+    fn link_agent(&mut self, host: usize, name: &str, protocol: u16, configuration: u64) -> Agent {
         let link = LinkId(1_000 + self.agents.len() as u64);
         let agent = AgentState { host, link, batches: Vec::new(), reads: true, flush_at: None };
         self.agents.push(agent);
@@ -397,7 +411,7 @@
             zone: "zone-0".into(),
             incarnation: 1,
             address: peer::Address::NONE,
-            configuration: 0,
+            configuration,
         };
         self.step(host, Input::AgentUp { link, hello });
         let agent = Agent(self.agents.len() - 1);
@@ -438,6 +452,21 @@
         configurations.collect()
     }
 
+    /// Bytes of other controllers' messages that arrived at a controller so far.
+    pub fn bytes_to(&self, host: usize) -> usize {
+        self.arrived.get(&host).copied().unwrap_or_default()
+    }
+
+    /// Bytes that a controller's disk holds.
+    pub fn bytes_on_disk(&self, host: usize) -> usize {
+        self.hosts[host].disk.bytes()
+    }
+
+    /// The version of the configuration that a controller holds, 0 for none.
+    pub fn version_at(&self, host: usize) -> u64 {
+        self.hosts[host].machine.as_ref().map_or(0, |machine| machine.view().configuration_version())
+    }
+
     /// Whether an agent was told that a replica is in this state.
     pub fn told(&self, agent: Agent, id: &str, state: ReplicaState) -> bool {
         self.agents[agent.0].batches.iter().any(|batch| tells(batch, id, state))
--- a/crates/controller/tests/support/disk.rs
+++ b/crates/controller/tests/support/disk.rs
@@ -49,6 +49,11 @@
         StoredState::from_entries(entries).expect("entries that were written can be read")
     }
 
+    /// Bytes of all entries.
+    pub fn bytes(&self) -> usize {
+        self.entries.values().map(|bytes| bytes.0.len()).sum()
+    }
+
     pub fn wipe(&mut self) {
         self.entries.clear();
         self.writes.clear();
