A judgement is told by the home, empty replicas to nobody, late controllers judge none

Change: urgent is draining and ended only; after an upkeep that is 0.5 s late no silence is judged for three heartbeats; the first news of a replica carry the reset; the pause of readers grows with their number.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -94,7 +94,7 @@
     changes: BTreeMap<u64, String>,
     by_address: HashMap<SocketAddrV4, String>,
     last_change: u64,
-    /// Number of the last change to a state other than ready.
+    /// Number of the last change to a replica that drains or has ended.
     last_urgent_change: u64,
     /// A subscriber that has not got further than this must take a snapshot.
     forgotten: u64,
@@ -323,7 +323,7 @@
         self.changes.remove(&entry.changed);
         self.last_change += 1;
         entry.changed = self.last_change;
-        if entry.record.state != State::Ready {
+        if matches!(entry.record.state, State::Draining | State::Gone) {
             self.last_urgent_change = self.last_change;
         }
         self.changes.insert(self.last_change, id.to_string());
@@ -334,7 +334,7 @@
         self.last_change
     }
 
-    /// Number of the last change to a state in which a replica takes nothing new.
+    /// Number of the last change to a replica that drains or has ended.
     pub fn last_urgent_change(&self) -> u64 {
         self.last_urgent_change
     }
--- a/crates/controller/src/kv_events/reader.rs
+++ b/crates/controller/src/kv_events/reader.rs
@@ -1,6 +1,8 @@
 //! Reads one replica's events, one call at a time.
 
 use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use peer::Prefixes;
@@ -14,8 +16,10 @@
 
 /// How long the replica may hold a call: it answers as soon as there are events.
 const WAIT_MS: u64 = 800;
-/// Pause after an answer, so that a busy replica gives many events at a time. Short calls cost as much as probes.
+/// Least pause after an answer, so that a busy replica gives many events at a time. Short calls cost as much as probes.
 const PAUSE: Duration = Duration::from_millis(300);
+/// The pause grows with the number of sources that are read here, so that their answers never take all of the processor.
+const PAUSE_A_SOURCE: Duration = Duration::from_micros(1_500);
 /// Pause after a call that failed or was refused; doubled with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
@@ -71,12 +75,18 @@
     }
 }
 
-/// Starts to read the events of a replica or a store; what it keeps goes to `news`.
-pub fn read(source: Source, news: mpsc::Sender<Input>) -> Reader {
-    Reader { task: tokio::spawn(run(source, news)) }
+/// Starts to read the events of a replica or a store; what it keeps goes to `news`. `sources` is how many are read.
+pub fn read(source: Source, sources: Arc<AtomicUsize>, news: mpsc::Sender<Input>) -> Reader {
+    Reader { task: tokio::spawn(run(source, sources, news)) }
 }
 
-async fn run(source: Source, news: mpsc::Sender<Input>) {
+/// The pause where so many sources are read.
+fn pause(sources: &AtomicUsize) -> Duration {
+    let sources = u32::try_from(sources.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
+    PAUSE.max(PAUSE_A_SOURCE.saturating_mul(sources))
+}
+
+async fn run(source: Source, sources: Arc<AtomicUsize>, news: mpsc::Sender<Input>) {
     let mut cursor = Cursor::new(&source.name());
     let mut client = HttpClient::new(source.address(), PATIENCE);
     let started = Instant::now();
@@ -94,7 +104,7 @@
                         return;
                     }
                 }
-                sleep(PAUSE).await;
+                sleep(pause(&sources)).await;
             }
             None => {
                 if question == Question::List {
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -162,6 +162,8 @@
     barrier: Barrier,
     last_request: u64,
     next_upkeep: Millis,
+    /// Replicas are judged from then on.
+    judges_from: Millis,
     next_beats: Millis,
     terminating: bool,
     replies: Vec<Effect>,
@@ -169,6 +171,10 @@
 
 /// Time between looks at silent replicas, absent members and work.
 const UPKEEP_EVERY_MS: Millis = 100;
+/// A controller whose own upkeep is late by more has been frozen or overloaded: heartbeats may wait unread here.
+const LATE_MS: Millis = 500;
+/// It judges no silence for so many heartbeats then.
+const JUDGES_AFTER_BEATS: Millis = 3;
 /// Time between messages on heartbeats heard to the other controllers.
 const BEATS_EVERY_MS: Millis = 400;
 
@@ -195,6 +201,7 @@
             barrier: Barrier::default(),
             last_request: 0,
             next_upkeep: now,
+            judges_from: now,
             next_beats: now,
             terminating: false,
             replies: Vec::new(),
@@ -285,8 +292,12 @@
             self.send_beats(out);
         }
         if at.now >= self.next_upkeep {
+            if at.now > self.next_upkeep + LATE_MS {
+                self.judges_from = at.now + JUDGES_AFTER_BEATS * self.timing.beat_every_ms;
+            }
             self.next_upkeep = at.now + UPKEEP_EVERY_MS;
-            self.view.replicas.tick(at.now, self.has_contact(at.now));
+            let may_judge = at.now >= self.judges_from && self.has_contact(at.now);
+            self.view.replicas.tick(at.now, may_judge);
             self.compare_membership(at, out);
             self.update_fleet(at.now);
             self.consider_duty(at, out);
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -3,6 +3,8 @@
 use process::Event;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use links::{accept, dial, Dialer, LinkEvent, LinkId, LinkTiming, Outbox};
@@ -65,6 +67,8 @@
     outboxes: BTreeMap<SocketAddrV4, (LinkId, Outbox)>,
     dialers: BTreeMap<SocketAddrV4, Dialer>,
     readers: BTreeMap<String, Reader>,
+    /// How many there are, for the readers.
+    sources: Arc<AtomicUsize>,
     next_readers: u64,
     calls: BTreeMap<CallId, oneshot::Sender<Reply>>,
     last_call: u64,
@@ -179,6 +183,7 @@
             outboxes: BTreeMap::new(),
             dialers: BTreeMap::new(),
             readers: BTreeMap::new(),
+            sources: Arc::default(),
             next_readers: 0,
             calls: BTreeMap::new(),
             last_call: 0,
@@ -340,9 +345,10 @@
         let wanted = self.machine.wanted_readers(now);
         self.readers.retain(|name, _| wanted.contains_key(name));
         for (name, source) in wanted {
-            let news = &self.replica_answers;
-            self.readers.entry(name).or_insert_with(|| read(source, news.clone()));
+            let (news, sources) = (&self.replica_answers, &self.sources);
+            self.readers.entry(name).or_insert_with(|| read(source, Arc::clone(sources), news.clone()));
         }
+        self.sources.store(self.readers.len(), Ordering::Relaxed);
     }
 
     /// Dials the controllers that are known now, and no others.
--- a/crates/feed/src/prefixes.rs
+++ b/crates/feed/src/prefixes.rs
@@ -1,8 +1,8 @@
 //! Which parts of prompts replicas keep, and the changes that subscribers have not heard.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-use peer::{Message, PartChange, Prefixes};
+use peer::{Message, PartChange, Prefixes, UNREACHABLE};
 
 use crate::interest::Wanted;
 use crate::Millis;
@@ -56,6 +56,9 @@
 pub struct PrefixFeed {
     /// Number of the last step that was sent; `None` before the snapshot.
     seen: Option<u64>,
+    /// The replicas of which anything was told. That one keeps nothing is no news to a receiver that was told nothing of
+    /// it here; what another feeder told is dropped with the first news.
+    told: HashSet<String>,
 }
 
 impl PrefixTable {
@@ -147,18 +150,18 @@
     }
 
     /// Everything, each replica from the beginning.
-    fn snapshot(&self) -> Vec<Message> {
+    fn snapshot(&self) -> Vec<Prefixes> {
         let whole = self.replicas.iter().map(|(replica, kept)| {
             let parts = kept.parts.iter().filter(|(part, _)| self.is_told(**part));
             let changes = parts.map(|(part, tokens)| PartChange { part: *part, tokens: *tokens }).collect();
-            Message::Prefixes(Prefixes::new(replica, kept.epoch, true, changes))
+            Prefixes::new(replica, kept.epoch, true, changes)
         });
         whole.collect()
     }
 
     /// The steps after number `seen`, if they are all still kept; steps of one replica that follow each other are
     /// one message.
-    fn since(&self, seen: u64) -> Option<Vec<Message>> {
+    fn since(&self, seen: u64) -> Option<Vec<Prefixes>> {
         let behind = usize::try_from(self.last.checked_sub(seen)?).ok()?;
         let first = self.steps.len().checked_sub(behind)?;
         let mut runs: BTreeMap<&str, (bool, Vec<PartChange>)> = BTreeMap::new();
@@ -171,7 +174,7 @@
         }
         let message = |(replica, (reset, changes)): (&str, (bool, Vec<PartChange>))| {
             let epoch = self.replicas.get(replica)?.epoch;
-            Some(Message::Prefixes(Prefixes::new(replica, epoch, reset, changes)))
+            Some(Prefixes::new(replica, epoch, reset, changes))
         };
         Some(runs.into_iter().filter_map(message).collect())
     }
@@ -187,6 +190,24 @@
     pub fn messages(&mut self, table: &PrefixTable) -> Vec<Message> {
         let changes = self.seen.and_then(|seen| table.since(seen));
         self.seen = Some(table.last);
-        changes.unwrap_or_else(|| table.snapshot())
+        if self.told.len() > 2 * MOST_REPLICAS {
+            self.told.retain(|replica| table.replicas.contains_key(replica));
+        }
+        let news = changes.unwrap_or_else(|| table.snapshot());
+        news.into_iter().filter_map(|prefixes| self.told_of(prefixes)).map(Message::Prefixes).collect()
+    }
+
+    /// The news as they go to the receiver, if they are any to it.
+    fn told_of(&mut self, mut prefixes: Prefixes) -> Option<Prefixes> {
+        let replica = prefixes.replica.as_str();
+        if self.told.contains(replica) {
+            return Some(prefixes);
+        }
+        if prefixes.changes.is_empty() && prefixes.epoch != UNREACHABLE {
+            return None;
+        }
+        self.told.insert(replica.to_string());
+        prefixes.reset = 1;
+        Some(prefixes)
     }
 }
--- a/crates/feed/src/replicas.rs
+++ b/crates/feed/src/replicas.rs
@@ -1,9 +1,10 @@
 //! How far one receiver has got in the changes of replicas.
 //!
-//! Changes are of two kinds. A replica that takes nothing new any more (draining, ended or lost) is told at once by
-//! every feeder, since requests that are sent there fail. Everything else, above all that a replica is ready, is told by
-//! the receiver's home only, and many such changes go together: a fleet that starts would otherwise tell every receiver
-//! of every replica in a message of its own, from every feeder.
+//! Changes are of two kinds. That a replica drains or has ended is told at once by every feeder: its word has been, or is
+//! about to be, confirmed. Everything else is told by the receiver's home only, and many such changes go together: a
+//! fleet that starts would otherwise tell every receiver of every replica in a message of its own, from every feeder.
+//! That a replica is lost is such a change, too: it is a controller's judgement, and one that is overloaded judges
+//! thousands at a time.
 
 use catalog::{Record, State};
 use peer::{Message, Replicas};
@@ -17,7 +18,7 @@
 pub struct ReplicaFeed {
     /// Whether the receiver hears of ready replicas from here.
     is_home: bool,
-    /// Least time between two messages on ready replicas.
+    /// Least time between two messages on what is not urgent.
     pause: Millis,
     next_ready: Millis,
     /// Numbers of the last changes that were sent; `None` before the snapshot.
@@ -69,7 +70,7 @@
 }
 
 fn is_urgent(record: &Record) -> bool {
-    record.state != State::Ready
+    matches!(record.state, State::Draining | State::Gone)
 }
 
 fn changes(view: &View, seen: Option<u64>) -> Vec<Record> {
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -69,7 +69,7 @@
     }
 
     /// How far this view has got in what subscribers must hear at once: configurations, named weights, and replicas that
-    /// take nothing new.
+    /// drain or have ended.
     pub fn urgent_change(&self) -> UrgentChange {
         UrgentChange {
             replicas: self.replicas.last_urgent_change(),
--- a/crates/feed/tests/interest.rs
+++ b/crates/feed/tests/interest.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use feed::{Asked, PrefixFeed, PrefixTable, ASK_AGAIN_MS, FORGET_MS};
-use peer::{Message, PartChange, Prefixes};
+use peer::{Message, PartChange, Prefixes, UNREACHABLE};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -124,3 +124,22 @@
     asked.start_again();
     assert_eq!(asked.message().map(|message| message.parts), Some(vec![7]));
 }
+
+/// That a replica keeps nothing is told to a receiver that was told something of it, and to no other.
+#[rstest]
+fn an_empty_replica_is_news_only_to_whom_it_was_not() {
+    let mut table = PrefixTable::of_wanted_parts();
+    let mut feed = PrefixFeed::default();
+    table.ask(0, &[1]);
+    table.take(&Prefixes::new("r", 1, true, Vec::new()));
+    assert_eq!(feed.messages(&table), [], "nothing is kept there, and nothing was told");
+    tell(&mut table, "r", &[(1, 10)]);
+    let told = feed.messages(&table);
+    let expected = Prefixes::new("r", 1, true, vec![PartChange { part: 1, tokens: 10 }]);
+    assert_eq!(told, [Message::Prefixes(expected)], "the first news drop what others told");
+    table.take(&Prefixes::new("r", 2, true, Vec::new()));
+    assert_eq!(feed.messages(&table), [Message::Prefixes(Prefixes::new("r", 2, true, Vec::new()))]);
+    table.take(&Prefixes::new("s", UNREACHABLE, true, Vec::new()));
+    let down = Message::Prefixes(Prefixes::new("s", UNREACHABLE, true, Vec::new()));
+    assert_eq!(feed.messages(&table), [down], "a source that can't be read is news");
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -371,8 +371,8 @@
 /// What the sender wants to hear from the receiver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 pub struct Subscription {
-    /// 1 where the receiver is the sender's home: it tells of all replicas. The others tell only of those that are not
-    /// ready.
+    /// 1 where the receiver is the sender's home: it tells of all replicas. The others tell only of those that drain or have
+    /// ended.
     pub is_home: u8,
 }
 
