An agent hears of the kept parts that its own proxy sends

Ruled out: an index by part (looking through a controller's replicas for a part newly asked for costs less than the telling did). Change: PrefixFeed has its receiver's own interest; what is given up is taken back, what is newly asked for is told as it is. Agents of version 1 hear all.

--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -14,6 +14,8 @@
 const REMEMBER_MS: Millis = 30_000;
 /// A controller that started lately has not heard all agents, and says no number.
 const COUNT_AFTER_MS: Millis = 3_000;
+/// Time between looks at which kept parts agents want no more.
+const FORGET_EVERY_MS: Millis = 5_000;
 /// Least time between two looks at what agents have not heard, unless it is urgent: each look costs as much as there are
 /// agents, and most inputs of a large fleet change little.
 const FEED_EVERY_MS: Millis = 20;
@@ -42,6 +44,7 @@
     next_feed: Millis,
     /// When the first agent is due by itself, as of the last feed.
     next_deadline: Millis,
+    next_forget: Millis,
 }
 
 impl Agents {
@@ -49,6 +52,9 @@
         let machine = hello.machine.as_str().to_string();
         self.seen.insert(machine.clone(), now);
         let mut subscriber = Subscriber::new(hello.configuration).with_pause(READY_EVERY_MS);
+        if hello.protocol >= peer::TELLS_INTEREST {
+            subscriber = subscriber.with_own_interest();
+        }
         subscriber.set_tells_ready(hello.protocol < peer::TELLS_HOME);
         self.links.insert(link, Agent { machine, subscriber, busy: false });
         self.has_asked = true;
@@ -95,6 +101,16 @@
         self.next_deadline = idle.map(|agent| agent.subscriber.deadline(view)).min().unwrap_or(Millis::MAX);
     }
 
+    /// Forgets which kept parts agents wanted long ago.
+    pub fn forget_parts(&mut self, now: Millis) {
+        if now < self.next_forget {
+            return;
+        }
+        self.next_forget = now + FORGET_EVERY_MS;
+        self.links.values_mut().for_each(|agent| agent.subscriber.forget_parts(now));
+        self.has_asked = true;
+    }
+
     /// Number of agents that are linked now.
     pub fn linked(&self) -> usize {
         self.links.len()
@@ -137,7 +153,13 @@
                 }
             }
             Message::Loads(news) => self.loads.agent_told(at.now, link, &news),
-            Message::Interest(interest) => self.view.prefixes.ask(at.now, &interest.parts),
+            Message::Interest(interest) => {
+                self.view.prefixes.ask(at.now, &interest.parts);
+                if let Some(agent) = self.agents.links.get_mut(&link) {
+                    agent.subscriber.ask_parts(at.now, &interest.parts);
+                    self.agents.has_asked = true;
+                }
+            }
             _ => {}
         }
     }
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -302,6 +302,7 @@
             self.update_fleet(at.now);
             self.consider_duty(at, out);
             self.view.forget_prefixes_of_ended();
+            self.agents.forget_parts(at.now);
             self.view.prefixes.forget_unwanted(at.now);
         }
     }
--- a/crates/feed/src/prefixes.rs
+++ b/crates/feed/src/prefixes.rs
@@ -59,6 +59,28 @@
     /// The replicas of which anything was told. That one keeps nothing is no news to a receiver that was told nothing of
     /// it here; what another feeder told is dropped with the first news.
     told: HashSet<String>,
+    /// The parts that this receiver wants to hear of; `None`: all that the table tells.
+    own: Option<OwnInterest>,
+}
+
+/// What one receiver wants to hear of.
+#[derive(Debug, Clone, Default)]
+struct OwnInterest {
+    wanted: Wanted,
+    /// Parts that are wanted since the last messages: who keeps them now is to be told.
+    asked: Vec<u64>,
+    /// Parts that are wanted no more since then: the receiver is to drop what it was told of them.
+    dropped: Vec<u64>,
+}
+
+impl OwnInterest {
+    fn concerns(&self, part: u64) -> bool {
+        self.wanted.has(part) || self.dropped.contains(&part)
+    }
+
+    fn is_new(&self) -> bool {
+        !self.asked.is_empty() || !self.dropped.is_empty()
+    }
 }
 
 impl PrefixTable {
@@ -100,13 +122,20 @@
 
     /// Notes a change of a part at each of its holders.
     fn note_holders(&mut self, part: u64, tokens: impl Fn(u32) -> u32) {
-        let kept = self.replicas.iter().filter_map(|(id, kept)| Some((id, *kept.parts.get(&part)?)));
-        let holders: Vec<(String, u32)> = kept.map(|(id, kept)| (id.clone(), kept)).collect();
+        let holders: Vec<(String, u32)> =
+            self.holders(part).map(|(replica, _, kept)| (replica.to_string(), kept)).collect();
         for (replica, kept) in holders {
             self.note(&replica, Step::Change(PartChange { part, tokens: tokens(kept) }));
         }
     }
 
+    /// Who keeps a part: replica, epoch, tokens.
+    fn holders(&self, part: u64) -> impl Iterator<Item = (&str, u64, u32)> {
+        self.replicas
+            .iter()
+            .filter_map(move |(replica, kept)| Some((replica.as_str(), kept.epoch, *kept.parts.get(&part)?)))
+    }
+
     fn is_told(&self, part: u64) -> bool {
         self.wanted.as_ref().is_none_or(|wanted| wanted.has(part))
     }
@@ -181,9 +210,28 @@
 }
 
 impl PrefixFeed {
+    /// A receiver that hears of the parts that it asks for itself, and of no others.
+    pub fn of_own_interest() -> PrefixFeed {
+        PrefixFeed { own: Some(OwnInterest::default()), ..PrefixFeed::default() }
+    }
+
+    /// The receiver wants to hear of these parts. The table has to be asked for them, too.
+    pub fn ask(&mut self, now: Millis, parts: &[u64]) {
+        let Some(own) = &mut self.own else { return };
+        let new = parts.iter().copied().filter(|part| own.wanted.ask(now, *part));
+        own.asked.extend(new);
+    }
+
+    /// Forgets which parts the receiver wanted long ago.
+    pub fn forget_old(&mut self, now: Millis) {
+        let Some(own) = &mut self.own else { return };
+        let old = own.wanted.forget_old(now);
+        own.dropped.extend(old);
+    }
+
     /// Whether there is something that the receiver has not got yet.
     pub fn is_behind(&self, table: &PrefixTable) -> bool {
-        self.seen != Some(table.last)
+        self.seen != Some(table.last) || self.own.as_ref().is_some_and(OwnInterest::is_new)
     }
 
     /// What the receiver has not got yet; what is returned counts as sent.
@@ -193,7 +241,10 @@
         if self.told.len() > 2 * MOST_REPLICAS {
             self.told.retain(|replica| table.replicas.contains_key(replica));
         }
-        let news = changes.unwrap_or_else(|| table.snapshot());
+        let mut news = changes.unwrap_or_else(|| table.snapshot());
+        if let Some(own) = &mut self.own {
+            narrow(&mut news, own, table);
+        }
         news.into_iter().filter_map(|prefixes| self.told_of(prefixes)).map(Message::Prefixes).collect()
     }
 
@@ -211,3 +262,32 @@
         Some(prefixes)
     }
 }
+
+/// Leaves of the news what one receiver wants, and adds who keeps what it has newly asked for or given up.
+fn narrow(news: &mut Vec<Prefixes>, own: &mut OwnInterest, table: &PrefixTable) {
+    // Of parts that are newly asked for the present state is told below.
+    let asked: HashSet<u64> = own.asked.iter().copied().collect();
+    let is_mine = |change: &PartChange| own.concerns(change.part) && !asked.contains(&change.part);
+    let mine = news.drain(..).filter_map(|prefixes| {
+        let reset = prefixes.reset != 0;
+        let changes: Vec<PartChange> = prefixes.changes.into_iter().filter(is_mine).collect();
+        let is_any = reset || !changes.is_empty();
+        is_any.then(|| Prefixes::new(prefixes.replica.as_str(), prefixes.epoch, reset, changes))
+    });
+    let mut mine: Vec<Prefixes> = mine.collect();
+    let mut added: BTreeMap<(&str, u64), Vec<PartChange>> = BTreeMap::new();
+    for part in own.dropped.drain(..) {
+        for (replica, epoch, _) in table.holders(part) {
+            added.entry((replica, epoch)).or_default().push(PartChange { part, tokens: 0 });
+        }
+    }
+    for part in own.asked.drain(..) {
+        for (replica, epoch, tokens) in table.holders(part) {
+            added.entry((replica, epoch)).or_default().push(PartChange { part, tokens });
+        }
+    }
+    mine.extend(
+        added.into_iter().map(|((replica, epoch), changes)| Prefixes::new(replica, epoch, false, changes)),
+    );
+    *news = mine;
+}
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -60,6 +60,23 @@
         self
     }
 
+    /// The receiver hears of the kept parts that it asks for itself, and of no others.
+    #[must_use]
+    pub fn with_own_interest(mut self) -> Subscriber {
+        self.prefixes = PrefixFeed::of_own_interest();
+        self
+    }
+
+    /// The receiver wants to hear of these parts. The view has to be asked for them, too.
+    pub fn ask_parts(&mut self, now: Millis, parts: &[u64]) {
+        self.prefixes.ask(now, parts);
+    }
+
+    /// Forgets which parts the receiver wanted long ago.
+    pub fn forget_parts(&mut self, now: Millis) {
+        self.prefixes.forget_old(now);
+    }
+
     /// Whether this feeder tells the receiver of ready replicas; the only one does, unless it is said.
     pub fn set_tells_ready(&mut self, tells_ready: bool) {
         self.replicas.set_home(tells_ready);
--- a/crates/feed/tests/interest.rs
+++ b/crates/feed/tests/interest.rs
@@ -143,3 +143,54 @@
     let down = Message::Prefixes(Prefixes::new("s", UNREACHABLE, true, Vec::new()));
     assert_eq!(feed.messages(&table), [down], "a source that can't be read is news");
 }
+
+/// Two receivers with interests of their own and one table, in any order: each holds what is kept of what it wants.
+#[rstest]
+fn each_receiver_holds_what_it_asked_for(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut table = PrefixTable::of_wanted_parts();
+    let mut feeds = [PrefixFeed::of_own_interest(), PrefixFeed::of_own_interest()];
+    let mut held = [Kept::new(), Kept::new()];
+    let mut asked = [BTreeMap::<u64, u64>::new(), BTreeMap::new()];
+    let mut all = Kept::new();
+    for step in 0..4_000_u64 {
+        let now = step * 100;
+        let receiver = random.random_range(0..2);
+        match random.random_range(0..12) {
+            0..=5 => {
+                let (replica, part) = (format!("r{}", random.random_range(0..5)), random.random_range(0..60));
+                let tokens = random.random_range(0..3);
+                tell(&mut table, &replica, &[(part, tokens)]);
+                match tokens {
+                    0 => drop(all.remove(&(replica, part))),
+                    tokens => drop(all.insert((replica, part), tokens)),
+                }
+            }
+            6 => {
+                let replica = format!("r{}", random.random_range(0..5));
+                table.take(&Prefixes::new(&replica, 1, true, Vec::new()));
+                all.retain(|(of, _), _| *of != replica);
+            }
+            7 | 8 => {
+                let part = random.random_range(0..60);
+                table.ask(now, &[part]);
+                feeds[receiver].ask(now, &[part]);
+                asked[receiver].insert(part, now);
+            }
+            9 => {
+                for number in 0..2 {
+                    feeds[number].forget_old(now);
+                    asked[number].retain(|_, at| now - *at < FORGET_MS);
+                }
+                table.forget_unwanted(now);
+            }
+            _ => apply(&mut held[receiver], feeds[receiver].messages(&table)),
+        }
+    }
+    for receiver in 0..2 {
+        apply(&mut held[receiver], feeds[receiver].messages(&table));
+        let mut expected = all.clone();
+        expected.retain(|(_, part), _| asked[receiver].contains_key(part));
+        assert_eq!(held[receiver], expected, "receiver {receiver}");
+    }
+}
