--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -14,6 +14,12 @@
 const REMEMBER_MS: Millis = 30_000;
 /// A controller that started lately has not heard all agents, and says no number.
 const COUNT_AFTER_MS: Millis = 3_000;
+/// With this many agents or more, each hears of the kept parts that its own proxy sends only. In a smaller fleet all hear
+/// of what any proxy sends, so that the first request for a part finds its holders known; what that costs grows as the
+/// square of the fleet.
+const NARROW_FROM: usize = 128;
+/// With fewer than this many, all hear of all again.
+const WIDE_BELOW: usize = 96;
 /// Time between looks at which kept parts agents want no more.
 const FORGET_EVERY_MS: Millis = 5_000;
 /// Least time between two looks at what agents have not heard, unless it is urgent: each look costs as much as there are
@@ -26,6 +32,8 @@
 struct Agent {
     machine: String,
     subscriber: Subscriber,
+    /// It can say which kept parts it wants to hear of.
+    asks: bool,
     /// A batch is on its way; the next one waits for its end, so that a slow agent holds one batch only.
     busy: bool,
 }
@@ -45,6 +53,7 @@
     /// When the first agent is due by itself, as of the last feed.
     next_deadline: Millis,
     next_forget: Millis,
+    is_narrow: bool,
 }
 
 impl Agents {
@@ -52,11 +61,10 @@
         let machine = hello.machine.as_str().to_string();
         self.seen.insert(machine.clone(), now);
         let mut subscriber = Subscriber::new(hello.configuration).with_pause(READY_EVERY_MS);
-        if hello.protocol >= peer::TELLS_INTEREST {
-            subscriber = subscriber.with_own_interest();
-        }
         subscriber.set_tells_ready(hello.protocol < peer::TELLS_HOME);
-        self.links.insert(link, Agent { machine, subscriber, busy: false });
+        let asks = hello.protocol >= peer::TELLS_INTEREST;
+        self.links.insert(link, Agent { machine, subscriber, asks, busy: false });
+        self.narrow();
         self.has_asked = true;
         self.next_feed = now;
     }
@@ -101,12 +109,22 @@
         self.next_deadline = idle.map(|agent| agent.subscriber.deadline(view)).min().unwrap_or(Millis::MAX);
     }
 
+    /// Decides whether agents hear of the parts that they ask for only.
+    fn narrow(&mut self) {
+        let least = if self.is_narrow { WIDE_BELOW } else { NARROW_FROM };
+        self.is_narrow = self.links.len() >= least;
+        for agent in self.links.values_mut() {
+            agent.subscriber.set_narrow(self.is_narrow && agent.asks);
+        }
+    }
+
     /// Forgets which kept parts agents wanted long ago.
     pub fn forget_parts(&mut self, now: Millis) {
         if now < self.next_forget {
             return;
         }
         self.next_forget = now + FORGET_EVERY_MS;
+        self.narrow();
         self.links.values_mut().for_each(|agent| agent.subscriber.forget_parts(now));
         self.has_asked = true;
     }
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -175,6 +175,8 @@
 const LATE_MS: Millis = 500;
 /// It judges no silence for so many heartbeats then.
 const JUDGES_AFTER_BEATS: Millis = 3;
+/// A replica with no more heartbeats behind it has not been read by any other controller.
+const NEW_FOR_BEATS: u64 = 3;
 /// Time between messages on heartbeats heard to the other controllers.
 const BEATS_EVERY_MS: Millis = 400;
 
@@ -238,7 +240,11 @@
             }
             Input::Ordered { replica, status } => self.moves.ordered(at.now, &replica, status),
             Input::Reported { replica, report } => self.reported(at, &replica, report),
-            Input::Prefixes { prefixes } => self.view.prefixes.take(&prefixes),
+            Input::Prefixes { prefixes } => {
+                let beat = self.view.replicas.get(prefixes.replica.as_str()).map(|record| record.beat);
+                let is_new = beat.is_some_and(|beat| beat <= NEW_FOR_BEATS);
+                self.view.prefixes.take_of(&prefixes, is_new);
+            }
             Input::Tick => self.tick(at, out),
             Input::Terminate => self.terminate(at, out),
         }
--- a/crates/feed/src/prefixes.rs
+++ b/crates/feed/src/prefixes.rs
@@ -56,11 +56,10 @@
 pub struct PrefixFeed {
     /// Number of the last step that was sent; `None` before the snapshot.
     seen: Option<u64>,
-    /// The replicas of which anything was told. That one keeps nothing is no news to a receiver that was told nothing of
-    /// it here; what another feeder told is dropped with the first news.
-    told: HashSet<String>,
-    /// The parts that this receiver wants to hear of; `None`: all that the table tells.
-    own: Option<OwnInterest>,
+    /// The parts that this receiver wants to hear of.
+    own: OwnInterest,
+    /// Whether it hears of no others.
+    is_narrow: bool,
 }
 
 /// What one receiver wants to hear of.
@@ -142,6 +141,12 @@
 
     /// Takes changes of what a replica keeps.
     pub fn take(&mut self, prefixes: &Prefixes) {
+        self.take_of(prefixes, false);
+    }
+
+    /// The same where the replica `is_new` to the whole fleet: nobody told anything of it, so that it keeps nothing is no
+    /// news to anybody.
+    pub fn take_of(&mut self, prefixes: &Prefixes, is_new: bool) {
         let replica = prefixes.replica.as_str();
         let known = self.replicas.contains_key(replica);
         if !known && self.replicas.len() >= MOST_REPLICAS {
@@ -151,7 +156,10 @@
         if prefixes.reset != 0 || !known || kept.epoch != prefixes.epoch {
             kept.parts.clear();
             kept.epoch = prefixes.epoch;
-            self.note(replica, Step::Reset);
+            let is_quiet = is_new && !known && prefixes.epoch != UNREACHABLE;
+            if !is_quiet {
+                self.note(replica, Step::Reset);
+            }
         }
         for change in &prefixes.changes {
             self.change(replica, *change);
@@ -210,56 +218,44 @@
 }
 
 impl PrefixFeed {
-    /// A receiver that hears of the parts that it asks for itself, and of no others.
-    pub fn of_own_interest() -> PrefixFeed {
-        PrefixFeed { own: Some(OwnInterest::default()), ..PrefixFeed::default() }
+    /// Whether the receiver hears of the parts that it asks for itself only, or of all that the table tells. A change
+    /// begins with a snapshot.
+    pub fn set_narrow(&mut self, is_narrow: bool) {
+        if is_narrow != self.is_narrow {
+            self.is_narrow = is_narrow;
+            self.seen = None;
+        }
     }
 
     /// The receiver wants to hear of these parts. The table has to be asked for them, too.
     pub fn ask(&mut self, now: Millis, parts: &[u64]) {
-        let Some(own) = &mut self.own else { return };
-        let new = parts.iter().copied().filter(|part| own.wanted.ask(now, *part));
-        own.asked.extend(new);
+        let OwnInterest { wanted, asked, .. } = &mut self.own;
+        asked.extend(parts.iter().copied().filter(|part| wanted.ask(now, *part)));
     }
 
     /// Forgets which parts the receiver wanted long ago.
     pub fn forget_old(&mut self, now: Millis) {
-        let Some(own) = &mut self.own else { return };
-        let old = own.wanted.forget_old(now);
-        own.dropped.extend(old);
+        let old = self.own.wanted.forget_old(now);
+        self.own.dropped.extend(old);
     }
 
     /// Whether there is something that the receiver has not got yet.
     pub fn is_behind(&self, table: &PrefixTable) -> bool {
-        self.seen != Some(table.last) || self.own.as_ref().is_some_and(OwnInterest::is_new)
+        self.seen != Some(table.last) || (self.is_narrow && self.own.is_new())
     }
 
     /// What the receiver has not got yet; what is returned counts as sent.
     pub fn messages(&mut self, table: &PrefixTable) -> Vec<Message> {
         let changes = self.seen.and_then(|seen| table.since(seen));
         self.seen = Some(table.last);
-        if self.told.len() > 2 * MOST_REPLICAS {
-            self.told.retain(|replica| table.replicas.contains_key(replica));
-        }
         let mut news = changes.unwrap_or_else(|| table.snapshot());
-        if let Some(own) = &mut self.own {
-            narrow(&mut news, own, table);
-        }
-        news.into_iter().filter_map(|prefixes| self.told_of(prefixes)).map(Message::Prefixes).collect()
-    }
-
-    /// The news as they go to the receiver, if they are any to it.
-    fn told_of(&mut self, mut prefixes: Prefixes) -> Option<Prefixes> {
-        let replica = prefixes.replica.as_str();
-        if self.told.contains(replica) {
-            return Some(prefixes);
-        }
-        if prefixes.changes.is_empty() && prefixes.epoch != UNREACHABLE {
-            return None;
+        if self.is_narrow {
+            narrow(&mut news, &mut self.own, table);
+        } else {
+            self.own.asked.clear();
+            self.own.dropped.clear();
         }
-        self.told.insert(replica.to_string());
-        prefixes.reset = 1;
-        Some(prefixes)
+        news.into_iter().map(Message::Prefixes).collect()
     }
 }
 
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -60,11 +60,9 @@
         self
     }
 
-    /// The receiver hears of the kept parts that it asks for itself, and of no others.
-    #[must_use]
-    pub fn with_own_interest(mut self) -> Subscriber {
-        self.prefixes = PrefixFeed::of_own_interest();
-        self
+    /// Whether the receiver hears of the kept parts that it asks for itself only.
+    pub fn set_narrow(&mut self, is_narrow: bool) {
+        self.prefixes.set_narrow(is_narrow);
     }
 
     /// The receiver wants to hear of these parts. The view has to be asked for them, too.
