--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -25,6 +25,8 @@
     ConfigurationTaken = 3020,
     /// A configuration can't be used; the whole is asked for.
     ConfigurationUnusable = 3021,
+    /// Versions of weights are named.
+    WeightsNamed = 3022,
     /// A connection of a proxy can't be taken.
     LinkRefused = 3061,
     /// A process that is no proxy was turned away.
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -242,7 +242,10 @@
             Message::Configuration(configuration) => self.configuration(from, configuration, out),
             Message::Replicas(replicas) => self.replicas(now, from, &replicas, out),
             Message::Weights(weights) => {
-                self.view.take_weights_message(now, &weights);
+                if self.view.take_weights_message(now, &weights) {
+                    let named = feed::describe_weights(self.view.weights(), now);
+                    AgentEvent::WeightsNamed.info(format_args!("from {from}: {named}"));
+                }
             }
             Message::Fleet(fleet) => self.fleet(from, &fleet),
             Message::Alive(alive) => self.alive(now, from, alive),
--- a/crates/controller/src/duty/moves.rs
+++ b/crates/controller/src/duty/moves.rs
@@ -49,6 +49,15 @@
     pub call_count: u64,
 }
 
+/// A move that is done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Moved {
+    pub model: String,
+    pub version: u64,
+    /// Time from the order to the report that showed it done.
+    pub took_ms: Millis,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
     /// An order is to be given, from that time on.
@@ -163,18 +172,19 @@
         };
     }
 
-    /// A question was answered; `None`: no answer.
-    pub fn reported(&mut self, now: Millis, replica: &str, report: Option<&Report>) {
-        let Some(one) = self.moves.get_mut(replica) else { return };
+    /// A question was answered; `None`: no answer. Tells of a move that is done.
+    pub fn reported(&mut self, now: Millis, replica: &str, report: Option<&Report>) -> Option<Moved> {
+        let one = self.moves.get_mut(replica)?;
         let Some(report) = report else {
             one.step = Step::Loading { ask_at: now + RETRY_MS };
-            return;
+            return None;
         };
         one.call_count = Some(report.call_count);
         let holds = |model: &ModelVersion| model.name == one.model && model.version >= one.version;
         if report.models.iter().any(holds) {
-            self.moves.remove(replica);
-            return;
+            let done = self.moves.remove(replica)?;
+            let took_ms = now.saturating_sub(done.since);
+            return Some(Moved { model: done.model, version: done.version, took_ms });
         }
         let given_up = now >= one.since + GIVE_UP_MS;
         let idle = !report.busy && now >= one.since + SETTLED_MS;
@@ -184,6 +194,7 @@
         } else {
             Step::Loading { ask_at: now + REPORT_EVERY_MS }
         };
+        None
     }
 }
 
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -45,6 +45,8 @@
     DutyHandedOn = 2051,
     /// A replica was given an order.
     Order = 2052,
+    /// A replica that was given an order holds the weights.
+    WeightsMoved = 2053,
     /// A connection to the control API can't be taken.
     CallRefused = 2060,
     /// A connection of another process of the fleet can't be taken.
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -1,11 +1,14 @@
 //! The duty of moving replicas to named weights, joined to the register and the catalogue.
 
+use std::collections::BTreeMap;
+
+use catalog::State;
 use feed::NamedWeights;
 use process::Event;
 use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
 
 use crate::duty::holder::{Circumstances, Proposal};
-use crate::duty::moves::Report;
+use crate::duty::moves::{Moved, Report};
 use crate::event::ControllerEvent;
 use crate::machine::calls::Pending;
 use crate::machine::{Effect, Machine, Moment};
@@ -27,8 +30,9 @@
             named_at: at.now as i64 - at.wall_ms.saturating_sub(one.named_at_ms) as i64,
         });
         if self.view.take_weights(named.collect()) {
-            ControllerEvent::WeightsNamed
-                .info(format_args!("versions of weights are named for {} models", value.models.len()));
+            let named = feed::describe_weights(self.view.weights(), at.now);
+            let held = self.held_versions();
+            ControllerEvent::WeightsNamed.info(format_args!("{named}; ready replicas hold {held}"));
         }
         self.weights = value;
         self.next_upkeep = at.now;
@@ -63,8 +67,25 @@
         out.extend(calls.into_iter().map(Effect::CallReplica));
     }
 
+    /// How many ready replicas hold which version of which model, as a line of a log.
+    fn held_versions(&self) -> String {
+        let mut held: BTreeMap<(&str, u64), usize> = BTreeMap::new();
+        let ready = self.view.replicas.live().filter(|record| record.state == State::Ready);
+        for model in ready.flat_map(|record| &record.models) {
+            *held.entry((&model.name, model.version)).or_default() += 1;
+        }
+        let shown =
+            held.iter().map(|((model, version), count)| format!("{model} version {version}: {count}"));
+        shown.collect::<Vec<_>>().join(", ")
+    }
+
     pub(crate) fn reported(&mut self, at: Moment, replica: &str, report: Option<Report>) {
-        self.moves.reported(at.now, replica, report.as_ref());
+        if let Some(moved) = self.moves.reported(at.now, replica, report.as_ref()) {
+            let Moved { model, version, took_ms } = moved;
+            ControllerEvent::WeightsMoved.info(format_args!(
+                "replica {replica}: {model} version {version}, {took_ms} ms after its order"
+            ));
+        }
         if let Some(report) = report {
             self.view.replicas.note_models(replica, report.models);
         }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -126,9 +126,14 @@
         number
     }
 
-    /// A version of a model was named, and acknowledged at this time.
-    pub fn name_version(&mut self, model: &str, version: u64, acknowledged: Ms) {
-        self.weights.name(model, version, acknowledged);
+    /// A version of a model was named, and acknowledged at this time. Whether the version was not known.
+    pub fn name_version(&mut self, model: &str, version: u64, acknowledged: Ms) -> bool {
+        self.weights.name(model, version, acknowledged)
+    }
+
+    /// The named versions of models as a line of a log: since when, and when older ones are out.
+    pub fn named_weights(&self, now: Ms) -> String {
+        self.weights.describe(now, self.bounds.version)
     }
 
     /// Takes news of a replica.
--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -21,14 +21,27 @@
 }
 
 impl Weights {
-    /// A version was named and acknowledged at this time; older names are no news.
-    pub fn name(&mut self, model: &str, version: u64, acknowledged: Ms) {
+    /// A version was named and acknowledged at this time; older names are no news. Whether the version was not known.
+    pub fn name(&mut self, model: &str, version: u64, acknowledged: Ms) -> bool {
+        let is_first = !self.named.contains_key(model);
         let named = self.named.entry(model.to_string()).or_insert(Named { version, acknowledged });
-        if version > named.version {
+        let is_newer = version > named.version;
+        if is_newer {
             *named = Named { version, acknowledged };
         } else if version == named.version {
             named.acknowledged = named.acknowledged.min(acknowledged);
         }
+        is_first || is_newer
+    }
+
+    /// The named versions as a line of a log. Times count from `now`, ms.
+    pub fn describe(&self, now: Ms, bound: Ms) -> String {
+        let of_model = |(model, named): (&String, &Named)| {
+            let age = now - named.acknowledged;
+            let out = MOVED_BY * bound - age;
+            format!("{model} version {} named {age:.0} ms ago, older ones out in {out:.0} ms", named.version)
+        };
+        self.named.iter().map(of_model).collect::<Vec<_>>().join("; ")
     }
 
     /// The newest version.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -16,7 +16,7 @@
 pub use records::{record_from_wire, record_to_wire};
 pub use replicas::ReplicaFeed;
 pub use subscriber::{Subscriber, HOME_FIRST_MS};
-pub use view::{NamedWeights, ReplicasTaken, UrgentChange, View};
+pub use view::{describe_weights, NamedWeights, ReplicasTaken, UrgentChange, View};
 
 /// Milliseconds of the caller's steady clock.
 pub type Millis = u64;
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -20,6 +20,15 @@
     pub named_at: i64,
 }
 
+/// Named versions as a line of a log. Times count from `now`.
+pub fn describe_weights(named: &[NamedWeights], now: Millis) -> String {
+    let of_model = |one: &NamedWeights| {
+        let age = now as i64 - one.named_at;
+        format!("{} version {} named {age} ms ago", one.model, one.version)
+    };
+    named.iter().map(of_model).collect::<Vec<_>>().join("; ")
+}
+
 /// What became of records that came.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ReplicasTaken {
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -19,6 +19,8 @@
     Configured = 1020,
     /// A configuration can't be used.
     ConfigurationUnusable = 1021,
+    /// Versions of weights are named: since when, and from when on nothing goes to older ones.
+    WeightsNamed = 1022,
     /// A client's connection can't be taken.
     AcceptFailed = 1030,
     /// A client's request is no sound HTTP.
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -98,6 +98,11 @@
             ProxyEvent::Configured.info(format_args!("version {version}"));
             None
         }
+        ViewAnswer::Named => {
+            let named = shared.view.borrow().dispatcher.named_weights(shared.now());
+            ProxyEvent::WeightsNamed.info(format_args!("{named}"));
+            None
+        }
         ViewAnswer::Unusable(why) => {
             ProxyEvent::ConfigurationUnusable.warn(format_args!("version {version} stays: {why}"));
             None
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -20,6 +20,8 @@
     WantConfiguration,
     /// The configuration can't be used; the one before stays in force.
     Unusable(ConfigurationError),
+    /// Versions of weights are named that were not known.
+    Named,
 }
 
 /// A configuration with its look-up tables.
@@ -73,12 +75,7 @@
                 self.has_replicas = true;
                 replicas.records.into_iter().for_each(|record| self.dispatcher.update_replica(record));
             }
-            Message::Weights(weights) => {
-                for named in weights.versions {
-                    let age = if named.age_ms == NEVER { Ms::INFINITY } else { f64::from(named.age_ms) };
-                    self.dispatcher.name_version(named.model.as_str(), named.version, now - age);
-                }
-            }
+            Message::Weights(weights) => return self.take_weights(&weights, now),
             Message::Fleet(fleet) if fleet.proxies > 0 => self.dispatcher.set_proxies(fleet.proxies),
             Message::Prefixes(prefixes) => self.take_prefixes(&prefixes),
             Message::Loads(loads) => self.dispatcher.take_loads(&loads, now),
@@ -106,6 +103,19 @@
         loads.into_iter().chain(self.asked.message().map(Message::Interest)).collect()
     }
 
+    fn take_weights(&mut self, weights: &peer::Weights, now: Ms) -> ViewAnswer {
+        let mut is_news = false;
+        for named in &weights.versions {
+            let age = if named.age_ms == NEVER { Ms::INFINITY } else { f64::from(named.age_ms) };
+            is_news |= self.dispatcher.name_version(named.model.as_str(), named.version, now - age);
+        }
+        if is_news {
+            ViewAnswer::Named
+        } else {
+            ViewAnswer::Taken
+        }
+    }
+
     fn configure(&mut self, message: &peer::Configuration) -> ViewAnswer {
         if message.version <= self.version() {
             return ViewAnswer::Taken;
--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -3,9 +3,9 @@
 
     draw.py SITE FOLDER [FIRST COUNT]
 
-Reads the site's TOML file and writes days into FOLDER: one for each point that the operators meet (see docs/control.md), and
-COUNT days of mixed troubles, drawn from the numbers FIRST and up. Mixed days pair troubles at one moment, repeat them, and
-end with a closing fault. The same number draws the same day. Play a day with the bench's `run SITE FILE`.
+Reads the site's TOML file and writes days into FOLDER: one for each point that the operators meet (see docs/control.md), one
+for each way to name weights on top of each other, and COUNT days of mixed troubles, without and with such namings, drawn from
+the numbers FIRST and up. Mixed days pair troubles at one moment, repeat them, and end with a closing fault. The same number draws the same day. Play a day with the bench's `run SITE FILE`.
 """
 
 import random
@@ -48,6 +48,16 @@
       'kind = "reset_conns", share = 0.5, x = 0.5, at = 10', 'kind = "reset_conns", share = 0.5, x = 0.5, at = 20', 'kind = "give_up", share = 0.2, x = 150, for_s = 8, at = 22'], None),
 ]
 
+# Versions of weights named one on top of the other, before the move to the one before is done: name, times, plan, faults, closing.
+OVERLAPS = [
+    ("weights-three", (6, 9.45, 12.9), ['kind = "config_race", count = 2, gap_s = 1.6, at = 1.3', 'kind = "hup", share = 1.0, gap_s = 2.0, at = 3.5'], [], None),
+    ("weights-eight", (5, 7, 9, 11, 13, 15, 17, 19), [], [], None),
+    ("weights-dense", tuple(5 + 0.5 * step for step in range(24)), [], [], 'kind = "kill_all", down_s = 1.2'),
+    ("weights-holder-killed", (6, 9, 12, 15), [], ['kind = "node_kill", on = "core", count = 1, for_s = 2, how = "giver", at = 7', 'kind = "node_kill", on = "core", count = 1, for_s = 2, how = "giver", at = 16'], None),
+    ("weights-dark", (6, 9, 12), ['kind = "release", share = 0.4, x = 1.0, gap_s = 1.0, at = 8'], ['kind = "srv_crash", share = 0.25, for_s = 6, how = "dark", at = 7'], None),
+    ("weights-changes", (5, 8, 11, 14, 17, 20), ['kind = "config_race", count = 40, gap_s = 0.4, at = 4'], ['kind = "ack_lost", x = 0.7, for_s = 12, at = 5'], 'kind = "power_off_all", down_s = 1.2'),
+]
+
 CORE_HOWS = ["leader", "leader race", "leader meet drain", "seed race", "race hard", "meet", "turn race", "reader"]
 CUT_HOWS = ["", "all", "near", "one_way", "oldest", "seeds", "both", "leader lure race", "all lure", "leader one_way", "near meet", "reset race"]
 
@@ -121,6 +131,20 @@
     return day[begin:day.index("\n]\n", begin) + 3]
 
 
+def bumps(times):
+    """Plan of namings at these times."""
+    return [f'kind = "version_bump", count = 0, at = {time}' for time in times]
+
+
+def overlapping(draw):
+    """Plan and faults of a mixed day on which versions are named on top of each other."""
+    planned, broken, closing = mixed(draw)
+    times = [draw.uniform(3, 8)]
+    for _ in range(draw.randint(2, 9)):
+        times.append(times[-1] + draw.choice([0.2, 1.0, 2.0, 3.4, 5.0]))
+    return planned + bumps(round(time, 2) for time in times if time < 26), broken, closing
+
+
 def write(folder, name, seed, plan, faults, closing, rows):
     entries = lambda them: "".join(f"  {{ {entry} }},\n" for entry in them)
     lines = [f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}", "one = 0.57", "zero = 0.22",
@@ -141,8 +165,11 @@
     rows = traffic(site)
     for number, (name, plan, faults, closing) in enumerate(POINTS):
         write(folder, name, 4_700 + number, plan, faults, closing, rows)
+    for number, (name, times, plan, faults, closing) in enumerate(OVERLAPS):
+        write(folder, name, 5_700 + number, bumps(times) + plan, faults, closing, rows)
     for number in range(first, first + count):
         write(folder, f"mixed-{number}", 100_000 + number, *mixed(random.Random(number)), rows)
+        write(folder, f"overlap-{number}", 200_000 + number, *overlapping(random.Random(number)), rows)
 
 
 if __name__ == "__main__":
