--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -241,12 +241,7 @@
         match message {
             Message::Configuration(configuration) => self.configuration(from, configuration, out),
             Message::Replicas(replicas) => self.replicas(now, from, &replicas, out),
-            Message::Weights(weights) => {
-                if self.view.take_weights_message(now, &weights) {
-                    let named = feed::describe_weights(self.view.weights(), now);
-                    AgentEvent::WeightsNamed.info(format_args!("from {from}: {named}"));
-                }
-            }
+            Message::Weights(weights) => self.weights(now, from, &weights),
             Message::Fleet(fleet) => self.fleet(from, &fleet),
             Message::Alive(alive) => self.alive(now, from, alive),
             Message::Prefixes(prefixes) => self.view.prefixes.take(&prefixes),
@@ -312,6 +307,13 @@
         }
     }
 
+    fn weights(&mut self, now: Millis, from: SocketAddrV4, weights: &peer::Weights) {
+        if self.view.take_weights_message(now, weights) {
+            let named = feed::describe_weights(self.view.weights(), now);
+            AgentEvent::WeightsNamed.info(format_args!("from {from}: {named}"));
+        }
+    }
+
     fn configuration(
         &mut self,
         from: SocketAddrV4,
--- a/crates/controller/tests/duty.rs
+++ b/crates/controller/tests/duty.rs
@@ -70,6 +70,37 @@
     check_orders(&cluster);
 }
 
+/// Each move takes so long that a round over all replicas takes longer than the time between two namings: the replicas that
+/// have been behind for longest go first, or some never move. None may be behind a version for the 8 s that a move may take.
+#[test]
+fn no_replica_is_left_behind_while_newer_versions_are_named() {
+    for seed in 1..=3 {
+        name_eight_versions(seed, 2_000);
+        name_eight_versions(seed, 3_400);
+    }
+}
+
+fn name_eight_versions(seed: u64, gap: u64) {
+    const BOUND_MS: u64 = 8_000;
+    let mut cluster = started(seed, 9);
+    cluster.replicas.load_ms = 900;
+    let mut named = Vec::new();
+    for step in 0..3_000 {
+        if step * 10 % gap == 0 && named.len() < 8 {
+            let version = named.len() as u64 + 2;
+            assert_eq!(name(&mut cluster, 1, version), Some(200));
+            named.push((version, cluster.now));
+        }
+        cluster.play(10);
+        let due =
+            named.iter().rev().find(|(_, at)| cluster.now > at + BOUND_MS).map_or(1, |(version, _)| *version);
+        for (id, replica) in &cluster.replicas.all {
+            assert!(replica.version >= due, "{id} has {} at {}, {named:?}", replica.version, cluster.now);
+        }
+    }
+    check_orders(&cluster);
+}
+
 #[rstest]
 #[case::one(1, 1)]
 #[case::as_many_as_one_part(5, 1)]
