--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -309,7 +309,7 @@
 
     fn weights(&mut self, now: Millis, from: SocketAddrV4, weights: &peer::Weights) {
         if self.view.take_weights_message(now, weights) {
-            let named = feed::describe_weights(self.view.weights(), now);
+            let named = self.view.weights().describe(now as i64);
             AgentEvent::WeightsNamed.info(format_args!("from {from}: {named}"));
         }
     }
--- a/crates/agent/tests/merging.rs
+++ b/crates/agent/tests/merging.rs
@@ -232,6 +232,30 @@
     assert_eq!(weights, Some(vec![named(2, 5_000)]));
 }
 
+/// An older version may be heard of later, from another controller; a proxy that links then hears of both.
+#[rstest]
+fn every_version_that_may_bind_is_passed_on() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    bench.up(2);
+    let named = |version, age_ms| {
+        Message::Weights(Weights::from(vec![NamedVersion { model: "m".into(), version, age_ms }]))
+    };
+    bench.now = 10_000;
+    bench.tell(1, named(3, 100));
+    bench.tell(2, named(2, 5_000));
+    bench.tell(2, named(2, 200));
+    bench.now += 50;
+    let (_, told) = bench.proxy(0);
+    let told = told.iter().find_map(|message| match message {
+        Message::Weights(weights) => {
+            Some(weights.versions.iter().map(|named| (named.version, named.age_ms)).collect::<Vec<_>>())
+        }
+        _ => None,
+    });
+    assert_eq!(told.expect("told"), [(3, 150), (2, 5_050)]);
+}
+
 #[rstest]
 fn a_proxy_that_does_not_read_holds_one_batch() {
     let mut bench = Bench::new();
--- a/crates/controller/src/change.rs
+++ b/crates/controller/src/change.rs
@@ -2,7 +2,7 @@
 
 use configuration::{digest, Changes, Configuration, ConfigurationError, Digest, Document};
 
-use crate::values::{ConfigurationValue, Fate, NamedVersion, WeightsValue};
+use crate::values::{ConfigurationValue, Fate, WeightsValue};
 
 /// How the operator says what follows.
 #[derive(Debug, Clone)]
@@ -140,7 +140,7 @@
         if current.version_of(&self.model).is_some_and(|known| known >= self.version) {
             return WeightsVerdict::Named;
         }
-        let named = NamedVersion::new(&self.model, self.version, wall_ms);
-        current.with(named).map_or(WeightsVerdict::TooManyModels, WeightsVerdict::Write)
+        let next = current.with(&self.model, self.version, wall_ms);
+        next.map_or(WeightsVerdict::TooManyModels, WeightsVerdict::Write)
     }
 }
--- a/crates/controller/src/duty/moves.rs
+++ b/crates/controller/src/duty/moves.rs
@@ -1,11 +1,15 @@
 //! Moving replicas to named weights, a few at a time: which to order, and how to see that an order is done.
+//!
+//! A replica is behind since the first naming above what it has, and that naming's bound is the one to keep. So the order
+//! of moves is that of these bounds, whatever is named meanwhile; and a replica whose naming is due is ordered even if
+//! others load already: nothing is sent there any more, and what waits in its queue goes elsewhere.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 use catalog::{ModelVersion, Record, State};
+use weights::{due_after, NamedWeights};
 
-use crate::values::WeightsValue;
 use crate::Millis;
 
 /// One in so many of a service's replicas loads weights at a time: more make each load longer, and fewer leave a large
@@ -34,6 +38,8 @@
         version: u64,
         fence: u64,
         expected: Option<u64>,
+        /// How long ago the first version was named that the replica lacks.
+        behind_ms: Millis,
     },
     /// Tell the state.
     Report { replica: String, address: SocketAddrV4 },
@@ -79,18 +85,61 @@
     since: Millis,
     /// Orders taken, from the last report.
     call_count: Option<u64>,
+    /// The last call got no answer: nobody knows whether the replica loads anything.
+    is_silent: bool,
+}
+
+/// A replica that lacks a named version.
+#[derive(Debug)]
+struct Behind<'a> {
+    record: &'a Record,
+    model: &'a str,
+    /// The newest version of the model.
+    newest: u64,
+    /// When the first version was named that it lacks.
+    since: i64,
+}
+
+impl<'a> Behind<'a> {
+    /// How a ready replica is behind, if it is; of several models, in the one that is due first.
+    fn of(record: &'a Record, weights: &NamedWeights) -> Option<Behind<'a>> {
+        if record.state != State::Ready {
+            return None;
+        }
+        let behind = record.models.iter().filter_map(|held| {
+            let first = weights.first_above(&held.name, held.version)?;
+            let newest = weights.newest(&held.name);
+            Some(Behind { record, model: &held.name, newest, since: first.named_at })
+        });
+        behind.min_by_key(|behind| behind.since)
+    }
+
+    fn age(&self, now: Millis) -> i64 {
+        (now as i64).saturating_sub(self.since)
+    }
 }
 
 /// Moves under way.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Moves {
+    /// Within this after a naming nothing may begin on an older version.
+    bound: Millis,
     moves: BTreeMap<String, Move>,
 }
 
 impl Moves {
+    /// No move; `bound` is the time to move to a named version.
+    pub fn new(bound: Millis) -> Moves {
+        Moves { bound, moves: BTreeMap::new() }
+    }
+
     /// Whether anything is under way or left to do.
-    pub fn has_work<'a>(&self, replicas: impl Iterator<Item = &'a Record>, weights: &WeightsValue) -> bool {
-        !self.moves.is_empty() || replicas.into_iter().any(|replica| target(replica, weights).is_some())
+    pub fn has_work<'a>(
+        &self,
+        mut replicas: impl Iterator<Item = &'a Record>,
+        weights: &NamedWeights,
+    ) -> bool {
+        !self.moves.is_empty() || replicas.any(|replica| Behind::of(replica, weights).is_some())
     }
 
     /// Whether a call to a replica is under way.
@@ -113,7 +162,7 @@
         &mut self,
         now: Millis,
         replicas: &[Record],
-        weights: &WeightsValue,
+        weights: &NamedWeights,
         fence: Option<u64>,
     ) -> Vec<ReplicaCall> {
         self.drop_finished(replicas, weights);
@@ -122,50 +171,59 @@
         }
         let mut calls = Vec::new();
         for (replica, one) in &mut self.moves {
-            calls.extend(one.next_call(now, replica, fence));
+            let record = replicas.iter().find(|record| record.id == *replica);
+            let behind = record.and_then(|record| Behind::of(record, weights));
+            calls.extend(one.next_call(now, replica, behind.as_ref(), fence));
         }
         calls
     }
 
-    fn drop_finished(&mut self, replicas: &[Record], weights: &WeightsValue) {
+    fn drop_finished(&mut self, replicas: &[Record], weights: &NamedWeights) {
         self.moves.retain(|id, one| {
             let record = replicas.iter().find(|record| record.id == *id);
             let calling = matches!(one.step, Step::Ordering | Step::Asking);
-            calling || record.is_some_and(|record| target(record, weights).is_some())
+            calling || record.is_some_and(|record| Behind::of(record, weights).is_some())
         });
     }
 
-    fn plan(&mut self, now: Millis, replicas: &[Record], weights: &WeightsValue) {
-        let mut waiting: Vec<&Record> =
-            replicas.iter().filter(|record| !self.moves.contains_key(&record.id)).collect();
-        waiting.sort_by(|a, b| a.id.cmp(&b.id));
-        for record in waiting {
-            let Some((model, version)) = target(record, weights) else { continue };
-            if !self.has_room(record, replicas) {
+    /// Begins moves: of the replicas whose bound ends first, as many as there is room for, and of all that are due.
+    fn plan(&mut self, now: Millis, replicas: &[Record], weights: &NamedWeights) {
+        let mut behind: Vec<Behind> =
+            replicas.iter().filter_map(|record| Behind::of(record, weights)).collect();
+        behind.sort_by(|a, b| (a.since, &a.record.id).cmp(&(b.since, &b.record.id)));
+        let due = due_after(self.bound as i64);
+        let mut room: BTreeMap<&str, usize> = BTreeMap::new();
+        for one in &behind {
+            let service = one.record.service.as_str();
+            if self.moves.contains_key(&one.record.id) {
                 continue;
             }
-            let planned = Move {
-                model: model.to_string(),
-                version,
-                address: record.address,
-                step: Step::Due(now),
-                since: now,
-                call_count: None,
-            };
-            self.moves.insert(record.id.clone(), planned);
+            let room = room.entry(service).or_insert_with(|| self.room(service, replicas));
+            if *room > 0 || one.age(now) >= due {
+                *room = room.saturating_sub(1);
+                self.moves.insert(one.record.id.clone(), Move::planned(now, one));
+            }
         }
     }
 
-    fn has_room(&self, record: &Record, replicas: &[Record]) -> bool {
-        let same = |other: &&Record| other.service == record.service && other.state == State::Ready;
-        let most = most_at_once(replicas.iter().filter(same).count());
-        let of_service = replicas.iter().filter(|other| other.service == record.service);
-        of_service.filter(|other| self.moves.contains_key(&other.id)).count() < most
+    /// How many more replicas of a service may begin to load.
+    fn room(&self, service: &str, replicas: &[Record]) -> usize {
+        let of_service = || replicas.iter().filter(|record| record.service == service);
+        let ready = of_service().filter(|record| record.state == State::Ready).count();
+        let loading = of_service().filter(|record| self.is_loading(&record.id)).count();
+        most_at_once(ready).saturating_sub(loading)
+    }
+
+    /// Whether a replica takes a place among those that load at a time. One that does not answer keeps none: it may be
+    /// gone, and the others have bounds, too.
+    fn is_loading(&self, replica: &str) -> bool {
+        self.moves.get(replica).is_some_and(|one| !one.is_silent)
     }
 
     /// An order was answered with this status; `None`: no answer.
     pub fn ordered(&mut self, now: Millis, replica: &str, status: Option<u16>) {
         let Some(one) = self.moves.get_mut(replica) else { return };
+        one.is_silent = status.is_none();
         one.step = match status {
             Some(202 | 200 | 409) | None => Step::Loading { ask_at: now + REPORT_EVERY_MS },
             Some(_) => Step::Due(now + RETRY_MS),
@@ -175,6 +233,7 @@
     /// A question was answered; `None`: no answer. Tells of a move that is done.
     pub fn reported(&mut self, now: Millis, replica: &str, report: Option<&Report>) -> Option<Moved> {
         let one = self.moves.get_mut(replica)?;
+        one.is_silent = report.is_none();
         let Some(report) = report else {
             one.step = Step::Loading { ask_at: now + RETRY_MS };
             return None;
@@ -199,21 +258,27 @@
 }
 
 impl Move {
-    fn next_call(&mut self, now: Millis, replica: &str, fence: Option<u64>) -> Option<ReplicaCall> {
+    fn planned(now: Millis, behind: &Behind) -> Move {
+        Move {
+            model: behind.model.to_string(),
+            version: behind.newest,
+            address: behind.record.address,
+            step: Step::Due(now),
+            since: now,
+            call_count: None,
+            is_silent: false,
+        }
+    }
+
+    fn next_call(
+        &mut self,
+        now: Millis,
+        replica: &str,
+        behind: Option<&Behind>,
+        fence: Option<u64>,
+    ) -> Option<ReplicaCall> {
         match self.step {
-            Step::Due(at) if now >= at => {
-                let fence = fence?;
-                self.step = Step::Ordering;
-                self.since = now;
-                Some(ReplicaCall::Order {
-                    replica: replica.to_string(),
-                    address: self.address,
-                    model: self.model.clone(),
-                    version: self.version,
-                    fence,
-                    expected: self.call_count,
-                })
-            }
+            Step::Due(at) if now >= at => self.order(now, replica, behind?, fence?),
             Step::Loading { ask_at } if now >= ask_at => {
                 self.step = Step::Asking;
                 Some(ReplicaCall::Report { replica: replica.to_string(), address: self.address })
@@ -221,6 +286,23 @@
             _ => None,
         }
     }
+
+    /// Orders what is newest now: it may be newer than what was planned.
+    fn order(&mut self, now: Millis, replica: &str, behind: &Behind, fence: u64) -> Option<ReplicaCall> {
+        self.model = behind.model.to_string();
+        self.version = behind.newest;
+        self.step = Step::Ordering;
+        self.since = now;
+        Some(ReplicaCall::Order {
+            replica: replica.to_string(),
+            address: self.address,
+            model: self.model.clone(),
+            version: self.version,
+            fence,
+            expected: self.call_count,
+            behind_ms: behind.age(now).max(0) as Millis,
+        })
+    }
 }
 
 /// How many replicas of a service load weights at a time when so many of it are ready.
@@ -228,14 +310,3 @@
     let few = ready.div_ceil(PART_AT_ONCE).min(FEW_AT_ONCE);
     (ready / PART_AT_ONCE).max(few)
 }
-
-/// The weights that a replica should move to, if it has older ones.
-fn target<'a>(record: &'a Record, weights: &WeightsValue) -> Option<(&'a str, u64)> {
-    if record.state != State::Ready {
-        return None;
-    }
-    record.models.iter().find_map(|model| {
-        let named = weights.version_of(&model.name)?;
-        (named > model.version).then_some((model.name.as_str(), named))
-    })
-}
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use catalog::State;
-use feed::NamedWeights;
 use process::Event;
 use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
+use weights::Naming;
 
 use crate::duty::holder::{Circumstances, Proposal};
 use crate::duty::moves::{Moved, Report};
@@ -24,17 +24,17 @@
             Ok(value) => value,
             Err(why) => return ControllerEvent::WeightsUnreadable.error(format_args!("{why}")),
         };
-        let named = value.models.iter().map(|one| NamedWeights {
-            model: one.model().to_string(),
-            version: one.version,
-            named_at: at.now as i64 - at.wall_ms.saturating_sub(one.named_at_ms) as i64,
-        });
-        if self.view.take_weights(named.collect()) {
-            let named = feed::describe_weights(self.view.weights(), at.now);
+        // From the time of day to this process's clock. A naming of the future is one of now: clocks differ.
+        let here = |naming: Naming| {
+            let age = (at.wall_ms as i64).saturating_sub(naming.named_at).max(0);
+            Naming { named_at: at.now as i64 - age, ..naming }
+        };
+        let namings = value.namings().map(|(model, naming)| (model, here(naming)));
+        if self.view.take_weights(at.now, namings) {
+            let named = self.view.weights().describe(at.now as i64);
             let held = self.held_versions();
             ControllerEvent::WeightsNamed.info(format_args!("{named}; ready replicas hold {held}"));
         }
-        self.weights = value;
         self.next_upkeep = at.now;
     }
 
@@ -52,7 +52,7 @@
         if self.terminating || !confirmed {
             return;
         }
-        let has_work = self.moves.has_work(self.view.replicas.live(), &self.weights);
+        let has_work = self.moves.has_work(self.view.replicas.live(), self.view.weights());
         let circumstances =
             Circumstances { now: at.now, has_work, rank: self.rank(), holder_alive: self.is_holder_alive() };
         if let Some(proposal) = self.holder.consider(circumstances) {
@@ -63,7 +63,7 @@
         }
         let replicas: Vec<_> = self.view.replicas.live().cloned().collect();
         let fence = self.holder.may_order(at.now);
-        let calls = self.moves.calls(at.now, &replicas, &self.weights, fence);
+        let calls = self.moves.calls(at.now, &replicas, self.view.weights(), fence);
         out.extend(calls.into_iter().map(Effect::CallReplica));
     }
 
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -24,7 +24,7 @@
 use crate::duty::holder::Holder;
 use crate::duty::moves::{Moves, ReplicaCall, Report};
 use crate::event::ControllerEvent;
-use crate::values::{ConfigurationValue, WeightsValue};
+use crate::values::ConfigurationValue;
 use crate::Millis;
 
 use agents::Agents;
@@ -137,6 +137,8 @@
     pub beat_every_ms: Millis,
     pub lease_ms: Millis,
     pub reuse_after_ms: Millis,
+    /// Within this after a version of weights is named nothing may begin on an older one.
+    pub version_ms: Millis,
 }
 
 /// One controller.
@@ -151,7 +153,6 @@
     /// Register members that the register was told are not there, with why.
     absent: BTreeMap<SocketAddrV4, Absence>,
     view: View,
-    weights: WeightsValue,
     holder: Holder,
     moves: Moves,
     loads: LoadExchange,
@@ -193,9 +194,8 @@
             membership,
             absent: BTreeMap::new(),
             view,
-            weights: WeightsValue::default(),
             holder: Holder::new(now, me.peer, timing.lease_ms),
-            moves: Moves::default(),
+            moves: Moves::new(timing.version_ms),
             loads: LoadExchange::default(),
             peers: Peers::default(),
             agents: Agents::default(),
--- a/crates/controller/src/machine/status.rs
+++ b/crates/controller/src/machine/status.rs
@@ -5,6 +5,7 @@
 use catalog::State;
 use membership::Status as MemberStatus;
 use serde::Serialize;
+use weights::Namings;
 
 use crate::machine::{Machine, Moment};
 use crate::Millis;
@@ -45,12 +46,15 @@
 }
 
 #[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
 struct WeightsStatus<'a> {
     model: &'a str,
     version: u64,
     /// Replicas that hold it, of those that serve the model.
     holding: usize,
     serving: usize,
+    /// How long ago the first version was named that some replica still lacks, ms.
+    behind_ms: Option<i64>,
 }
 
 #[derive(Debug, Serialize)]
@@ -86,7 +90,7 @@
             controllers: self.controller_statuses(),
             proxies: self.view.proxies(),
             agents: self.agents.linked(),
-            weights: self.weights_statuses(),
+            weights: self.weights_statuses(at.now),
             duty: DutyStatus {
                 holder: self.holder.last_holder().map(|holder| holder.to_string()),
                 mine: self.holder.is_mine(),
@@ -114,15 +118,22 @@
         shown.collect()
     }
 
-    fn weights_statuses(&self) -> Vec<WeightsStatus<'_>> {
-        let shown = self.weights.models.iter().map(|named| {
-            let models = self.view.replicas.live().flat_map(|record| &record.models);
-            let versions: Vec<u64> =
-                models.filter(|model| model.name == named.model()).map(|model| model.version).collect();
-            let holding = versions.iter().filter(|version| **version >= named.version).count();
-            WeightsStatus { model: named.model(), version: named.version, holding, serving: versions.len() }
-        });
-        shown.collect()
+    fn weights_statuses(&self, now: Millis) -> Vec<WeightsStatus<'_>> {
+        self.view
+            .weights()
+            .models()
+            .map(|(model, namings)| self.weights_status(now, model, namings))
+            .collect()
+    }
+
+    fn weights_status<'a>(&'a self, now: Millis, model: &'a str, namings: &Namings) -> WeightsStatus<'a> {
+        let version = namings.newest().map_or(weights::FIRST_VERSION, |naming| naming.version);
+        let models = self.view.replicas.live().flat_map(|record| &record.models);
+        let versions: Vec<u64> = models.filter(|held| held.name == model).map(|held| held.version).collect();
+        let holding = versions.iter().filter(|held| **held >= version).count();
+        let behind = versions.iter().filter_map(|held| namings.first_above(*held));
+        let behind_ms = behind.map(|first| (now as i64).saturating_sub(first.named_at)).max();
+        WeightsStatus { model, version, holding, serving: versions.len(), behind_ms }
     }
 
     fn service_statuses(&self) -> BTreeMap<&str, ServiceStatus> {
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -171,6 +171,7 @@
             beat_every_ms: settings.beat_every_ms,
             lease_ms: settings.bounds.lease_ms,
             reuse_after_ms: (settings.bounds.reuse_after_s * 1_000.0) as u64,
+            version_ms: settings.bounds.version_ms,
         };
         Program {
             machine: Machine::new(0, timing, me.clone(), membership),
--- a/crates/controller/src/replica_calls.rs
+++ b/crates/controller/src/replica_calls.rs
@@ -54,7 +54,7 @@
 /// Makes a call in the name of `holder`, and tells how it ended.
 pub async fn call(call: ReplicaCall, holder: &str) -> Input {
     match call {
-        ReplicaCall::Order { replica, address, model, version, fence, expected } => {
+        ReplicaCall::Order { replica, address, model, version, fence, expected, behind_ms } => {
             let (order_kind, method) = ("version", "wait_for");
             let order = Order { order_kind, model: &model, version, method, holder, fence, expected };
             let body = serde_json::to_vec(&order).unwrap_or_default();
@@ -62,7 +62,7 @@
             let status = answer.map(|answer| answer.status);
             let answered = status.map_or_else(|| "no answer".to_string(), |status| status.to_string());
             ControllerEvent::Order
-                .info(format_args!("order to replica {replica}: {model} version {version}: {answered}"));
+                .info(format_args!("order to replica {replica}, behind for {behind_ms} ms: {model} version {version}: {answered}"));
             Input::Ordered { replica, status }
         }
         ReplicaCall::Report { replica, address } => {
--- a/crates/controller/src/values.rs
+++ b/crates/controller/src/values.rs
@@ -6,6 +6,7 @@
 use deku::ctx::Endian;
 use deku::{DekuContainerRead, DekuContainerWrite, DekuRead, DekuWrite};
 use quick_error::quick_error;
+use weights::{NamedWeights, Naming};
 
 /// Most changes remembered with a configuration, so that one that is sent again is known as taken. At 1,900 changes a day
 /// that is six hours of repeats, and 20 KB with each configuration. An order on a version older than these is not
@@ -112,7 +113,7 @@
     }
 }
 
-/// The newest version of a model's weights that was named.
+/// A version of a model's weights that was named.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(ctx = "endian: Endian", endian = "endian")]
 pub struct NamedVersion {
@@ -140,7 +141,7 @@
     }
 }
 
-/// Value of the weights register.
+/// Value of the weights register: every naming that may still bind, of each model the newest first.
 #[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "little")]
 pub struct WeightsValue {
@@ -151,16 +152,38 @@
 }
 
 impl WeightsValue {
+    /// The newest named version of a model, if it was ever named.
     pub fn version_of(&self, model: &str) -> Option<u64> {
-        self.models.iter().find(|named| named.model() == model).map(|named| named.version)
+        let of_model = self.models.iter().filter(|named| named.model() == model);
+        of_model.map(|named| named.version).max()
     }
 
-    /// This value with one model's version named; `None` if there are too many models.
-    pub fn with(&self, named: NamedVersion) -> Option<WeightsValue> {
-        let mut models: Vec<NamedVersion> =
-            self.models.iter().filter(|known| known.model != named.model).cloned().collect();
-        models.push(named);
-        (models.len() <= MOST_MODELS).then_some(WeightsValue { model_count: models.len() as u16, models })
+    /// This value with one more version named at the time of day `wall_ms`. What was named before, and may still be due,
+    /// stays. `None` if there are too many models.
+    pub fn with(&self, model: &str, version: u64, wall_ms: u64) -> Option<WeightsValue> {
+        let mut weights = NamedWeights::default();
+        for (model, naming) in self.namings() {
+            weights.name(model, naming);
+        }
+        weights.name(model, Naming { version, named_at: wall_ms as i64 });
+        weights.forget_old(wall_ms as i64);
+        (weights.len() <= MOST_MODELS).then(|| WeightsValue::of(&weights))
+    }
+
+    /// All namings, with the time of day of each in milliseconds since 1970.
+    pub fn namings(&self) -> impl Iterator<Item = (&str, Naming)> {
+        let naming =
+            |named: &NamedVersion| Naming { version: named.version, named_at: named.named_at_ms as i64 };
+        self.models.iter().map(move |named| (named.model(), naming(named)))
+    }
+
+    /// The newest of a model comes first: releases that know of one naming a model look for the first.
+    fn of(weights: &NamedWeights) -> WeightsValue {
+        let version = |(model, naming): (&str, Naming)| {
+            NamedVersion::new(model, naming.version, naming.named_at.max(0) as u64)
+        };
+        let models: Vec<NamedVersion> = weights.iter().map(version).collect();
+        WeightsValue { model_count: models.len() as u16, models }
     }
 
     pub fn read(bytes: &[u8]) -> Result<Self, ValueError> {
--- a/crates/controller/tests/duty.rs
+++ b/crates/controller/tests/duty.rs
@@ -9,6 +9,7 @@
 use controller::duty::moves::most_at_once;
 use controller::machine::Input;
 use controller::values::DutyValue;
+use peer::Message;
 use rstest::rstest;
 use support::Cluster;
 
@@ -81,7 +82,6 @@
 }
 
 fn name_eight_versions(seed: u64, gap: u64) {
-    const BOUND_MS: u64 = 8_000;
     let mut cluster = started(seed, 9);
     cluster.replicas.load_ms = 900;
     let mut named = Vec::new();
@@ -101,6 +101,68 @@
     check_orders(&cluster);
 }
 
+/// The bound of a naming in these tests, and the part of it after which nothing goes to older weights.
+const BOUND_MS: u64 = 8_000;
+const DUE_MS: u64 = BOUND_MS / 10 * 7;
+
+/// Nothing is sent to a replica any more whose naming is due: it is ordered even if others load already.
+#[rstest]
+fn what_is_due_is_ordered_at_once(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = started(seed, 9);
+    cluster.replicas.load_ms = 4_000;
+    assert_eq!(name(&mut cluster, 1, 2), Some(200));
+    cluster.play(DUE_MS - 200);
+    assert!(cluster.replicas.orders.len() < 9, "two at a time");
+    cluster.play(600);
+    assert_eq!(cluster.replicas.orders.len(), 9, "{:?}", cluster.replicas.orders);
+    check_orders(&cluster);
+}
+
+#[rstest]
+fn a_replica_that_answers_nothing_holds_nobody_up(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = started(seed, 9);
+    cluster.replicas.silent = ["r1", "r2"].map(String::from).into();
+    assert_eq!(name(&mut cluster, 1, 2), Some(200));
+    cluster.play(DUE_MS - 200);
+    let left: Vec<&String> =
+        cluster.replicas.all.iter().filter(|(_, one)| one.version < 2).map(|(id, _)| id).collect();
+    assert_eq!(left, ["r1", "r2"]);
+    cluster.replicas.silent.clear();
+    cluster.play(4_000);
+    assert!(all_at(&cluster, 2));
+    check_orders(&cluster);
+}
+
+/// Versions that an agent was told of, each with the time from which its bound runs.
+fn namings_told(cluster: &Cluster, agent: support::Agent) -> Vec<u64> {
+    let last = cluster.messages(agent).filter_map(|message| match message {
+        Message::Weights(weights) => Some(weights.versions.iter().map(|named| named.version).collect()),
+        _ => None,
+    });
+    last.last().unwrap_or_default()
+}
+
+/// Whoever starts or links later hears of every version that may still bind, not of the newest only.
+#[rstest]
+fn a_restart_of_all_controllers_keeps_older_bounds(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = started(seed, 9);
+    for version in [2, 3, 4] {
+        assert_eq!(name(&mut cluster, 1, version), Some(200));
+        cluster.play(500);
+    }
+    for host in 0..3 {
+        cluster.stop(host);
+    }
+    cluster.play(200);
+    for host in 0..3 {
+        cluster.start(host, false);
+    }
+    cluster.play(2_000);
+    let agent = cluster.connect_agent(0, "edge-1");
+    cluster.play(500);
+    assert_eq!(namings_told(&cluster, agent), [4, 3, 2]);
+}
+
 #[rstest]
 #[case::one(1, 1)]
 #[case::as_many_as_one_part(5, 1)]
@@ -123,6 +185,7 @@
     let shown: serde_json::Value = serde_json::from_slice(&reply.body).expect("JSON");
     assert_eq!(shown["replicas"]["reader"]["ready"], 4);
     assert_eq!(shown["weights"][0]["holding"], 4);
+    assert_eq!(shown["weights"][0]["behind-ms"], serde_json::Value::Null);
     assert_eq!(shown["controllers"].as_array().map(Vec::len), Some(3));
     assert!(shown["duty"]["holder"].is_string());
     assert!(shown["majority-age-ms"].as_u64().is_some_and(|age| age < 1_500), "{shown}");
--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster.rs
@@ -127,7 +127,8 @@
         let incarnation = WALL_START_MS + self.now;
         let timing = membership::Timing::default();
         let membership = Membership::new(0, me.clone(), incarnation, &seeds, timing, self.random.random());
-        let timing = Timing { beat_every_ms: 1_200, lease_ms: 3_000, reuse_after_ms: 2_000 };
+        let timing =
+            Timing { beat_every_ms: 1_200, lease_ms: 3_000, reuse_after_ms: 2_000, version_ms: 8_000 };
         self.hosts[host].started = self.now;
         let mut machine = Machine::new(0, timing, me, membership);
         if !self.hosts[host].disk.hangs {
--- a/crates/controller/tests/support/replicas.rs
+++ b/crates/controller/tests/support/replicas.rs
@@ -1,6 +1,6 @@
 //! Simulated replicas: they send heartbeats, take orders and answer questions.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use catalog::ModelVersion;
 use controller::duty::moves::{ReplicaCall, Report};
@@ -40,6 +40,8 @@
     pub load_ms: u64,
     /// Most loads that were under way at a time.
     pub most_loading: usize,
+    /// Replicas that send heartbeats but answer no call.
+    pub silent: BTreeSet<String>,
     /// Number of `GET /report` calls.
     pub reports: usize,
 }
@@ -75,6 +77,12 @@
     /// Takes a call; what the controller is told.
     pub fn take(&mut self, now: u64, host: usize, call: &ReplicaCall) -> Input {
         match call {
+            ReplicaCall::Order { replica, .. } if self.silent.contains(replica) => {
+                Input::Ordered { replica: replica.clone(), status: None }
+            }
+            ReplicaCall::Report { replica, .. } if self.silent.contains(replica) => {
+                Input::Reported { replica: replica.clone(), report: None }
+            }
             ReplicaCall::Order { replica, version, fence, expected, .. } => {
                 let status = self.order(now, replica, *version, *expected);
                 if let Some(status) = status {
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -86,6 +86,8 @@
     Failed,
     /// A sound answer.
     Answered,
+    /// It had not begun when nothing may begin on the version any more that the replica has.
+    Outdated,
     /// The client has left, or a twin won.
     Abandoned,
 }
@@ -155,6 +157,8 @@
     /// Counted among the tokens that the replica has yet to read.
     pub is_pending: bool,
     pub parts: Vec<PartKey>,
+    /// The version of its model that it expects there.
+    pub version: Option<u64>,
 }
 
 /// A request on its way.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -8,17 +8,21 @@
 use crate::salt::Salts;
 use crate::speed::Speed;
 use crate::twins::Twins;
-use crate::weights::Weights;
 use evidence::Ms;
 use peer::{Prefixes, ReplicaRecord, ReplicaState, UNREACHABLE};
 use prefix_index::{Part, PartKey, PrefixIndex, ReplicaNumber, Source};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use std::collections::HashMap;
+use weights::{due_after, NamedWeights, Naming};
 
 /// Parts seen that are kept for whoever asks; nobody does while the agent is away.
 const MOST_SEEN: usize = 50_000;
 
+/// What has not begun on an older version so long before its bound ends is taken back: the close has to reach the
+/// replica, ms.
+const BEGIN_MARGIN: Ms = 200.0;
+
 /// The number of proxies until the fleet tells.
 pub(crate) const FIRST_PROXIES: u32 = 64;
 
@@ -54,7 +58,7 @@
     next_number: u32,
     pub(crate) services: HashMap<String, Service>,
     budgets: HashMap<String, RetryBudget>,
-    pub(crate) weights: Weights,
+    pub(crate) weights: NamedWeights,
     pub(crate) salts: Salts,
     pub(crate) index: PrefixIndex,
     pub(crate) engines: Engines,
@@ -78,7 +82,7 @@
             next_number: 0,
             services: HashMap::new(),
             budgets: HashMap::new(),
-            weights: Weights::default(),
+            weights: NamedWeights::default(),
             salts: Salts::default(),
             index: PrefixIndex::new(index_bytes),
             engines: Engines::new(),
@@ -90,6 +94,19 @@
         }
     }
 
+    /// By when a request has to begin on this version of a model: the bound of the first version above it, less a
+    /// margin. If there is none yet, one may be named at any moment.
+    pub fn begin_by(&self, model: &str, version: u64, now: Ms) -> Ms {
+        let first = self.weights.first_above(model, version);
+        let named_at = first.map_or(now, |first| first.named_at as f64);
+        named_at + self.bounds.version - BEGIN_MARGIN
+    }
+
+    /// The bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds
+    }
+
     /// The bounds have changed.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.bounds = bounds;
@@ -126,14 +143,19 @@
         number
     }
 
-    /// A version of a model was named, and acknowledged at this time. Whether the version was not known.
-    pub fn name_version(&mut self, model: &str, version: u64, acknowledged: Ms) -> bool {
-        self.weights.name(model, version, acknowledged)
+    /// A version of a model was named. Whether that is news.
+    pub fn name_version(&mut self, model: &str, naming: Naming) -> bool {
+        self.weights.name(model, naming)
+    }
+
+    /// The named versions of models.
+    pub fn named_weights(&self) -> &NamedWeights {
+        &self.weights
     }
 
-    /// The named versions of models as a line of a log: since when, and when older ones are out.
-    pub fn named_weights(&self, now: Ms) -> String {
-        self.weights.describe(now, self.bounds.version)
+    /// The least version that a request for a model may be sent to, if there is one.
+    pub(crate) fn least_version(&self, model: &str, now: Ms) -> Option<u64> {
+        self.weights.floor(model, now as i64, due_after(self.bounds.version as i64))
     }
 
     /// Takes news of a replica.
--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -1,6 +1,6 @@
 //! What follows from how a send went.
 
-use crate::call::{Call, Cause, Next, Outcome, COME_BACK, LEAST_TIME};
+use crate::call::{Call, Cause, Next, Out, Outcome, COME_BACK, LEAST_TIME};
 use crate::dispatcher::Dispatcher;
 use evidence::Ms;
 use prefix_index::ReplicaNumber;
@@ -31,8 +31,8 @@
 
     /// A send has ended; tells what follows.
     pub fn ended(&mut self, call: &mut Call, number: ReplicaNumber, outcome: Outcome, now: Ms) -> Next {
-        self.release(call, number, outcome, now);
-        self.judge(call, number, outcome, now);
+        let expected = self.release(call, number, outcome, now).and_then(|out| out.version);
+        self.judge(call, number, expected, outcome, now);
         call.note(outcome);
         match outcome {
             Outcome::Answered => return Next::PassOn,
@@ -69,8 +69,8 @@
     }
 
     /// Takes a send out of the records of calls that are out.
-    fn release(&mut self, call: &mut Call, number: ReplicaNumber, outcome: Outcome, now: Ms) {
-        let Some(at) = call.out.iter().position(|out| out.replica == number) else { return };
+    fn release(&mut self, call: &mut Call, number: ReplicaNumber, outcome: Outcome, now: Ms) -> Option<Out> {
+        let at = call.out.iter().position(|out| out.replica == number)?;
         let out = call.out.swap_remove(at);
         if let Some(replica) = self.replicas.get_mut(&number) {
             replica.out = replica.out.saturating_sub(1);
@@ -87,11 +87,18 @@
                 self.index.take_back(number, *part, out.at);
             }
         }
+        Some(out)
     }
 
     /// Takes the evidence on a replica in.
-    fn judge(&mut self, call: &Call, number: ReplicaNumber, outcome: Outcome, now: Ms) {
-        let newest = call.ask.model.as_deref().map(|model| (model, self.weights.newest(model)));
+    fn judge(
+        &mut self,
+        call: &Call,
+        number: ReplicaNumber,
+        expected: Option<u64>,
+        outcome: Outcome,
+        now: Ms,
+    ) {
         let Some(replica) = self.replicas.get_mut(&number) else { return };
         match outcome {
             Outcome::Unreached => replica.health.unreached(now),
@@ -99,12 +106,13 @@
             Outcome::Elsewhere => replica.health.elsewhere(now),
             Outcome::Broken | Outcome::Expired => replica.health.broken(now),
             Outcome::Failed | Outcome::Answered => replica.health.sound(),
-            Outcome::Abandoned => {}
+            Outcome::Abandoned | Outcome::Outdated => {}
             Outcome::OtherVersion => {
-                // Its beat is old news: it is at the newest version, or on the way there.
-                if let Some((model, newest)) = newest {
-                    if replica.version(model) != Some(newest) {
-                        replica.hear_version(model, newest);
+                if let (Some(model), Some(expected)) = (call.ask.model.as_deref(), expected) {
+                    // Its beat is old news: it has at least the version named after, unless the refusal told another.
+                    let next = self.weights.first_above(model, expected);
+                    if let Some(next) = next.filter(|_| replica.version(model) == Some(expected)) {
+                        replica.hear_version(model, next.version);
                     }
                 }
                 replica.health.full(now, None);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,7 +22,6 @@
 mod sending;
 mod speed;
 mod twins;
-mod weights;
 
 pub use budget::{BudgetLimits, RetryBudget};
 pub use call::{Ask, Call, Cause, Final, Next, Outcome, Rules, Target, TenantName};
@@ -35,4 +34,3 @@
 pub use prefix_index::{Part, PartKey, ReplicaNumber};
 pub use salt::{isolation_digest, Salts};
 pub use twins::{Twins, MOST_TWINS};
-pub use weights::Weights;
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -108,7 +108,7 @@
         }
         let parts = parts.iter().map(|part| part.key).collect();
         let Work { unread, wait } = work;
-        call.out.push(Out { replica: number, at: now, unread, wait, is_pending: true, parts });
+        call.out.push(Out { replica: number, at: now, unread, wait, is_pending: true, parts, version });
         let replica = self.replicas.get_mut(&number).expect("a candidate is known");
         replica.out += 1;
         replica.pending_tokens += unread;
@@ -125,9 +125,10 @@
 
     /// The version that a request for a model should expect at a replica.
     pub(crate) fn version_to_expect(&self, number: ReplicaNumber, model: &str, now: Ms) -> u64 {
-        let required = self.weights.required(model, now, self.bounds.version);
+        let least = self.least_version(model, now);
         let known = self.replicas.get(&number).and_then(|replica| replica.version(model));
-        required.or(known).unwrap_or_else(|| self.weights.newest(model))
+        let allowed = known.filter(|known| least.is_none_or(|least| *known >= least));
+        allowed.unwrap_or_else(|| self.weights.newest(model))
     }
 
     /// The replicas that a call may be sent to.
@@ -161,8 +162,8 @@
     /// The replicas that have the weights which a call must run on; all, if none is known to.
     fn with_weights<'a>(&self, replicas: Vec<&'a Replica>, call: &Call, now: Ms) -> Vec<&'a Replica> {
         let Some(model) = call.ask.model.as_deref() else { return replicas };
-        let Some(required) = self.weights.required(model, now, self.bounds.version) else { return replicas };
-        let has = |replica: &&&Replica| replica.version(model) == Some(required);
+        let Some(least) = self.least_version(model, now) else { return replicas };
+        let has = |replica: &&&Replica| replica.version(model).is_some_and(|version| version >= least);
         let having: Vec<&Replica> = replicas.iter().filter(has).copied().collect();
         if having.is_empty() {
             replicas
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use dispatch::{
-    home, isolation_digest, pick, Candidate, Outcome, ReadRate, ReplicaNumber, Salts, Weights, HOME_SAVES,
+    home, isolation_digest, pick, Candidate, Outcome, ReadRate, ReplicaNumber, Salts, HOME_SAVES,
 };
 use peer::{part_key, PartChange, Prefixes};
 use rand::rngs::SmallRng;
@@ -11,6 +11,7 @@
 use rstest::rstest;
 use std::collections::HashSet;
 use support::*;
+use weights::due_after;
 
 fn candidate(replica: u32, out: u32, kept: u32, wait: f64) -> Candidate {
     // A prompt of 1,000 tokens, of which 10 are read in a ms; what it does not keep, another replica does.
@@ -95,7 +96,7 @@
 fn requests_move_to_a_named_version_in_time(#[case] after: f64, #[case] expected: &[&str]) {
     let mut dispatcher = dispatcher(1);
     dispatcher.update_replica(record(2, 2));
-    dispatcher.name_version("m", 2, START);
+    named(&mut dispatcher, 2, START);
     let mut ids = HashSet::new();
     for number in 0..40 {
         let mut ask = prompt(&format!("{number:x}:1"));
@@ -114,7 +115,7 @@
 #[test]
 fn an_old_version_is_never_asked_for_once_the_new_one_is_due() {
     let mut dispatcher = dispatcher(2);
-    dispatcher.name_version("m", 2, START - 6_000.0);
+    named(&mut dispatcher, 2, START - 6_000.0);
     let (_, target) = sent(&mut dispatcher, prompt("a:1"), START);
     assert_eq!(target.version, Some(2));
 }
@@ -133,7 +134,7 @@
 #[test]
 fn a_refusal_for_its_version_tells_that_the_newest_is_there() {
     let mut dispatcher = dispatcher(1);
-    dispatcher.name_version("m", 2, START);
+    named(&mut dispatcher, 2, START);
     let (mut call, target) = sent(&mut dispatcher, prompt("a:1"), START);
     assert_eq!(target.version, Some(1));
     dispatcher.ended(&mut call, target.replica, Outcome::OtherVersion, START);
@@ -144,13 +145,14 @@
 
 #[test]
 fn older_names_of_versions_are_no_news() {
-    let mut weights = Weights::default();
-    weights.name("m", 3, 0.0);
-    weights.name("m", 2, 50.0);
-    weights.name("m", 3, 60.0);
+    let mut dispatcher = dispatcher(1);
+    assert!(named(&mut dispatcher, 3, 0.0));
+    assert!(!named(&mut dispatcher, 2, 50.0));
+    assert!(!named(&mut dispatcher, 3, 60.0));
+    let weights = dispatcher.named_weights();
     assert_eq!((weights.newest("m"), weights.newest("other")), (3, 1));
-    assert_eq!(weights.required("m", 4_200.0, 6_000.0), Some(3));
-    assert_eq!(weights.required("m", 4_100.0, 6_000.0), None);
+    assert_eq!(weights.floor("m", 4_200, due_after(6_000)), Some(3));
+    assert_eq!(weights.floor("m", 4_100, due_after(6_000)), None);
 }
 
 #[test]
--- a/crates/dispatch/tests/overlapping_versions.rs
+++ b/crates/dispatch/tests/overlapping_versions.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use dispatch::Ms;
+use dispatch::{Ms, Next, Outcome};
 use support::*;
 
 /// The time to move to a named version in these tests' bounds, ms.
@@ -14,9 +14,9 @@
 fn overlapping(steps: &[Ms]) -> dispatch::Dispatcher {
     let mut dispatcher = dispatcher(1);
     dispatcher.update_replica(record(2, 2));
-    dispatcher.name_version("m", 2, START);
+    named(&mut dispatcher, 2, START);
     for (step, version) in steps.iter().zip(3..) {
-        dispatcher.name_version("m", version, START + step);
+        named(&mut dispatcher, version, START + step);
     }
     dispatcher
 }
@@ -41,3 +41,68 @@
         }
     }
 }
+
+/// Version 2 is due, versions 3 and 4 are not: what has 2 is asked for 2.
+#[test]
+fn a_version_between_the_least_and_the_newest_is_used_as_it_is() {
+    let mut dispatcher = dispatcher(0);
+    dispatcher.update_replica(record(3, 3));
+    for (version, at) in [(2, 0.0), (3, 2_000.0), (4, 4_000.0)] {
+        named(&mut dispatcher, version, START + at);
+    }
+    let mut ask = prompt("a:1");
+    ask.deadline = START + 20_000.0;
+    assert_eq!(sent(&mut dispatcher, ask, START + DUE + 10.0).1.version, Some(3));
+}
+
+/// A replica whose version is out is asked for the newest only: it is on the way there.
+#[test]
+fn what_is_behind_the_least_version_is_asked_for_the_newest() {
+    let mut dispatcher = overlapping(&[2_000.0, 4_000.0]);
+    dispatcher.update_replica(later(2, 2, 2, peer::ReplicaState::Draining));
+    let mut ask = prompt("a:1");
+    ask.deadline = START + 20_000.0;
+    let (_, target) = sent(&mut dispatcher, ask, START + DUE + 10.0);
+    assert_eq!((&*target.id, target.version), ("i-1", Some(4)));
+}
+
+/// A refusal for its version says that a replica has passed the one expected, and no more than that.
+#[test]
+fn a_refusal_for_its_version_tells_of_the_next_one_only() {
+    let mut dispatcher = overlapping(&[1_000.0, 2_000.0]);
+    dispatcher.update_replica(later(2, 2, 2, peer::ReplicaState::Draining));
+    let mut expected = Vec::new();
+    for step in 0..4 {
+        let now = START + 2_100.0 + f64::from(step) * 500.0;
+        let mut ask = prompt("a:1");
+        ask.deadline = now + 5_000.0;
+        let (mut call, target) = sent(&mut dispatcher, ask, now);
+        expected.push(target.version);
+        dispatcher.ended(&mut call, target.replica, Outcome::OtherVersion, now);
+    }
+    assert_eq!(expected, [Some(1), Some(2), Some(3), Some(4)]);
+}
+
+#[test]
+fn a_request_has_to_begin_before_the_first_bound_above_its_version() {
+    let dispatcher = overlapping(&[3_400.0]);
+    let now = START + 4_000.0;
+    assert_eq!(dispatcher.begin_by("m", 1, now), START + BOUND - 200.0);
+    assert_eq!(dispatcher.begin_by("m", 2, now), START + 3_400.0 + BOUND - 200.0);
+    assert_eq!(dispatcher.begin_by("m", 3, now), now + BOUND - 200.0, "one may be named at any moment");
+}
+
+/// What was taken back may have begun: it goes elsewhere only if it may be repeated, and says nothing of the replica.
+#[test]
+fn what_is_taken_back_is_in_doubt() {
+    for (is_idempotent, repeated) in [(true, true), (false, false)] {
+        let mut dispatcher = dispatcher(3);
+        let (mut call, target) = sent(&mut dispatcher, ask(is_idempotent, 2), START);
+        let next = dispatcher.ended(&mut call, target.replica, Outcome::Outdated, START);
+        assert_eq!(next == Next::Repeat, repeated);
+        assert!(call.is_in_doubt());
+        if !repeated {
+            assert_eq!(last(next).status, 502);
+        }
+    }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use peer::{ModelVersion, ReplicaRecord, ReplicaState};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
+use weights::Naming;
 
 /// When tests begin: after the time in which a new process has nothing free.
 pub const START: Ms = 100_000.0;
@@ -81,3 +82,8 @@
 }
 
 pub const FULL: Outcome = Outcome::Full { retry_after: None };
+
+/// Names a version of model `m`; whether it is news.
+pub fn named(dispatcher: &mut Dispatcher, version: u64, at: Ms) -> bool {
+    dispatcher.name_version("m", Naming { version, named_at: at as i64 })
+}
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod held;
 mod interest;
+mod namings;
 mod prefixes;
 mod records;
 mod replicas;
@@ -12,11 +13,12 @@
 
 pub use held::{ConfigurationTaken, HeldConfiguration};
 pub use interest::{Asked, Wanted, ASK_AGAIN_MS, FORGET_MS};
+pub use namings::{namings_from_wire, namings_to_wire};
 pub use prefixes::{PrefixFeed, PrefixTable};
 pub use records::{record_from_wire, record_to_wire};
 pub use replicas::ReplicaFeed;
 pub use subscriber::{Subscriber, HOME_FIRST_MS};
-pub use view::{describe_weights, NamedWeights, ReplicasTaken, UrgentChange, View};
+pub use view::{ReplicasTaken, UrgentChange, View};
 
 /// Milliseconds of the caller's steady clock.
 pub type Millis = u64;
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -22,8 +22,8 @@
     configuration: u64,
     /// Whether this feeder is the one that tells the receiver first.
     is_home: bool,
-    /// The newest configuration here that the receiver lacks, with when it was noticed.
-    lacks: Option<(u64, Millis)>,
+    /// Since when the receiver has been seen to lack the newest configuration, whichever that was meanwhile.
+    lacks_since: Option<Millis>,
     replicas: ReplicaFeed,
     weights: u64,
     fleet: u64,
@@ -38,7 +38,7 @@
         Subscriber {
             configuration,
             is_home: true,
-            lacks: None,
+            lacks_since: None,
             replicas: ReplicaFeed::of_home(0),
             weights: 0,
             fleet: 0,
@@ -88,7 +88,11 @@
 
     /// The subscriber says that it has this version of the configuration, whoever told it.
     pub fn has_configuration(&mut self, version: u64) {
-        self.configuration = self.configuration.max(version);
+        if version > self.configuration {
+            self.configuration = version;
+            // The home tells it. What it lacks now is newer.
+            self.lacks_since = None;
+        }
     }
 
     /// When the subscriber is to hear something even if there is no news.
@@ -103,7 +107,7 @@
     }
 
     fn configuration_deadline(&self) -> Millis {
-        self.lacks.map_or(Millis::MAX, |(_, since)| since + HOME_FIRST_MS)
+        self.lacks_since.map_or(Millis::MAX, |since| since + HOME_FIRST_MS)
     }
 
     fn alive_deadline(&self) -> Millis {
@@ -137,15 +141,14 @@
 
     fn configuration(&mut self, now: Millis, view: &View) -> Option<Message> {
         let Some(held) = view.configuration().filter(|held| held.version() > self.configuration) else {
-            self.lacks = None;
+            self.lacks_since = None;
             return None;
         };
-        let noticed = self.lacks.filter(|(version, _)| *version == held.version());
-        let (_, since) = *self.lacks.insert(noticed.unwrap_or((held.version(), now)));
+        let since = *self.lacks_since.get_or_insert(now);
         if !self.is_home && now < since + HOME_FIRST_MS {
             return None;
         }
-        self.lacks = None;
+        self.lacks_since = None;
         let message = held.message_for(self.configuration);
         self.configuration = held.version();
         Some(Message::Configuration(message))
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -4,31 +4,15 @@
 
 use catalog::{Catalog, Limits, Merged, Record, State};
 use configuration::ConfigurationError;
-use peer::{Address, Fleet, NamedVersion, Weights};
+use peer::{Address, Fleet, Weights};
+use weights::{NamedWeights, Naming};
 
 use crate::held::{ConfigurationTaken, HeldConfiguration};
+use crate::namings::{namings_from_wire, namings_to_wire};
 use crate::prefixes::PrefixTable;
 use crate::records::record_from_wire;
 use crate::Millis;
 
-/// The newest named version of a model's weights.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct NamedWeights {
-    pub model: String,
-    pub version: u64,
-    /// When it was named, by this process's clock. May lie before the clock's start.
-    pub named_at: i64,
-}
-
-/// Named versions as a line of a log. Times count from `now`.
-pub fn describe_weights(named: &[NamedWeights], now: Millis) -> String {
-    let of_model = |one: &NamedWeights| {
-        let age = now as i64 - one.named_at;
-        format!("{} version {} named {age} ms ago", one.model, one.version)
-    };
-    named.iter().map(of_model).collect::<Vec<_>>().join("; ")
-}
-
 /// What became of records that came.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ReplicasTaken {
@@ -52,7 +36,7 @@
     pub replicas: Catalog,
     pub prefixes: PrefixTable,
     configuration: Option<HeldConfiguration>,
-    weights: Vec<NamedWeights>,
+    weights: NamedWeights,
     pub(crate) weights_change: u64,
     controllers: Vec<SocketAddrV4>,
     proxies: u32,
@@ -65,7 +49,7 @@
             replicas: Catalog::new(limits),
             prefixes: PrefixTable::default(),
             configuration: None,
-            weights: Vec::new(),
+            weights: NamedWeights::default(),
             weights_change: 0,
             controllers: Vec::new(),
             proxies: 0,
@@ -165,41 +149,33 @@
         self.prefixes.retain(|id| !ended(id));
     }
 
-    pub fn weights(&self) -> &[NamedWeights] {
+    /// The versions of weights that are named, by this process's clock.
+    pub fn weights(&self) -> &NamedWeights {
         &self.weights
     }
 
-    /// Takes named versions; a version never goes back. Whether any is news.
-    pub fn take_weights(&mut self, named: Vec<NamedWeights>) -> bool {
-        let before = self.weights_change;
-        for one in named {
-            match self.weights.iter_mut().find(|known| known.model == one.model) {
-                Some(known) if known.version >= one.version => continue,
-                Some(known) => *known = one,
-                None => self.weights.push(one),
-            }
-            self.weights_change = before + 1;
+    /// Takes namings in; an obligation that is known stays. Whether any is news.
+    pub fn take_weights<'a>(
+        &mut self,
+        now: Millis,
+        namings: impl IntoIterator<Item = (&'a str, Naming)>,
+    ) -> bool {
+        let mut is_news = false;
+        for (model, naming) in namings {
+            is_news |= self.weights.name(model, naming);
         }
-        self.weights_change != before
+        self.weights.forget_old(now as i64);
+        self.weights_change += u64::from(is_news);
+        is_news
     }
 
-    /// Takes named versions as they came. Whether any is news.
+    /// Takes namings as they came. Whether any is news.
     pub fn take_weights_message(&mut self, now: Millis, weights: &Weights) -> bool {
-        let named = weights.versions.iter().map(|one| NamedWeights {
-            model: one.model.as_str().to_string(),
-            version: one.version,
-            named_at: now as i64 - i64::from(one.age_ms),
-        });
-        self.take_weights(named.collect())
+        self.take_weights(now, namings_from_wire(now, weights))
     }
 
     pub(crate) fn weights_message(&self, now: Millis) -> Weights {
-        let version = |one: &NamedWeights| NamedVersion {
-            model: one.model.as_str().into(),
-            version: one.version,
-            age_ms: (now as i64 - one.named_at).clamp(0, i64::from(u32::MAX)) as u32,
-        };
-        Weights::from(self.weights.iter().map(version).collect::<Vec<_>>())
+        namings_to_wire(now, &self.weights)
     }
 
     /// Inner addresses of the controllers.
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -99,8 +99,11 @@
             None
         }
         ViewAnswer::Named => {
-            let named = shared.view.borrow().dispatcher.named_weights(shared.now());
-            ProxyEvent::WeightsNamed.info(format_args!("{named}"));
+            shared.weights_named.notify_waiters();
+            let (view, now) = (shared.view.borrow(), shared.now() as i64);
+            let bound = view.dispatcher.bounds().version;
+            let named = view.dispatcher.named_weights().describe(now);
+            ProxyEvent::WeightsNamed.info(format_args!("{named}; older ones are out by {bound} ms"));
             None
         }
         ViewAnswer::Unusable(why) => {
--- a/crates/proxy/src/opening.rs
+++ b/crates/proxy/src/opening.rs
@@ -8,7 +8,7 @@
 use dispatch::{Outcome, Target};
 use http::{BodyReader, Framing, ResponseFraming, ResponseHead};
 use std::rc::Rc;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
 /// A send whose answer has begun and may be passed on.
 #[derive(Debug)]
@@ -39,11 +39,45 @@
 }
 
 impl Sending<'_> {
-    /// Sends the request and waits for the beginning of its answer; of a stream, for its first piece.
+    /// Sends the request and waits for the beginning of its answer; of a stream, for its first piece. Takes it back
+    /// when it may not begin any more on the weights that the replica has.
     ///
     /// # Errors
     /// Tells how the send ended.
     pub async fn open(self) -> Result<Opened, Outcome> {
+        let outdated = self.outdated();
+        tokio::select! {
+            biased;
+            opened = self.answered() => opened,
+            () = outdated => Err(Outcome::Outdated),
+        }
+    }
+
+    /// Returns when a request that has not begun may not begin any more where it was sent.
+    async fn outdated(&self) {
+        let (Some(model), Some(version)) = (&self.plan.ask.model, self.target.version) else {
+            return std::future::pending().await;
+        };
+        loop {
+            let named = self.shared.weights_named.notified();
+            let now = self.shared.now();
+            let begin_by = self.shared.view.borrow().dispatcher.begin_by(model, version, now);
+            if begin_by <= now {
+                return;
+            }
+            if begin_by >= self.plan.ask.deadline {
+                // Only another naming can make it earlier.
+                named.await;
+                continue;
+            }
+            tokio::select! {
+                () = named => {}
+                () = sleep_until(self.shared.instant(begin_by)) => {}
+            }
+        }
+    }
+
+    async fn answered(&self) -> Result<Opened, Outcome> {
         let Some((mut replica, fresh)) = self.send().await else {
             self.warn(
                 ProxyEvent::Unreached,
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -38,6 +38,8 @@
     pub phase_changed: Notify,
     /// Rings when the view of the fleet has changed.
     pub view_changed: Notify,
+    /// Versions of weights were named.
+    pub weights_named: Notify,
     body_bytes: Cell<usize>,
 }
 
@@ -56,6 +58,7 @@
             event_limit: EventLimit::default(),
             phase_changed: Notify::new(),
             view_changed: Notify::new(),
+            weights_named: Notify::new(),
             body_bytes: Cell::new(0),
         }
     }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -2,8 +2,8 @@
 
 use configuration::{Configuration, ConfigurationError, KeyTable, Router, Service};
 use dispatch::{isolation_digest, Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Store};
-use feed::Asked;
-use peer::{Message, NEVER};
+use feed::{namings_from_wire, Asked};
+use peer::Message;
 use std::rc::Rc;
 
 /// Bytes that the index of kept parts may take.
@@ -105,9 +105,8 @@
 
     fn take_weights(&mut self, weights: &peer::Weights, now: Ms) -> ViewAnswer {
         let mut is_news = false;
-        for named in &weights.versions {
-            let age = if named.age_ms == NEVER { Ms::INFINITY } else { f64::from(named.age_ms) };
-            is_news |= self.dispatcher.name_version(named.model.as_str(), named.version, now - age);
+        for (model, naming) in namings_from_wire(now as u64, weights) {
+            is_news |= self.dispatcher.name_version(model, naming);
         }
         if is_news {
             ViewAnswer::Named
