An agent that is told to end serves its proxy to the last; soak of real processes

Cause: a machine that is told to end gets SIGTERM for both processes. The agent ended at once, while its proxy takes requests for up to 3.5 s: those heard neither of drainings nor of configurations nor of named weights. Change: after SIGTERM an agent ends with its proxy's link, 300 ms before the grace ends at the latest. Signal handlers are there before anything else runs. tests/soak plays real processes on loopback with seeded signals, restarts and changes.

--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -13,6 +13,8 @@
     Ending = 3002,
     /// Its settings were read anew.
     SettingsRead = 3003,
+    /// It has ended.
+    Ended = 3004,
     /// The link to a controller is up.
     ControllerLinked = 3010,
     /// The proxy is linked.
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -26,6 +26,9 @@
 /// Times of links with proxies on this machine, which have little to say.
 const PROXIES: LinkTiming = LinkTiming { unacknowledged: Duration::from_secs(10), silence: None };
 
+/// How long before the platform's SIGKILL the agent ends, whether or not its proxy has ended.
+const END_MARGIN: Duration = Duration::from_millis(300);
+
 /// Where a link leads.
 #[derive(Debug)]
 enum Link {
@@ -46,7 +49,10 @@
     link_events: mpsc::Sender<LinkEvent>,
 }
 
-/// Runs an agent until it is told to end.
+/// Runs an agent until it is told to end and its proxy, which ends with it, needs it no more.
+///
+/// A proxy that is told to end serves for seconds; without its agent it would hear neither of drainings nor of
+/// configurations meanwhile.
 ///
 /// # Errors
 /// The port for proxies can't be had.
@@ -58,18 +64,23 @@
     AgentEvent::Started.info(format_args!("agent of {} serves {address}", settings.node));
     let mut program = Program::new(settings, link_events);
     program.step(Input::Tick);
+    let mut ends_by: Option<Instant> = None;
     loop {
-        let wake = tokio::time::Instant::from_std(program.next_wake());
+        let wake = ends_by.map_or(program.next_wake(), |ends_by| ends_by.min(program.next_wake()));
         tokio::select! {
             Some(event) = link_news.recv() => program.link_event(event),
-            told = control.recv() => match told {
+            told = control.recv(), if ends_by.is_none() => match told {
                 Some(Control::Reload(settings)) => program.reload(*settings),
                 Some(Control::Terminate) | None => {
-                    AgentEvent::Ending.info(format_args!("agent ends"));
-                    return Ok(());
+                    AgentEvent::Ending.info(format_args!("agent ends after its proxy"));
+                    ends_by = Some(Instant::now() + program.settings.bounds.grace().saturating_sub(END_MARGIN));
                 }
             },
-            () = sleep_until(wake) => program.step(Input::Tick),
+            () = sleep_until(tokio::time::Instant::from_std(wake)) => program.step(Input::Tick),
+        }
+        if ends_by.is_some_and(|ends_by| !program.has_proxy() || Instant::now() >= ends_by) {
+            AgentEvent::Ended.info(format_args!("agent has ended"));
+            return Ok(());
         }
     }
 }
@@ -105,6 +116,11 @@
         }
     }
 
+    /// Whether a proxy is linked.
+    fn has_proxy(&self) -> bool {
+        self.links.values().any(|link| matches!(link, Link::Proxy(_)))
+    }
+
     fn next_wake(&self) -> Instant {
         self.started + Duration::from_millis(self.machine.deadline())
     }
--- /dev/null
+++ b/crates/agent/tests/ending.rs
@@ -0,0 +1,104 @@
+//! How an agent ends, over sockets.
+
+use agent::program::run;
+use peer::{
+    encode, Address, FrameReader, Hello, Message, ReplicaRecord, ReplicaState, Replicas, Role, PROTOCOL,
+};
+use process::Control;
+use settings::ProcessSettings;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// A controller's listener, and a free port above its own for the agent.
+async fn ports() -> (TcpListener, u16) {
+    let listen = || async { TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port") };
+    let (one, other) = (listen().await, listen().await);
+    let port = |listener: &TcpListener| listener.local_addr().expect("bound").port();
+    let (first, last) = if port(&one) < port(&other) { (one, other) } else { (other, one) };
+    let last = port(&last);
+    (first, last)
+}
+
+/// An agent whose only seed is the controller at `inner_port` of 127.0.0.1.
+fn settings(inner_port: u16, agent_port: u16) -> ProcessSettings {
+    let text = format!(
+        "node: edge-1\nrole: agent\nip: 127.0.0.1\nzone: z\ninner-ports: [{inner_port}, {agent_port}]\n\
+         seeds: [\"127.0.0.1:1\"]\nbounds: {{grace-s: 30}}\n"
+    );
+    ProcessSettings::read(&text).expect("sound settings")
+}
+
+fn hello(role: Role) -> Message {
+    Message::Hello(Hello {
+        protocol: PROTOCOL,
+        role,
+        machine: "m".into(),
+        zone: "z".into(),
+        incarnation: 1,
+        address: Address::NONE,
+        configuration: 0,
+    })
+}
+
+async fn send(link: &mut TcpStream, message: Message) {
+    link.write_all(&encode(&message).expect("short")).await.expect("linked");
+}
+
+/// Reads until a message of replicas has come.
+async fn replicas(link: &mut TcpStream) -> Replicas {
+    let mut reader = FrameReader::default();
+    loop {
+        while let Some(message) = reader.next_message().expect("sound") {
+            if let Message::Replicas(replicas) = message {
+                return replicas;
+            }
+        }
+        let mut room = [0; 4_096];
+        let count = link.read(&mut room).await.expect("linked");
+        assert!(count > 0, "the agent has ended");
+        reader.push(&room[..count]);
+    }
+}
+
+async fn dial(address: SocketAddrV4) -> TcpStream {
+    loop {
+        if let Ok(stream) = TcpStream::connect(address).await {
+            return stream;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// A machine that is told to end ends as a whole: its proxy serves for seconds, and hears what is new to the last.
+#[test]
+fn an_agent_that_is_told_to_end_serves_its_proxy_to_the_last() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let (controller, agent_port) = ports().await;
+        let settings = settings(controller.local_addr().expect("bound").port(), agent_port);
+        let at = settings.agent_address();
+        let (tell, control) = mpsc::channel(4);
+        let agent = tokio::spawn(run(settings, control));
+        let (mut controller, _) = controller.accept().await.expect("the agent's link");
+        let mut proxy = dial(at).await;
+        send(&mut proxy, hello(Role::Proxy)).await;
+        send(&mut controller, hello(Role::Controller)).await;
+        let ready = ReplicaRecord::new("i-1", "s", SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1).into(), "z");
+        send(&mut controller, Message::Replicas(Replicas::from(vec![ready.clone()]))).await;
+        assert_eq!(replicas(&mut proxy).await.records.len(), 1);
+        tell.send(Control::Terminate).await.expect("the agent listens");
+        while tell.capacity() < tell.max_capacity() {
+            tokio::task::yield_now().await;
+        }
+        let mut drains = ready.clone();
+        (drains.state, drains.beat) = (ReplicaState::Draining, ready.beat + 1);
+        send(&mut controller, Message::Replicas(Replicas::from(vec![drains]))).await;
+        let told = replicas(&mut proxy).await;
+        assert_eq!(told.records[0].state, ReplicaState::Draining);
+        assert!(!agent.is_finished());
+        drop(proxy);
+        agent.await.expect("no panic").expect("an orderly end");
+    });
+}
--- a/crates/process/src/event.rs
+++ b/crates/process/src/event.rs
@@ -35,6 +35,8 @@
 pub enum ProcessEvent {
     /// The settings can't be read anew; they stay as they were.
     SettingsUnusable = 10,
+    /// Signals can't be taken; the process ends.
+    SignalsUnusable = 11,
 }
 
 impl Event for ProcessEvent {
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -7,7 +7,7 @@
 pub use logging::{level, start_log, LoggingError, LEVEL_VARIABLE};
 
 use settings::{ProcessSettings, SettingsError};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc;
 
 /// Words that may wait.
@@ -22,16 +22,20 @@
     Reload(Box<ProcessSettings>),
 }
 
-/// Passes signals on: SIGTERM ends the process, SIGHUP has it read its settings anew. Needs a running runtime.
+/// Passes signals on: SIGTERM ends the process, SIGHUP has it read its settings anew. Needs a running runtime. From the
+/// return on no signal is lost, and none ends the process by itself.
 pub fn signals() -> mpsc::Receiver<Control> {
     let (tell, control) = mpsc::channel(QUEUE);
-    tokio::spawn(pass_on(tell));
+    match (signal(SignalKind::terminate()), signal(SignalKind::hangup())) {
+        (Ok(end), Ok(reload)) => drop(tokio::spawn(pass_on(tell, end, reload))),
+        (Err(why), _) | (_, Err(why)) => {
+            ProcessEvent::SignalsUnusable.error(format_args!("{why}"));
+        }
+    }
     control
 }
 
-async fn pass_on(tell: mpsc::Sender<Control>) -> std::io::Result<()> {
-    let mut end = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
+async fn pass_on(tell: mpsc::Sender<Control>, mut end: Signal, mut reload: Signal) {
     loop {
         let told = tokio::select! {
             _ = end.recv() => Control::Terminate,
@@ -44,7 +48,7 @@
             },
         };
         if tell.send(told).await.is_err() {
-            return Ok(());
+            return;
         }
     }
 }
--- /dev/null
+++ b/tests/soak/plan.rs
@@ -0,0 +1,111 @@
+//! What is done to a fleet, and when, drawn from a seed.
+
+use crate::fleet::SERVICES;
+use crate::record::{Millis, Process};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// When the first action comes: the fleet is up by then.
+const FIRST: Millis = 3_500;
+/// How long actions go on.
+const SPAN: Millis = 6_500;
+/// Actions of one burst lie within this.
+const BURST: Millis = 120;
+
+/// How large a fleet is.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub controllers: usize,
+    pub edges: usize,
+    /// Replicas of each service.
+    pub replicas: usize,
+    pub clients: usize,
+}
+
+/// Something that is done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    Terminate(Process),
+    Kill(Process),
+    Reload(Process),
+    /// Both processes of an edge machine are told to end.
+    TerminateEdge(usize),
+    KillEdge(usize),
+    /// All controllers are killed at once; their disks stay.
+    KillControllers,
+    /// A controller is killed and comes back with an empty disk.
+    WipeController(usize),
+    /// One change of the configuration.
+    Configure,
+    /// Two changes at once on the same version.
+    Race,
+    /// An order that was acknowledged is sent again.
+    Repeat,
+    /// The next version of the weights is named.
+    Name,
+    /// A replica says that it drains, and ends; another one takes its place.
+    Drain(usize),
+    /// It says that it leaves, serves on, and ends.
+    Leave(usize),
+    /// It ends without a word.
+    Crash(usize),
+}
+
+/// The actions of a run with their times, the first one first.
+pub fn draw_plan(seed: u64, size: Size) -> Vec<(Millis, Action)> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut actions = Vec::new();
+    // A lost disk is borne if nothing else of the controllers is lost around it.
+    let wipes = seed % 4 == 3;
+    while actions.len() < 14 + 2 * size.edges.min(8) {
+        let at = FIRST + random.random_range(0..SPAN);
+        for _ in 0..random.random_range(1..5) {
+            let action = draw(&mut random, size, wipes);
+            actions.push((at + random.random_range(0..BURST), action));
+            // While a machine ends, replicas come to their end, too.
+            if matches!(action, Action::TerminateEdge(_)) && random.random_bool(0.7) {
+                let replica = random.random_range(0..size.replicas * SERVICES);
+                let end = [Action::Drain(replica), Action::Leave(replica)][random.random_range(0..2)];
+                actions.push((at + BURST + random.random_range(0..BURST), end));
+            }
+        }
+    }
+    // Versions of weights come on top of each other in most runs.
+    let mut at = FIRST + random.random_range(0..1_500);
+    for _ in 0..random.random_range(0..7) {
+        actions.push((at, Action::Name));
+        at += [150, 500, 1_000, 1_700][random.random_range(0..4)];
+    }
+    if wipes {
+        let controller = random.random_range(0..size.controllers);
+        actions.push((FIRST + SPAN / 2, Action::WipeController(controller)));
+    }
+    actions.sort_by_key(|(at, _)| *at);
+    actions
+}
+
+fn draw(random: &mut SmallRng, size: Size, wipes: bool) -> Action {
+    let edge = random.random_range(0..size.edges);
+    let controller = Process::Controller(random.random_range(0..size.controllers));
+    let replica = random.random_range(0..size.replicas * SERVICES);
+    let process = [Process::Agent(edge), Process::Proxy(edge)][random.random_range(0..2)];
+    match random.random_range(0..24) {
+        0..=1 => Action::TerminateEdge(edge),
+        2 => Action::KillEdge(edge),
+        3 => Action::Terminate(process),
+        4 => Action::Kill(process),
+        5..=6 => Action::Reload(process),
+        7 => Action::Reload(controller),
+        8..=9 if !wipes => Action::Terminate(controller),
+        10 if !wipes => Action::Kill(controller),
+        11 if !wipes && random.random_range(0..3) == 0 => Action::KillControllers,
+        8..=14 => Action::Configure,
+        15 => Action::Race,
+        16 => Action::Repeat,
+        17..=18 => Action::Name,
+        19..=20 => Action::Drain(replica),
+        21 => Action::Leave(replica),
+        22 => Action::Crash(replica),
+        _ => Action::Reload(process),
+    }
+}
