--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -81,12 +81,12 @@
     }
 
     fn is_steady(&self, wanted: Process, at: Millis) -> bool {
-        let of_process = self.events.iter().filter_map(|event| match event.seen {
+        let mut of_process = self.events.iter().filter_map(|event| match event.seen {
             Seen::Process { process, what } if process == wanted && event.at <= at => Some((event.at, what)),
             _ => None,
         });
         let disturbed = |what: &Disturbance| matches!(what, Disturbance::Killed | Disturbance::Started);
-        match of_process.filter(|(_, what)| disturbed(what)).next_back() {
+        match of_process.rfind(|(_, what)| disturbed(what)) {
             Some((_, Disturbance::Killed)) | None => false,
             Some((started, _)) => at > started + IN_TOUCH_MS,
         }
