--- a/crates/controller/tests/support/cluster.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -1,15 +1,18 @@
 //! The group, its links and its clock.
 
+mod agents;
+mod calls;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use catalog::State;
-use controller::command::{decode, Call, Command, Reply};
+use controller::command::Reply;
 use controller::duty::moves::ReplicaCall;
-use controller::machine::{CallId, Effect, Input, Machine, Moment, Timing};
+use controller::machine::{Effect, Input, Machine, Moment, Timing};
 use links::LinkId;
 use membership::{Member, Membership};
-use peer::{Hello, Message, ReplicaState, Role, Subscription, PROTOCOL, TELLS_HOME};
+use peer::Message;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use register::{Identity, RegisterNode};
@@ -298,83 +301,6 @@
         self.seen.push(Seen::Told { agent: place, batch: agent.batches.len() - 1 });
     }
 
-    /// Issues a call; what the decoder refuses is answered at once.
-    pub fn issue(
-        &mut self,
-        host: usize,
-        method: &str,
-        path: &str,
-        based_on: Option<&str>,
-        body: &str,
-    ) -> CallHandle {
-        match decode(Call { method, path, based_on, body: body.as_bytes() }) {
-            Ok(command) => self.issue_command(host, command),
-            Err(reply) => {
-                let handle = self.next_handle();
-                self.replies.insert(handle, reply);
-                handle
-            }
-        }
-    }
-
-    fn next_handle(&mut self) -> CallHandle {
-        self.next_call += 1;
-        CallHandle(self.next_call)
-    }
-
-    fn issue_command(&mut self, host: usize, command: Command) -> CallHandle {
-        let handle = self.next_handle();
-        self.step(host, Input::Call { call: CallId(handle.0), command });
-        handle
-    }
-
-    /// Issues a call and waits for its answer, for a second at most.
-    pub fn call(
-        &mut self,
-        host: usize,
-        method: &str,
-        path: &str,
-        based_on: Option<&str>,
-        body: &str,
-    ) -> Option<Reply> {
-        let handle = self.issue(host, method, path, based_on, body);
-        for _ in 0..1_000 {
-            if self.replies.contains_key(&handle) {
-                break;
-            }
-            self.play(1);
-        }
-        self.reply(handle)
-    }
-
-    pub fn reply(&self, call: CallHandle) -> Option<Reply> {
-        self.replies.get(&call).cloned()
-    }
-
-    pub fn issue_heartbeat(&mut self, host: usize, id: &str, last: u8, state: &str, beat: u64) -> CallHandle {
-        self.issue_heartbeat_with(host, id, last, state, beat, 1)
-    }
-
-    pub fn issue_heartbeat_with(
-        &mut self,
-        host: usize,
-        id: &str,
-        last: u8,
-        state: &str,
-        beat: u64,
-        version: u64,
-    ) -> CallHandle {
-        let body = format!(
-            r#"{{"service":"reader","address":"10.1.0.{last}:8080","zone":"zone-0","version":"v1","free-slots":12,"state":"{state}","cold-left-ms":0,"stage":"both_ways","models":[{{"name":"m","version":{version},"adapters":[]}}],"call-count":{beat}}}"#
-        );
-        self.issue(host, "POST", &format!("/nodes/{id}/heartbeat"), None, &body)
-    }
-
-    pub fn heartbeat(&mut self, host: usize, id: &str, last: u8, state: &str, beat: u64) -> Option<Reply> {
-        let call = self.issue_heartbeat(host, id, last, state, beat);
-        self.reply(call)
-    }
-
     /// Whose events a controller reads.
     pub fn readers(&self, host: usize) -> Vec<String> {
         let local = self.now - self.hosts[host].started;
@@ -387,72 +313,6 @@
         machine.view().replicas.get(id).map(|record| record.state)
     }
 
-    pub fn connect_agent(&mut self, host: usize, name: &str) -> Agent {
-        self.connect_agent_of(host, name, PROTOCOL)
-    }
-
-    /// Links an agent that has this version of the configuration.
-    pub fn connect_agent_with(&mut self, host: usize, name: &str, configuration: u64) -> Agent {
-        self.link_agent(host, name, PROTOCOL, configuration)
-    }
-
-    /// Links an agent that speaks this version of the protocol.
-    pub fn connect_agent_of(&mut self, host: usize, name: &str, protocol: u16) -> Agent {
-        self.link_agent(host, name, protocol, 0)
-    }
-
-    fn link_agent(&mut self, host: usize, name: &str, protocol: u16, configuration: u64) -> Agent {
-        let link = LinkId(1_000 + self.agents.len() as u64);
-        let agent = AgentState { host, link, batches: Vec::new(), reads: true, flush_at: None };
-        self.agents.push(agent);
-        let hello = Hello {
-            protocol,
-            role: Role::Agent,
-            machine: name.into(),
-            zone: "zone-0".into(),
-            incarnation: 1,
-            address: peer::Address::NONE,
-            configuration,
-        };
-        self.step(host, Input::AgentUp { link, hello });
-        let agent = Agent(self.agents.len() - 1);
-        if protocol >= TELLS_HOME {
-            self.agent_sends(agent, Message::Subscription(Subscription { is_home: 1 }));
-        }
-        agent
-    }
-
-    /// Hands in what an agent sends.
-    pub fn agent_sends(&mut self, agent: Agent, message: Message) {
-        let (host, link) = (self.agents[agent.0].host, self.agents[agent.0].link);
-        self.step(host, Input::AgentMessage { link, message });
-    }
-
-    pub fn stop_reading(&mut self, agent: Agent) {
-        self.agents[agent.0].reads = false;
-    }
-
-    pub fn read_again(&mut self, agent: Agent) {
-        self.agents[agent.0].reads = true;
-    }
-
-    pub fn batches(&self, agent: Agent) -> usize {
-        self.agents[agent.0].batches.len()
-    }
-
-    pub fn messages(&self, agent: Agent) -> impl Iterator<Item = &Message> {
-        self.agents[agent.0].batches.iter().flatten()
-    }
-
-    pub fn configurations_told(&self, agent: Agent) -> Vec<peer::Configuration> {
-        let messages = self.messages(agent);
-        let configurations = messages.filter_map(|message| match message {
-            Message::Configuration(configuration) => Some(configuration.clone()),
-            _ => None,
-        });
-        configurations.collect()
-    }
-
     /// Bytes of other controllers' messages that arrived at a controller so far.
     pub fn bytes_to(&self, host: usize) -> usize {
         self.arrived.get(&host).copied().unwrap_or_default()
@@ -467,45 +327,4 @@
     pub fn version_at(&self, host: usize) -> u64 {
         self.hosts[host].machine.as_ref().map_or(0, |machine| machine.view().configuration_version())
     }
-
-    /// Whether an agent was told that a replica is in this state.
-    pub fn told(&self, agent: Agent, id: &str, state: ReplicaState) -> bool {
-        self.agents[agent.0].batches.iter().any(|batch| tells(batch, id, state))
-    }
-
-    /// Number of different replicas that an agent was told of.
-    pub fn replicas_told(&self, agent: Agent) -> usize {
-        let mut ids = BTreeSet::new();
-        for message in self.messages(agent) {
-            if let Message::Replicas(replicas) = message {
-                ids.extend(replicas.records.iter().map(|record| record.id.as_str().to_string()));
-            }
-        }
-        ids.len()
-    }
-
-    /// Whether an agent was told of a replica's state before a call was answered.
-    pub fn told_before_reply(&self, agent: Agent, id: &str, state: ReplicaState, call: CallHandle) -> bool {
-        for seen in &self.seen {
-            match seen {
-                Seen::Replied(replied) if *replied == call => return false,
-                Seen::Told { agent: told, batch }
-                    if *told == agent.0 && tells(&self.agents[agent.0].batches[*batch], id, state) =>
-                {
-                    return true;
-                }
-                _ => {}
-            }
-        }
-        false
-    }
-}
-
-fn tells(batch: &[Message], id: &str, state: ReplicaState) -> bool {
-    batch.iter().any(|message| match message {
-        Message::Replicas(replicas) => {
-            replicas.records.iter().any(|record| record.id.as_str() == id && record.state == state)
-        }
-        _ => false,
-    })
 }
