--- a/tests/support/hand.rs
+++ b/tests/support/hand.rs
@@ -22,9 +22,12 @@
         Hand { listener, address }
     }
 
-    /// One at an address where another one was.
-    pub fn at(address: SocketAddr) -> Hand {
-        Hand { listener: TcpListener::bind(address).expect("the port is free again"), address }
+    /// An address that refuses connections before [`Refusing::listen`].
+    pub fn refusing() -> Refusing {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
+        let address = socket.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
+        Refusing { socket, address }
     }
 
     /// One whose queue of connections is full: a further one does not come up before [`Jammed::open`].
@@ -65,6 +68,20 @@
     }
 }
 
+/// A port that is held without a listener: connections to it are refused, and nobody else can take it meanwhile.
+pub struct Refusing {
+    socket: Socket,
+    pub address: SocketAddr,
+}
+
+impl Refusing {
+    /// Listens there from now on.
+    pub fn listen(self) -> Hand {
+        self.socket.listen(128).expect("it listens");
+        Hand { listener: self.socket.into(), address: self.address }
+    }
+}
+
 pub struct Jammed {
     hand: Hand,
     queued: Vec<TcpStream>,
