Agent: report to a new home what it has not told of, so that it judges it

A replica that ends while all controllers restart is never heard of by them, so nobody calls it lost, and proxies tried it for as long as they lived: unreached, or 421 from the replica that got its address; the soak saw such a request at a replica that drained (DRAIN, 1.2 to 1.5 s after the acknowledgement).

Ruled out, by logs of a scratch copy: a drain that is told late (it is known at the proxy within 1 ms), a lost record of the feed, an older record that takes the place of a newer one, load alone (it shows on a quiet machine, too).

No new message. The agent's test bench is a module of its own.

--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -29,6 +29,8 @@
     ConfigurationUnusable = 3021,
     /// Versions of weights are named.
     WeightsNamed = 3022,
+    /// Replicas are reported to a new home that has not told of them.
+    ReplicasReported = 3023,
     /// A connection of a proxy can't be taken.
     LinkRefused = 3061,
     /// A process that is no proxy was turned away.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod error;
 pub mod event;
+mod home_review;
 pub mod machine;
 pub mod program;
 
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -10,6 +10,7 @@
 use peer::{replica_key, Alive, Fleet, Hello, Interest, Message, Replicas, Subscription, NEVER};
 
 use crate::event::AgentEvent;
+use crate::home_review::HomeReview;
 use crate::Millis;
 
 /// What an agent is told.
@@ -114,6 +115,8 @@
     proxies: BTreeMap<LinkId, Proxy>,
     /// The controller that was told that it is the home.
     subscribed: Option<SocketAddrV4>,
+    /// What that one has told of.
+    review: HomeReview,
     /// Since when some controller is linked.
     linked_since: Option<Millis>,
     next_upkeep: Millis,
@@ -122,10 +125,12 @@
 impl Machine {
     /// An agent that knows the inner addresses of a few controllers.
     pub fn new(now: Millis, place: Place, seeds: Vec<SocketAddrV4>, limits: Limits) -> Machine {
+        let review = HomeReview::new(limits.lost_after_ms);
         Machine {
             place,
             seeds,
             view: View::new(limits),
+            review,
             wanted: Wanted::default(),
             controllers: BTreeMap::new(),
             proxies: BTreeMap::new(),
@@ -152,7 +157,9 @@
                 if let Some(entry) = self.controllers.get_mut(&controller) {
                     (entry.up, entry.seen) = (false, now);
                 }
-                self.subscribed.take_if(|home| *home == controller);
+                if self.subscribed.take_if(|home| *home == controller).is_some() {
+                    self.review.stop();
+                }
             }
             Input::ControllerMessage { controller, message } => {
                 self.controller_message(now, controller, message, out);
@@ -185,6 +192,7 @@
             Input::Tick => self.tick(now),
         }
         self.subscribe(now, out);
+        self.report_untold(now, out);
         self.feed(now, out);
     }
 
@@ -194,7 +202,12 @@
         let feeds = idle.map(|proxy| proxy.subscriber.deadline(&self.view));
         let settles = self.linked_since.filter(|_| self.subscribed.is_none());
         let settles = settles.map(|since| since + HOME_SETTLES_MS);
-        feeds.chain(settles).chain([self.next_upkeep]).min().unwrap_or(self.next_upkeep)
+        feeds
+            .chain(settles)
+            .chain(self.review.due())
+            .chain([self.next_upkeep])
+            .min()
+            .unwrap_or(self.next_upkeep)
     }
 
     /// The controllers to which links should be up: those that the linked ones name, and the seeds while none of those
@@ -285,6 +298,23 @@
         out.extend(self.subscribed.map(|former| say(former, 0)));
         out.extend(home.map(|home| say(home, 1)));
         self.subscribed = home;
+        match home {
+            Some(_) => self.review.begin(now),
+            None => self.review.stop(),
+        }
+    }
+
+    /// Reports replicas to the home that it has not told of, as it may know nothing of them.
+    fn report_untold(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let Some(to) = self.subscribed else { return };
+        let has_contact = self.controllers.get(&to).is_some_and(|home| home.has_contact(now));
+        let untold = self.review.report(now, has_contact, &self.view.replicas);
+        if untold.is_empty() {
+            return;
+        }
+        AgentEvent::ReplicasReported.info(format_args!("{} replicas to controller {to}", untold.len()));
+        let records: Vec<_> = untold.iter().map(record_to_wire).collect();
+        out.push(Effect::SendController { to, message: Message::Replicas(Replicas::from(records)) });
     }
 
     /// Each controller tells of the replicas that it reads: all of them are asked.
@@ -349,6 +379,9 @@
     /// What one controller calls lost is told to those that have no contact with a majority: they hear nothing of it
     /// from the other controllers, and may hear the replica.
     fn replicas(&mut self, now: Millis, from: SocketAddrV4, replicas: &Replicas, out: &mut Vec<Effect>) {
+        if self.subscribed == Some(from) {
+            self.review.heard(replicas);
+        }
         let taken = self.view.take_replicas(now, replicas);
         if taken.lost.is_empty() {
             return;
--- a/crates/agent/tests/merging.rs
+++ b/crates/agent/tests/merging.rs
@@ -1,100 +1,22 @@
 //! What an agent makes of several controllers, played without sockets.
 
+mod support;
+
 use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 
-use agent::machine::{Effect, Input, Machine, Place};
-use catalog::{Limits, State};
-use links::LinkId;
-use peer::{Address, Alive, Configuration, Fleet, Hello, Message, NamedVersion, ReplicaRecord, ReplicaState};
-use peer::{Replicas, Role, Weights, NEVER, PROTOCOL};
+use agent::machine::{Effect, Input};
+use catalog::State;
+use peer::{Address, Alive, Configuration, Fleet, Hello, Message, NamedVersion, ReplicaState};
+use peer::{Role, Weights, NEVER, PROTOCOL};
 use rstest::rstest;
-
-fn controller(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7640)
-}
-
-struct Bench {
-    machine: Machine,
-    now: u64,
-}
-
-impl Bench {
-    fn new() -> Bench {
-        let seeds = vec![controller(1), controller(2), controller(3)];
-        let place = Place { machine: "edge-1".into(), zone: "east".into() };
-        Bench { machine: Machine::new(0, place, seeds, Limits::for_beats(1_200, 2_000)), now: 0 }
-    }
-
-    fn step(&mut self, input: Input) -> Vec<Effect> {
-        let mut out = Vec::new();
-        self.machine.step(self.now, input, &mut out);
-        out
-    }
-
-    fn up(&mut self, number: u8) {
-        self.step(Input::ControllerUp { controller: controller(number) });
-    }
-
-    fn down(&mut self, number: u8) {
-        self.step(Input::ControllerDown { controller: controller(number) });
-    }
-
-    fn tell(&mut self, number: u8, message: Message) -> Vec<Effect> {
-        self.step(Input::ControllerMessage { controller: controller(number), message })
-    }
-
-    fn proxy(&mut self, configuration: u64) -> (LinkId, Vec<Message>) {
-        let link = LinkId(77);
-        let hello = Hello {
-            protocol: PROTOCOL,
-            role: Role::Proxy,
-            machine: "edge-1".into(),
-            zone: "north".into(),
-            incarnation: 1,
-            address: Address::NONE,
-            configuration,
-        };
-        let effects = self.step(Input::ProxyUp { link, hello });
-        (link, to_proxy(effects))
-    }
-
-    /// Lets a batch reach the proxy, and gives what comes next.
-    fn flush(&mut self, link: LinkId) -> Vec<Message> {
-        let effects = self.step(Input::ProxyFlushed { link });
-        to_proxy(effects)
-    }
-}
-
-fn to_proxy(effects: Vec<Effect>) -> Vec<Message> {
-    let batches = effects.into_iter().filter_map(|effect| match effect {
-        Effect::SendProxy { messages, .. } => Some(messages),
-        Effect::SendController { .. } => None,
-    });
-    batches.flatten().collect()
-}
-
-fn to_controllers(effects: &[Effect]) -> Vec<SocketAddrV4> {
-    let sends = effects.iter().filter_map(|effect| match effect {
-        Effect::SendController { to, .. } => Some(*to),
-        Effect::SendProxy { .. } => None,
-    });
-    sends.collect()
-}
+use support::{controller, record, to_controllers, to_proxy, Bench};
 
 fn whole(version: u64, routes: &str) -> Message {
     let body = format!(r#"{{"version":{version},"routes":[{routes}],"services":[],"customers":[]}}"#);
     Message::Configuration(Configuration { base: 0, version, body: body.into_bytes().into() })
 }
 
-fn record(id: &str, beat: u64, state: ReplicaState) -> Message {
-    let address = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 8080);
-    let mut record = ReplicaRecord::new(id, "reader", address.into(), "north");
-    record.beat = beat;
-    record.state = state;
-    Message::Replicas(Replicas::from(vec![record]))
-}
-
 fn version_told(messages: &[Message]) -> Option<(u64, u64)> {
     messages.iter().find_map(|message| match message {
         Message::Configuration(configuration) => Some((configuration.base, configuration.version)),
--- a/crates/controller/tests/replicas.rs
+++ b/crates/controller/tests/replicas.rs
@@ -4,7 +4,7 @@
 
 use catalog::State;
 use feed::HOME_FIRST_MS;
-use peer::{Alive, Message, ReplicaState, NEVER};
+use peer::{Alive, Message, ReplicaRecord, ReplicaState, Replicas, NEVER};
 use rstest::rstest;
 use support::{configuration, Cluster};
 
@@ -171,3 +171,26 @@
     assert_eq!(stores.iter().filter(|reads| **reads).count(), 1, "another one reads the store");
     assert!(!cluster.readers(0).contains(&"a".to_string()), "its heartbeats went elsewhere");
 }
+
+#[rstest]
+fn a_replica_that_ended_while_all_controllers_restarted_is_lost_once_an_agent_reports_it(
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut cluster = started(seed);
+    cluster.heartbeat(0, "went", 1, "ready", 3);
+    cluster.play(200);
+    cluster.restart_all(200, &[]);
+    cluster.play(1_500);
+    assert_eq!(cluster.state_at(1, "went"), None, "nobody has heard it since");
+    let (reporter, other) = (cluster.connect_agent(0, "edge-1"), cluster.connect_agent(2, "edge-2"));
+    let address = std::net::SocketAddrV4::new([10, 1, 0, 1].into(), 8080);
+    let mut record = ReplicaRecord::new("went", "reader", address.into(), "zone-0");
+    record.beat = 3;
+    cluster.agent_sends(reporter, Message::Replicas(Replicas::from(vec![record])));
+    cluster.play(6_000);
+    assert_eq!([0, 1, 2].map(|host| cluster.state_at(host, "went")), [Some(State::Lost); 3]);
+    assert!(cluster.told(other, "went", ReplicaState::Lost));
+    cluster.heartbeat(1, "went", 1, "ready", 4);
+    cluster.play(200);
+    assert_eq!(cluster.state_at(0, "went"), Some(State::Ready), "it was only silent");
+}
