Soak: processes and machines that freeze and wake, on every third seed

Cause: the soak had no frozen processes, a trouble that the fleet must bear. Change: freezes of 0.1 to 2.5 s of agents, proxies, both or controllers are drawn on top of the other actions. A machine that stood still, or got requests while controllers were frozen or shortly after, is out of touch; orders within 300 ms of a thaw don't count; a request under way at a frozen proxy may be cut.

--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -1,6 +1,6 @@
 //! What must hold in a run, read from what parties outside saw.
 
-use crate::fleet::{APPLY_MS, DRAIN_MS, IN_TOUCH_MS, LEASE_MS, LOST_SLACK_MS, VERSION_MS};
+use crate::fleet::{name, APPLY_MS, DRAIN_MS, IN_TOUCH_MS, LEASE_MS, LOST_SLACK_MS, THAW_MS, VERSION_MS};
 use crate::record::{Disturbance, Ending, Event, Kind, Millis, Process, Seen};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -74,10 +74,72 @@
         })
     }
 
-    /// Whether an edge machine heard what is new at this moment, as far as is known: none of its processes was killed and
-    /// is not back for a while, nor came up lately. An end by itself, or by SIGTERM, is no excuse.
-    fn is_in_touch(&self, edge: usize, at: Millis) -> bool {
-        [Process::Agent(edge), Process::Proxy(edge)].iter().all(|process| self.is_steady(*process, at))
+    /// Whether an edge machine heard what is new when it got a request, and could act on it until `at`, as far as is
+    /// known: none of its processes was killed or frozen and is not back for a while, nor came up lately, and the
+    /// controllers were not frozen. An end by itself, or by SIGTERM, is no excuse.
+    fn is_in_touch(&self, edge: usize, sent: Millis, at: Millis) -> bool {
+        let machine = [Process::Agent(edge), Process::Proxy(edge)];
+        let heard = machine.iter().all(|process| self.is_steady(*process, sent));
+        let stood = self.freezes(sent, at).any(|(_, process, _)| machine.contains(&process));
+        heard && !stood && !self.ends_without_agent(edge, sent) && self.are_controllers_calm(sent, at)
+    }
+
+    /// Whether the proxy of an edge machine was told to end when its agent, told to end alone before, had ended: a
+    /// machine that stops starts nothing any more.
+    fn ends_without_agent(&self, edge: usize, at: Millis) -> bool {
+        let mut of_machine = self.events.iter().filter(|event| event.at <= at);
+        let told = of_machine.rfind(|event| {
+            matches!(event.seen, Seen::Process { process, what: Disturbance::Terminated } if process == Process::Proxy(edge))
+        });
+        let Some(told) = told else { return false };
+        self.life_of(Process::Agent(edge), told.at) == Some(Disturbance::Ended { expected: true })
+            && self.life_of(Process::Agent(edge), at) != Some(Disturbance::Started)
+    }
+
+    /// The last start or end of a process by a time.
+    fn life_of(&self, wanted: Process, at: Millis) -> Option<Disturbance> {
+        self.events.iter().filter(|event| event.at <= at).rev().find_map(|event| match event.seen {
+            Seen::Process { process, what: what @ (Disturbance::Started | Disturbance::Ended { .. }) }
+                if process == wanted =>
+            {
+                Some(what)
+            }
+            _ => None,
+        })
+    }
+
+    /// Freezes and thaws within a span.
+    fn freezes(&self, from: Millis, to: Millis) -> impl Iterator<Item = (Millis, Process, Disturbance)> + '_ {
+        self.events.iter().filter_map(move |event| match event.seen {
+            Seen::Process { process, what: what @ (Disturbance::Frozen | Disturbance::Thawed) }
+                if (from..=to).contains(&event.at) =>
+            {
+                Some((event.at, process, what))
+            }
+            _ => None,
+        })
+    }
+
+    /// Whether no controller was frozen or thawed in a span or shortly before it, and most of them were not frozen then.
+    fn are_controllers_calm(&self, from: Millis, to: Millis) -> bool {
+        let is_controller = |process: &Process| matches!(process, Process::Controller(_));
+        let changed =
+            self.freezes(from.saturating_sub(IN_TOUCH_MS), to).any(|(_, process, _)| is_controller(&process));
+        let mut running: BTreeMap<Process, bool> = BTreeMap::new();
+        for event in self.events.iter().filter(|event| event.at <= from) {
+            let Seen::Process { process, what } = event.seen else { continue };
+            let goes = match what {
+                Disturbance::Started | Disturbance::Thawed => true,
+                Disturbance::Killed | Disturbance::Frozen => false,
+                Disturbance::Ended { .. } | Disturbance::Terminated | Disturbance::Reloaded => continue,
+            };
+            if is_controller(&process) {
+                running.insert(process, goes);
+            }
+        }
+        let most_run = 2 * running.values().filter(|goes| **goes).count() > running.len();
+        let any_frozen = self.freezes(0, from).any(|(_, process, _)| is_controller(&process));
+        !changed && (most_run || !any_frozen)
     }
 
     fn is_steady(&self, wanted: Process, at: Millis) -> bool {
@@ -85,9 +147,14 @@
             Seen::Process { process, what } if process == wanted && event.at <= at => Some((event.at, what)),
             _ => None,
         });
-        let disturbed = |what: &Disturbance| matches!(what, Disturbance::Killed | Disturbance::Started);
+        let disturbed = |what: &Disturbance| {
+            matches!(
+                what,
+                Disturbance::Killed | Disturbance::Started | Disturbance::Frozen | Disturbance::Thawed
+            )
+        };
         match of_process.rfind(|(_, what)| disturbed(what)) {
-            Some((_, Disturbance::Killed)) | None => false,
+            Some((_, Disturbance::Killed | Disturbance::Frozen)) | None => false,
             Some((started, _)) => at > started + IN_TOUCH_MS,
         }
     }
@@ -157,10 +224,11 @@
             };
             let killed = self.was_killed(Process::Proxy(edge), sent.saturating_sub(50), *ended + 50);
             let crossed = request.arrived.is_empty() && *ended <= sent + LOST_SLACK_MS;
+            let froze = self.freezes(sent, *ended).any(|(_, process, _)| process == Process::Proxy(edge));
             let crashed = request.arrived.iter().any(|(_, replica)| {
                 self.crashed.get(replica.as_str()).is_some_and(|at| *at + 50 >= sent && *at <= *ended + 50)
             });
-            if !killed && !crossed && !crashed {
+            if !killed && !crossed && !crashed && !froze {
                 faults.push(format!(
                     "LOST at {ended}: request {id} at edge {edge}, sent at {sent}, began {began}, arrived at {:?}",
                     request.arrived
@@ -190,7 +258,7 @@
             }
             let Some((sent, edge, _)) = self.requests.get(request).and_then(|one| one.sent) else { continue };
             let overdue = named.iter().find(|(acked, newer)| newer > version && *at > acked + VERSION_MS);
-            if let Some((acked, newer)) = overdue.filter(|_| self.is_in_touch(edge, sent)) {
+            if let Some((acked, newer)) = overdue.filter(|_| self.is_in_touch(edge, sent, *at)) {
                 faults.push(format!(
                     "VERSION at {at}: request {request} at edge {edge} began on version {version} at {replica}, {} ms \
                      after version {newer} was acknowledged",
@@ -213,7 +281,7 @@
                     let Some((sent, edge, _)) = self.requests.get(request).and_then(|one| one.sent) else {
                         continue;
                     };
-                    if *at > acked + DRAIN_MS && self.is_in_touch(edge, sent) {
+                    if *at > acked + DRAIN_MS && self.is_in_touch(edge, sent, *at) {
                         faults.push(format!(
                             "DRAIN at {at}: request {request} reached {replica} from edge {edge}, {} ms after the \
                              acknowledgement",
@@ -272,19 +340,28 @@
                 event.at <= *at && matches!(event.seen, Seen::Configured { version: other, .. } | Seen::Refused { version: other, .. } if other > *version)
             });
             let is_due = *sent > acked + APPLY_MS && !newer;
-            let is_calm = self.is_in_touch(*edge, *sent) && !self.were_controllers_down(*acked, *sent);
+            let is_calm = self.is_in_touch(*edge, *sent, *at) && !self.were_controllers_down(*acked, *sent);
             if is_due && is_calm && matches!(status, 401 | 403 | 404) {
                 faults.push(format!("CONFIG at {at}: edge {edge} answers {status} for a route of version {version}, {} ms after", sent - acked));
             }
         }
     }
 
+    /// Whether a controller was thawed so lately that its orders don't count.
+    fn has_just_thawed(&self, holder: &str, at: Millis) -> bool {
+        self.freezes(at.saturating_sub(THAW_MS), at)
+            .any(|(_, process, what)| what == Disturbance::Thawed && name(process) == holder)
+    }
+
     /// Orders to replicas come from one holder at a time.
     fn orders(&self, faults: &mut Vec<String>) {
         let mut last: Option<(Millis, &str, u64)> = None;
         let mut holders: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
         for Event { at, seen } in self.events {
             let Seen::Ordered { replica, holder, fence } = seen else { continue };
+            if self.has_just_thawed(holder, *at) {
+                continue;
+            }
             holders.entry(*fence).or_default().insert(holder);
             if holders[fence].len() > 1 {
                 faults.push(format!("ONE at {at}: fence {fence} is used by {:?}", holders[fence]));
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -24,6 +24,7 @@
 pub const LEASE_MS: Millis = 1_500;
 pub const LOST_SLACK_MS: Millis = 200;
 pub const BEAT_EVERY_MS: Millis = 300;
+pub const THAW_MS: Millis = 300;
 /// From SIGTERM to SIGKILL.
 pub const GRACE_MS: Millis = 4_000;
 /// A process that dies of a signal so soon after its start had not begun to run.
@@ -65,6 +66,9 @@
     /// The last signal that ends it, with when.
     told_to_end: Option<Millis>,
     killed: bool,
+    is_frozen: bool,
+    /// It was frozen when it was told to end, or after.
+    froze_in_its_end: bool,
     starts: u32,
 }
 
@@ -157,7 +161,15 @@
         let mut running = shared.running.borrow_mut();
         let starts = running.get(&process).map_or(1, |before| before.starts + 1);
         let started = shared.record.now();
-        let entry = Running { child: Some(child), started, told_to_end: None, killed: false, starts };
+        let entry = Running {
+            child: Some(child),
+            started,
+            told_to_end: None,
+            killed: false,
+            is_frozen: false,
+            froze_in_its_end: false,
+            starts,
+        };
         running.insert(process, entry);
         shared.record.note(Seen::Process { process, what: Disturbance::Started });
     }
@@ -185,7 +197,7 @@
              caps: {{cpu-share: 1.0, memory-mb: 256, open-files: 1000, link-mbps: 1000.0, disk-mb: 128}}\n\
              data-dir: {disk}\nbeat-every-ms: {BEAT_EVERY_MS}\nsurvive: {{machines: 1, zones: 0, regions: 0}}\n\
              bounds: {{in-touch-ms: {IN_TOUCH_MS}, drain-ms: {DRAIN_MS}, grace-s: {grace}, apply-ms: {APPLY_MS}, \
-             retry-ratio: 0.5, retry-window-s: 10, extra-tries: 500, lease-ms: {LEASE_MS}, thaw-ms: 300, \
+             retry-ratio: 0.5, retry-window-s: 10, extra-tries: 500, lease-ms: {LEASE_MS}, thaw-ms: {THAW_MS}, \
              version-ms: {VERSION_MS}, fenced: false}}\n",
             name = name(process),
             seeds = seeds.join(", "),
@@ -206,6 +218,7 @@
             let now = self.shared.record.now();
             if let Some(one) = self.shared.running.borrow_mut().get_mut(&process) {
                 one.told_to_end.get_or_insert(now);
+                one.froze_in_its_end |= one.is_frozen;
             }
             self.shared.record.note(Seen::Process { process, what: Disturbance::Terminated });
         }
@@ -226,6 +239,39 @@
         }
     }
 
+    /// Stops processes in their tracks for so long.
+    pub async fn freeze(self, processes: Vec<Process>, time: Millis) {
+        let frozen: Vec<Process> =
+            processes.into_iter().filter(|process| self.stop_in_its_tracks(*process)).collect();
+        sleep(Duration::from_millis(time)).await;
+        frozen.into_iter().for_each(|process| self.thaw(process));
+    }
+
+    /// Whether it was running.
+    fn stop_in_its_tracks(&self, process: Process) -> bool {
+        let is_frozen = self.shared.running.borrow().get(&process).is_some_and(|one| one.is_frozen);
+        if is_frozen || !self.signal(process, nix::sys::signal::Signal::SIGSTOP) {
+            return false;
+        }
+        if let Some(one) = self.shared.running.borrow_mut().get_mut(&process) {
+            one.is_frozen = true;
+            one.froze_in_its_end |= one.told_to_end.is_some();
+        }
+        self.shared.record.note(Seen::Process { process, what: Disturbance::Frozen });
+        true
+    }
+
+    /// Lets a frozen process go on, unless it was killed meanwhile.
+    fn thaw(&self, process: Process) {
+        let was_frozen = match self.shared.running.borrow_mut().get_mut(&process) {
+            Some(one) => std::mem::take(&mut one.is_frozen),
+            None => false,
+        };
+        if was_frozen && self.signal(process, nix::sys::signal::Signal::SIGCONT) {
+            self.shared.record.note(Seen::Process { process, what: Disturbance::Thawed });
+        }
+    }
+
     pub fn wipe(&self, controller: usize) {
         let process = Process::Controller(controller);
         self.kill(process);
@@ -283,18 +329,20 @@
         Some(expected)
     }
 
-    /// Kills what outlives its grace.
+    /// Kills what outlives its grace. That is a fault, unless the process was kept from ending by a freeze.
     fn enforce_grace(&self) {
         let now = self.shared.record.now();
         for process in self.processes() {
-            let is_over = self.shared.running.borrow().get(&process).is_some_and(|one| {
-                one.child.is_some() && one.told_to_end.is_some_and(|at| now >= at + GRACE_MS)
+            let overdue = self.shared.running.borrow().get(&process).and_then(|one| {
+                let is_over = one.told_to_end.is_some_and(|at| now >= at + GRACE_MS);
+                (one.child.is_some() && is_over).then_some(one.froze_in_its_end)
             });
-            if is_over {
+            let Some(froze) = overdue else { continue };
+            if !froze {
                 let what = format!("{} outlived its grace", name(process));
                 self.shared.record.note(Seen::Unrecovered { what });
-                self.kill(process);
             }
+            self.kill(process);
         }
     }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -192,6 +192,11 @@
                 fleet.kill(Process::Agent(edge));
                 fleet.kill(Process::Proxy(edge));
             }
+            Action::Freeze(process, time) => drop(spawn_local(fleet.clone().freeze(vec![process], time))),
+            Action::FreezeEdge(edge, time) => {
+                let machine = vec![Process::Agent(edge), Process::Proxy(edge)];
+                drop(spawn_local(fleet.clone().freeze(machine, time)));
+            }
             Action::KillControllers => {
                 (0..fleet.size().controllers).map(Process::Controller).for_each(|one| fleet.kill(one))
             }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -11,6 +11,11 @@
 const SPAN: Millis = 6_500;
 /// Actions of one burst lie within this.
 const BURST: Millis = 120;
+/// One seed in so many has freezes.
+const FREEZES_EVERY: u64 = 3;
+/// A freeze lasts between these.
+const SHORTEST_FREEZE: Millis = 100;
+const LONGEST_FREEZE: Millis = 2_500;
 
 /// How large a fleet is.
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +36,10 @@
     /// Both processes of an edge machine are told to end.
     TerminateEdge(usize),
     KillEdge(usize),
+    /// A process stands still for so long.
+    Freeze(Process, Millis),
+    /// Both processes of an edge machine do.
+    FreezeEdge(usize, Millis),
     /// All controllers are killed at once; their disks stay.
     KillControllers,
     /// A controller is killed and comes back with an empty disk.
@@ -80,10 +89,34 @@
         let controller = random.random_range(0..size.controllers);
         actions.push((FIRST + SPAN / 2, Action::WipeController(controller)));
     }
+    if seed % FREEZES_EVERY == 0 {
+        actions.extend(draw_freezes(seed, size, wipes));
+    }
     actions.sort_by_key(|(at, _)| *at);
     actions
 }
 
+/// Freezes on top of the other actions; all are over when those are.
+fn draw_freezes(seed: u64, size: Size, spares_controllers: bool) -> Vec<(Millis, Action)> {
+    let mut random = SmallRng::seed_from_u64(seed ^ 0xf4ee2e);
+    let mut freezes = Vec::new();
+    for _ in 0..random.random_range(2..6) {
+        let at = FIRST + random.random_range(0..SPAN - LONGEST_FREEZE);
+        let time = random.random_range(SHORTEST_FREEZE..LONGEST_FREEZE);
+        let edge = random.random_range(0..size.edges);
+        let controller = Process::Controller(random.random_range(0..size.controllers));
+        let action = match random.random_range(0..6) {
+            0..=1 => Action::FreezeEdge(edge, time),
+            2 => Action::Freeze(Process::Agent(edge), time),
+            3 => Action::Freeze(Process::Proxy(edge), time),
+            _ if spares_controllers => Action::FreezeEdge(edge, time),
+            _ => Action::Freeze(controller, time),
+        };
+        freezes.push((at, action));
+    }
+    freezes
+}
+
 fn draw(random: &mut SmallRng, size: Size, wipes: bool) -> Action {
     let edge = random.random_range(0..size.edges);
     let controller = Process::Controller(random.random_range(0..size.controllers));
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -22,6 +22,10 @@
     Terminated,
     Killed,
     Reloaded,
+    /// It was stopped in its tracks.
+    Frozen,
+    /// It goes on.
+    Thawed,
     /// It ended; `expected` if the signals that it was sent explain how.
     Ended {
         expected: bool,
