--- a/crates/agent/tests/ending.rs
+++ b/crates/agent/tests/ending.rs
@@ -21,11 +21,11 @@
     (first, last)
 }
 
-/// An agent whose only seed is the controller at `inner_port` of 127.0.0.1.
-fn settings(inner_port: u16, agent_port: u16) -> ProcessSettings {
+/// An agent whose only seed is the controller at `inner_port` of 127.0.0.1; `grace` is in seconds.
+fn settings(inner_port: u16, agent_port: u16, grace: u64) -> ProcessSettings {
     let text = format!(
         "node: edge-1\nrole: agent\nip: 127.0.0.1\nzone: z\ninner-ports: [{inner_port}, {agent_port}]\n\
-         seeds: [\"127.0.0.1:1\"]\nbounds: {{grace-s: 30}}\n"
+         seeds: [\"127.0.0.1:1\"]\nbounds: {{grace-s: {grace}}}\n"
     );
     ProcessSettings::read(&text).expect("sound settings")
 }
@@ -77,7 +77,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     runtime.block_on(async {
         let (controller, agent_port) = ports().await;
-        let settings = settings(controller.local_addr().expect("bound").port(), agent_port);
+        let settings = settings(controller.local_addr().expect("bound").port(), agent_port, 30);
         let at = settings.agent_address();
         let (tell, control) = mpsc::channel(4);
         let agent = tokio::spawn(run(settings, control));
@@ -102,3 +102,26 @@
         agent.await.expect("no panic").expect("an orderly end");
     });
 }
+
+/// A proxy that hangs does not keep its agent until the platform kills it.
+#[test]
+fn an_agent_whose_proxy_stays_ends_within_its_grace() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let (controller, agent_port) = ports().await;
+        let settings = settings(controller.local_addr().expect("bound").port(), agent_port, 1);
+        let at = settings.agent_address();
+        let (tell, control) = mpsc::channel(4);
+        let agent = tokio::spawn(run(settings, control));
+        let (mut controller, _) = controller.accept().await.expect("the agent's link");
+        let mut proxy = dial(at).await;
+        send(&mut proxy, hello(Role::Proxy)).await;
+        send(&mut controller, hello(Role::Controller)).await;
+        let ready = ReplicaRecord::new("i-1", "s", SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1).into(), "z");
+        send(&mut controller, Message::Replicas(Replicas::from(vec![ready]))).await;
+        assert_eq!(replicas(&mut proxy).await.records.len(), 1);
+        tell.send(Control::Terminate).await.expect("the agent listens");
+        agent.await.expect("no panic").expect("an orderly end");
+        drop(proxy);
+    });
+}
--- /dev/null
+++ b/crates/controller/tests/moves.rs
@@ -0,0 +1,78 @@
+//! Which replica is ordered to move, and to what, played on the plan of moves alone.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use catalog::{ModelVersion, Record, State};
+use controller::duty::moves::{Moves, ReplicaCall};
+use rstest::rstest;
+use weights::{NamedWeights, Naming};
+
+const MODEL: &str = "m";
+/// Time to move to a named version, ms; nothing is due in these tests.
+const BOUND: u64 = 100_000;
+const FENCE: Option<u64> = Some(1);
+
+fn replica(id: &str, version: u64) -> Record {
+    Record {
+        id: id.to_string(),
+        service: "reader".to_string(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 8080),
+        zone: "north".to_string(),
+        free_slots: 1,
+        state: State::Ready,
+        beat: 1,
+        models: vec![ModelVersion { name: MODEL.to_string(), version }],
+        cold_left_ms: 0,
+    }
+}
+
+/// Five replicas, of which one loads at a time; the last by id has the oldest weights.
+fn replicas() -> Vec<Record> {
+    let versions = [("r1", 2), ("r2", 2), ("r3", 2), ("r4", 2), ("r5", 1)];
+    versions.map(|(id, version)| replica(id, version)).to_vec()
+}
+
+/// Names versions, each at a time in ms.
+fn named(namings: &[(u64, i64)]) -> NamedWeights {
+    let mut weights = NamedWeights::default();
+    for (version, named_at) in namings {
+        weights.name(MODEL, Naming { version: *version, named_at: *named_at });
+    }
+    weights
+}
+
+/// The replicas that are ordered, each with the version.
+fn orders(calls: &[ReplicaCall]) -> Vec<(&str, u64)> {
+    let order = |call| match call {
+        &ReplicaCall::Order { ref replica, version, .. } => Some((replica.as_str(), version)),
+        ReplicaCall::Report { .. } => None,
+    };
+    calls.iter().filter_map(order).collect()
+}
+
+#[rstest]
+fn the_replica_whose_bound_ends_first_is_ordered_first() {
+    let weights = named(&[(2, 0), (3, 1_000)]);
+    let calls = Moves::new(BOUND).calls(1_100, &replicas(), &weights, FENCE);
+    assert_eq!(orders(&calls), [("r5", 3)]);
+}
+
+#[rstest]
+fn a_replica_that_does_not_answer_its_order_leaves_its_place_at_once() {
+    let weights = named(&[(2, 0), (3, 1_000)]);
+    let mut moves = Moves::new(BOUND);
+    moves.calls(1_100, &replicas(), &weights, FENCE);
+    assert_eq!(orders(&moves.calls(1_110, &replicas(), &weights, FENCE)), [], "one at a time");
+    moves.ordered(1_120, "r5", None);
+    assert_eq!(orders(&moves.calls(1_120, &replicas(), &weights, FENCE)), [("r1", 3)]);
+}
+
+#[rstest]
+fn an_order_that_is_given_again_asks_for_what_is_newest_by_then() {
+    let mut moves = Moves::new(BOUND);
+    let calls = moves.calls(100, &replicas(), &named(&[(2, 0)]), FENCE);
+    assert_eq!(orders(&calls), [("r5", 2)]);
+    moves.ordered(110, "r5", Some(503));
+    let calls = moves.calls(2_000, &replicas(), &named(&[(2, 0), (3, 1_500)]), FENCE);
+    assert_eq!(orders(&calls), [("r5", 3)]);
+}
--- a/crates/feed/tests/configurations.rs
+++ b/crates/feed/tests/configurations.rs
@@ -50,3 +50,18 @@
         }
     }
 }
+
+/// What the subscriber lacks after its home has told it one configuration is a newer one, for which it waits anew.
+#[test]
+fn a_configuration_that_the_home_told_ends_the_wait() {
+    let mut view = view();
+    let mut subscriber = Subscriber::new(0);
+    subscriber.set_home(false);
+    configure(&mut view, 1);
+    assert_eq!(told(&mut subscriber, 0, &view), None);
+    subscriber.has_configuration(1);
+    configure(&mut view, 2);
+    assert_eq!(told(&mut subscriber, 400, &view), None);
+    assert_eq!(told(&mut subscriber, HOME_FIRST_MS, &view), None, "its home has had 100 ms for this one");
+    assert_eq!(told(&mut subscriber, 400 + HOME_FIRST_MS, &view), Some(2));
+}
