Agent: no wake-up without pause while no controller is linked

Cause: the time to choose a home lies in the past once an agent has ever been linked, and counted as a deadline while no home is subscribed, so also while nobody is linked: the agent took a whole core until a controller was back. Found by a test of the new home's review, which asks that an agent whose home has gone does not spin.

Tests: new_home.rs (deadline, words of other and of former homes, wake-up), ending.rs has a bound for its wait.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -200,7 +200,9 @@
     pub fn deadline(&self) -> Millis {
         let idle = self.proxies.values().filter(|proxy| !proxy.busy);
         let feeds = idle.map(|proxy| proxy.subscriber.deadline(&self.view));
-        let settles = self.linked_since.filter(|_| self.subscribed.is_none());
+        // While nobody is linked there is nobody to choose, and the time for it has long gone by.
+        let chooses = self.subscribed.is_none() && self.controllers.values().any(|one| one.up);
+        let settles = self.linked_since.filter(|_| chooses);
         let settles = settles.map(|since| since + HOME_SETTLES_MS);
         feeds
             .chain(settles)
--- a/crates/agent/tests/ending.rs
+++ b/crates/agent/tests/ending.rs
@@ -7,10 +7,14 @@
 use process::Control;
 use settings::ProcessSettings;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+/// Longer than the grace of a test's agent.
+const LONG: Duration = Duration::from_secs(20);
+
 /// A controller's listener, and a free port above its own for the agent.
 async fn ports() -> (TcpListener, u16) {
     let listen = || async { TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port") };
@@ -121,7 +125,8 @@
         send(&mut controller, Message::Replicas(Replicas::from(vec![ready]))).await;
         assert_eq!(replicas(&mut proxy).await.records.len(), 1);
         tell.send(Control::Terminate).await.expect("the agent listens");
-        agent.await.expect("no panic").expect("an orderly end");
+        let ended = tokio::time::timeout(LONG, agent).await.expect("it ends by itself");
+        ended.expect("no panic").expect("an orderly end");
         drop(proxy);
     });
 }
--- a/crates/agent/tests/new_home.rs
+++ b/crates/agent/tests/new_home.rs
@@ -55,7 +55,6 @@
     let mut bench = with_restarted_home();
     bench.tell(1, record("stays", 5, ReplicaState::Ready));
     assert_eq!(reported(&later(&mut bench, SHORT)), [], "it may not have heard a heartbeat yet");
-    assert!(bench.machine.deadline() <= bench.now + LONG, "it wakes for that");
     bench.now += LONG;
     let effects = in_contact(&mut bench, 1, 0);
     assert_eq!(reported(&effects), [(1, "went".to_string())]);
@@ -74,6 +73,50 @@
     assert_eq!(ids, [(1, "stays".to_string()), (1, "went".to_string())]);
 }
 
+/// The home became that at 1,200 ms; other upkeep falls on 5,000 and 10,000 ms.
+#[rstest]
+fn the_agent_wakes_to_report() {
+    let mut bench = with_restarted_home();
+    bench.now = 5_000;
+    bench.step(Input::Tick);
+    assert!(bench.machine.deadline() <= 1_200 + LONG, "at {} ms", bench.machine.deadline());
+}
+
+#[rstest]
+fn an_agent_whose_home_has_gone_does_not_spin() {
+    let mut bench = with_restarted_home();
+    bench.down(1);
+    bench.now = 10_000;
+    bench.step(Input::Tick);
+    assert!(bench.machine.deadline() > bench.now);
+}
+
+#[rstest]
+fn what_other_controllers_tell_does_not_count() {
+    let mut bench = with_restarted_home();
+    bench.up(2);
+    bench.tell(1, record("stays", 5, ReplicaState::Ready));
+    bench.tell(2, record("went", 3, ReplicaState::Ready));
+    bench.now += LONG;
+    assert_eq!(reported(&in_contact(&mut bench, 1, 0)), [(1, "went".to_string())]);
+}
+
+#[rstest]
+fn what_a_former_home_told_does_not_count() {
+    let mut bench = with_restarted_home();
+    bench.tell(1, record("stays", 5, ReplicaState::Ready));
+    bench.tell(1, record("went", 3, ReplicaState::Ready));
+    bench.up(2);
+    bench.now += SHORT;
+    in_contact(&mut bench, 2, 0);
+    later(&mut bench, SHORT);
+    in_contact(&mut bench, 2, 0);
+    assert_eq!(bench.machine.home_controller(bench.now), Some(controller(2)), "the other one lost contact");
+    bench.tell(2, record("stays", 5, ReplicaState::Ready));
+    bench.now += LONG;
+    assert_eq!(reported(&in_contact(&mut bench, 2, 0)), [(2, "went".to_string())]);
+}
+
 #[rstest]
 fn ends_are_not_reported() {
     let mut bench = with_restarted_home();
