Membership: a member with nobody to ask for a second opinion is not woken without pause

Cause: "not asked yet" and "nobody to ask" were one value, 0. While a probe was unanswered and no other member alive, the time to ask others stayed the deadline, in the past, until the probe was given up: a controller without a majority took about half a core. Ruled out: register, agents, peers, loads, barrier: the timers of such a controller, printed, show membership alone.

--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -33,7 +33,8 @@
     target: SocketAddrV4,
     ask_others_at: Millis,
     give_up_at: Millis,
-    asked: usize,
+    /// Third parties that were asked for a second opinion; `None` before that is due. There may be none to ask.
+    asked: Option<usize>,
     /// Third parties that said at least that they are there.
     without_answer: usize,
 }
@@ -194,7 +195,7 @@
     /// The time by which `tick` should be called again.
     pub fn deadline(&self) -> Millis {
         let probe = self.pending.iter().map(|pending| {
-            if pending.asked == 0 {
+            if pending.asked.is_none() {
                 pending.ask_others_at
             } else {
                 pending.give_up_at
@@ -217,7 +218,7 @@
             target,
             ask_others_at: now + self.timing.answer * stretch,
             give_up_at: now + self.timing.period * stretch,
-            asked: 0,
+            asked: None,
             without_answer: 0,
         });
         vec![self.probe(target, number)]
@@ -256,7 +257,7 @@
 
     fn ask_third_parties(&mut self, now: Millis) -> Vec<Send> {
         let Some(pending) = &self.pending else { return Vec::new() };
-        if pending.asked > 0 || now < pending.ask_others_at {
+        if pending.asked.is_some() || now < pending.ask_others_at {
             return Vec::new();
         }
         let (number, target) = (pending.number, pending.target);
@@ -265,7 +266,7 @@
         others.shuffle(&mut self.random);
         others.truncate(SECOND_OPINIONS);
         if let Some(pending) = &mut self.pending {
-            pending.asked = others.len();
+            pending.asked = Some(others.len());
         }
         let ask = |to: SocketAddrV4| {
             let updates = self.news_for(to);
@@ -297,7 +298,8 @@
     fn give_up_probe(&mut self, now: Millis) {
         let Some(pending) = self.pending.take_if(|pending| now >= pending.give_up_at) else { return };
         // Third parties that say nothing at all hint that the fault is on this side.
-        if pending.without_answer < pending.asked || pending.asked == 0 {
+        let asked = pending.asked.unwrap_or(0);
+        if pending.without_answer < asked || asked == 0 {
             self.slowness = (self.slowness + 1).min(MOST_SLOWNESS);
         }
         let Some(entry) = self.table.get(pending.target) else { return };
