Tests: every scenario of controllers checks that a machine rests after its ticks

Cause: two machines were due again at once after a tick (agent, membership), which no test saw. Change: the cluster of the controllers' tests fails when a machine is due again after three ticks in a row.

--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -23,11 +23,16 @@
 const SEEDS: usize = 3;
 const WALL_START_MS: u64 = 1_700_000_000_000;
 
+/// Ticks in a row, one each ms, after which a machine that is due again at once counts as one that spins.
+const MOST_RESTLESS_TICKS: u32 = 3;
+
 #[derive(Default)]
 struct Host {
     machine: Option<Machine>,
     disk: Disk,
     started: u64,
+    /// Ticks in a row after each of which it was due again at once.
+    restless_ticks: u32,
 }
 
 struct Flight {
@@ -263,10 +268,23 @@
             let local = self.now - self.hosts[host].started;
             if self.hosts[host].machine.as_ref().is_some_and(|machine| machine.deadline() <= local) {
                 self.step(host, Input::Tick);
+                self.check_rest(host, local);
             }
         }
     }
 
+    /// What was due has been done: a machine that is due again at once would take a whole core.
+    fn check_rest(&mut self, host: usize, local: u64) {
+        let Some(machine) = self.hosts[host].machine.as_ref() else { return };
+        let is_restless = machine.deadline() <= local;
+        self.hosts[host].restless_ticks = if is_restless { self.hosts[host].restless_ticks + 1 } else { 0 };
+        let ticks = self.hosts[host].restless_ticks;
+        assert!(
+            ticks < MOST_RESTLESS_TICKS,
+            "host {host} is due again after each of {ticks} ticks at {local} ms"
+        );
+    }
+
     pub fn step(&mut self, host: usize, input: Input) {
         let at = Moment { now: self.now - self.hosts[host].started, wall_ms: WALL_START_MS + self.now };
         let Some(machine) = self.hosts[host].machine.as_mut() else { return };
