--- a/crates/controller/tests/moves.rs
+++ b/crates/controller/tests/moves.rs
@@ -76,3 +76,20 @@
     let calls = moves.calls(2_000, &replicas(), &named(&[(2, 0), (3, 1_500)]), FENCE);
     assert_eq!(orders(&calls), [("r5", 3)]);
 }
+
+#[rstest]
+fn of_several_models_the_one_whose_bound_ends_first_is_ordered() {
+    let mut weights = named(&[(2, 1_000)]);
+    weights.name("n", Naming { version: 2, named_at: 0 });
+    let mut both = replica("r1", 1);
+    both.models.push(ModelVersion { name: "n".to_string(), version: 1 });
+    let calls = Moves::new(BOUND).calls(1_100, &[both], &weights, FENCE);
+    let models: Vec<&str> = calls
+        .iter()
+        .filter_map(|call| match call {
+            ReplicaCall::Order { model, .. } => Some(model.as_str()),
+            ReplicaCall::Report { .. } => None,
+        })
+        .collect();
+    assert_eq!(models, ["n"]);
+}
