--- a/crates/agent/src/home_review.rs
+++ b/crates/agent/src/home_review.rs
@@ -70,6 +70,7 @@
         untold.sort_by(|a, b| a.id.cmp(&b.id));
         if untold.len() <= MOST_REPORTED {
             self.stop();
+            return untold;
         }
         untold.truncate(MOST_REPORTED);
         self.told.extend(untold.iter().map(|record| record.id.clone()));
--- a/crates/agent/tests/ending.rs
+++ b/crates/agent/tests/ending.rs
@@ -1,16 +1,20 @@
 //! How an agent ends, over sockets.
 
 use agent::program::run;
+use agent::AgentError;
 use peer::{
     encode, Address, FrameReader, Hello, Message, ReplicaRecord, ReplicaState, Replicas, Role, PROTOCOL,
 };
 use process::Control;
 use settings::ProcessSettings;
+use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 /// Longer than the grace of a test's agent.
 const LONG: Duration = Duration::from_secs(20);
@@ -75,58 +79,78 @@
     }
 }
 
-/// A machine that is told to end ends as a whole: its proxy serves for seconds, and hears what is new to the last.
-#[test]
-fn an_agent_that_is_told_to_end_serves_its_proxy_to_the_last() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(async {
-        let (controller, agent_port) = ports().await;
-        let settings = settings(controller.local_addr().expect("bound").port(), agent_port, 30);
+/// An agent in service, with the other ends of its links. Its proxy knows one replica, `i-1`.
+struct InService {
+    agent: JoinHandle<Result<(), AgentError>>,
+    tell: mpsc::Sender<Control>,
+    controller: TcpStream,
+    proxy: TcpStream,
+}
+
+impl InService {
+    /// `grace` is in seconds.
+    async fn start(grace: u64) -> InService {
+        let (listener, agent_port) = ports().await;
+        let settings = settings(listener.local_addr().expect("bound").port(), agent_port, grace);
         let at = settings.agent_address();
         let (tell, control) = mpsc::channel(4);
         let agent = tokio::spawn(run(settings, control));
-        let (mut controller, _) = controller.accept().await.expect("the agent's link");
+        let (mut controller, _) = listener.accept().await.expect("the agent's link");
         let mut proxy = dial(at).await;
         send(&mut proxy, hello(Role::Proxy)).await;
         send(&mut controller, hello(Role::Controller)).await;
-        let ready = ReplicaRecord::new("i-1", "s", SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1).into(), "z");
-        send(&mut controller, Message::Replicas(Replicas::from(vec![ready.clone()]))).await;
+        send(&mut controller, Message::Replicas(Replicas::from(vec![replica()]))).await;
         assert_eq!(replicas(&mut proxy).await.records.len(), 1);
-        tell.send(Control::Terminate).await.expect("the agent listens");
-        while tell.capacity() < tell.max_capacity() {
+        InService { agent, tell, controller, proxy }
+    }
+
+    async fn terminate(&self) {
+        self.tell.send(Control::Terminate).await.expect("the agent listens");
+        while self.tell.capacity() < self.tell.max_capacity() {
             tokio::task::yield_now().await;
         }
-        let mut drains = ready.clone();
-        (drains.state, drains.beat) = (ReplicaState::Draining, ready.beat + 1);
-        send(&mut controller, Message::Replicas(Replicas::from(vec![drains]))).await;
-        let told = replicas(&mut proxy).await;
+    }
+
+    /// Waits until the agent has ended by itself.
+    async fn ended(agent: JoinHandle<Result<(), AgentError>>) {
+        let ended = timeout(LONG, agent).await.expect("it ends by itself");
+        ended.expect("no panic").expect("an orderly end");
+    }
+}
+
+fn replica() -> ReplicaRecord {
+    ReplicaRecord::new("i-1", "s", SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1).into(), "z")
+}
+
+fn play(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(test);
+}
+
+/// A machine that is told to end ends as a whole: its proxy serves for seconds, and hears what is new to the last.
+#[test]
+fn an_agent_that_is_told_to_end_serves_its_proxy_to_the_last() {
+    play(async {
+        let mut machine = InService::start(30).await;
+        machine.terminate().await;
+        let mut drains = replica();
+        (drains.state, drains.beat) = (ReplicaState::Draining, drains.beat + 1);
+        send(&mut machine.controller, Message::Replicas(Replicas::from(vec![drains]))).await;
+        let told = replicas(&mut machine.proxy).await;
         assert_eq!(told.records[0].state, ReplicaState::Draining);
-        assert!(!agent.is_finished());
-        drop(proxy);
-        agent.await.expect("no panic").expect("an orderly end");
+        assert!(!machine.agent.is_finished());
+        drop(machine.proxy);
+        InService::ended(machine.agent).await;
     });
 }
 
 /// A proxy that hangs does not keep its agent until the platform kills it.
 #[test]
 fn an_agent_whose_proxy_stays_ends_within_its_grace() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(async {
-        let (controller, agent_port) = ports().await;
-        let settings = settings(controller.local_addr().expect("bound").port(), agent_port, 1);
-        let at = settings.agent_address();
-        let (tell, control) = mpsc::channel(4);
-        let agent = tokio::spawn(run(settings, control));
-        let (mut controller, _) = controller.accept().await.expect("the agent's link");
-        let mut proxy = dial(at).await;
-        send(&mut proxy, hello(Role::Proxy)).await;
-        send(&mut controller, hello(Role::Controller)).await;
-        let ready = ReplicaRecord::new("i-1", "s", SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1).into(), "z");
-        send(&mut controller, Message::Replicas(Replicas::from(vec![ready]))).await;
-        assert_eq!(replicas(&mut proxy).await.records.len(), 1);
-        tell.send(Control::Terminate).await.expect("the agent listens");
-        let ended = tokio::time::timeout(LONG, agent).await.expect("it ends by itself");
-        ended.expect("no panic").expect("an orderly end");
-        drop(proxy);
+    play(async {
+        let machine = InService::start(1).await;
+        machine.terminate().await;
+        InService::ended(machine.agent).await;
+        drop(machine.proxy);
     });
 }
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -1,28 +1,18 @@
 //! Whole fleets of members played from one seed, with late starts, losses, cuts and replacements.
 
+mod support;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 
-use membership::{Member, Membership, Message, Millis, Send, Timing};
+use membership::{Membership, Message, Millis, Send, Timing};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use support::{address, member};
 
 const TICK_MS: Millis = 25;
 
-fn address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7640)
-}
-
-fn member(number: u8) -> Member {
-    Member {
-        node: format!("core-{number}"),
-        peer: address(number),
-        control: SocketAddrV4::new(*address(number).ip(), 8169),
-        zone: format!("zone-{}", number % 3),
-    }
-}
-
 struct Flight {
     arrives: Millis,
     from: SocketAddrV4,
--- a/crates/membership/tests/wake_ups.rs
+++ b/crates/membership/tests/wake_ups.rs
@@ -1,22 +1,12 @@
 //! A member is woken for what is due, and not again before something else is.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+mod support;
 
-use membership::{Member, Membership, Message, Millis, Send, Timing};
-use rstest::rstest;
-
-fn address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7640)
-}
+use std::net::SocketAddrV4;
 
-fn member(number: u8) -> Member {
-    Member {
-        node: format!("core-{number}"),
-        peer: address(number),
-        control: SocketAddrV4::new(*address(number).ip(), 8169),
-        zone: "zone".to_string(),
-    }
-}
+use membership::{Membership, Message, Millis, Send, Timing};
+use rstest::rstest;
+use support::{address, member};
 
 fn start(number: u8, seeds: &[SocketAddrV4]) -> Membership {
     Membership::new(0, member(number), 1, seeds, Timing::default(), 7)
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -5,25 +5,14 @@
 
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use support::site::*;
+use support::traffic::{Count, KILL};
 use support::{apart, Client, Folder, Program};
 
 const CLIENTS: u64 = 5;
-/// The platform kills this long after SIGTERM: the longest deadline, 2 s here, and 0.7 s.
-const KILL: Duration = Duration::from_millis(2700);
-
-#[derive(Default)]
-struct Count {
-    answered: AtomicU64,
-    refused: AtomicU64,
-    failed: AtomicU64,
-    lost: AtomicU64,
-    /// Sent once more since a connection was closed between requests as one crossed.
-    crossed: AtomicU64,
-}
 
 /// What the front layer knows of the processes.
 type Front = Arc<Mutex<Vec<SocketAddr>>>;
@@ -50,18 +39,12 @@
                 break Some(status);
             }
             tries += 1;
-            count.crossed.fetch_add(1, Ordering::SeqCst);
+            Count::add(&count.crossed);
             if !was_kept || tries > 1 {
                 break None;
             }
         };
-        let counter = match status {
-            Some(200) => &count.answered,
-            Some(429 | 503) => &count.refused,
-            Some(_) => &count.failed,
-            None => &count.lost,
-        };
-        counter.fetch_add(1, Ordering::SeqCst);
+        Count::add(status.map_or(&count.lost, |status| count.with_status(status)));
         std::thread::sleep(Duration::from_millis(rng.random_range(0..25)));
     }
 }
@@ -110,11 +93,11 @@
     let (mut answered, mut all_crossed, mut told) = (0, 0, Vec::new());
     for (seed, run) in runs.into_iter().enumerate() {
         let count = run.join().expect("a run");
-        let of = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
-        answered += of(&count.answered);
-        all_crossed += of(&count.crossed);
-        if of(&count.lost) + of(&count.failed) > 0 || of(&count.answered) == 0 {
-            let (lost, failed, crossed) = (of(&count.lost), of(&count.failed), of(&count.crossed));
+        answered += Count::of(&count.answered);
+        all_crossed += Count::of(&count.crossed);
+        if Count::of(&count.lost) + Count::of(&count.failed) > 0 || Count::of(&count.answered) == 0 {
+            let (lost, failed, crossed) =
+                (Count::of(&count.lost), Count::of(&count.failed), Count::of(&count.crossed));
             told.push(format!("seed {seed}: {lost} lost, {failed} failed, {crossed} crossed"));
         }
     }
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -1,6 +1,6 @@
 //! What must hold in a run, read from what parties outside saw.
 
-use crate::fleet::{name, APPLY_MS, DRAIN_MS, IN_TOUCH_MS, LEASE_MS, LOST_SLACK_MS, THAW_MS, VERSION_MS};
+use crate::fleet::{APPLY_MS, DRAIN_MS, LEASE_MS, LOST_SLACK_MS, VERSION_MS};
 use crate::record::{Disturbance, Ending, Event, Kind, Millis, Process, Seen};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,7 +15,7 @@
 
 /// Everything that was seen, in order of what it is about.
 pub struct Checker<'a> {
-    events: &'a [Event],
+    pub(crate) events: &'a [Event],
     requests: BTreeMap<u64, Request>,
     probes: BTreeSet<u64>,
     crashed: BTreeMap<&'a str, Millis>,
@@ -67,107 +67,6 @@
         self.requests.entry(id).or_default()
     }
 
-    fn was_killed(&self, wanted: Process, from: Millis, to: Millis) -> bool {
-        self.events.iter().any(|Event { at, seen }| {
-            let Seen::Process { process, what: Disturbance::Killed } = seen else { return false };
-            *process == wanted && (from..=to).contains(at)
-        })
-    }
-
-    /// Whether an edge machine heard what is new when it got a request, and could act on it until `at`, as far as is
-    /// known: none of its processes was killed or frozen and is not back for a while, nor came up lately, and the
-    /// controllers were not frozen. An end by itself, or by SIGTERM, is no excuse.
-    fn is_in_touch(&self, edge: usize, sent: Millis, at: Millis) -> bool {
-        let machine = [Process::Agent(edge), Process::Proxy(edge)];
-        let heard = machine.iter().all(|process| self.is_steady(*process, sent));
-        let stood = self.freezes(sent, at).any(|(_, process, _)| machine.contains(&process));
-        heard && !stood && !self.ends_without_agent(edge, sent) && self.are_controllers_calm(sent, at)
-    }
-
-    /// Whether the proxy of an edge machine was told to end when its agent, told to end alone before, had ended: a
-    /// machine that stops starts nothing any more.
-    fn ends_without_agent(&self, edge: usize, at: Millis) -> bool {
-        let mut of_machine = self.events.iter().filter(|event| event.at <= at);
-        let told = of_machine.rfind(|event| {
-            matches!(event.seen, Seen::Process { process, what: Disturbance::Terminated } if process == Process::Proxy(edge))
-        });
-        let Some(told) = told else { return false };
-        self.life_of(Process::Agent(edge), told.at) == Some(Disturbance::Ended { expected: true })
-            && self.life_of(Process::Agent(edge), at) != Some(Disturbance::Started)
-    }
-
-    /// The last start or end of a process by a time.
-    fn life_of(&self, wanted: Process, at: Millis) -> Option<Disturbance> {
-        self.events.iter().filter(|event| event.at <= at).rev().find_map(|event| match event.seen {
-            Seen::Process { process, what: what @ (Disturbance::Started | Disturbance::Ended { .. }) }
-                if process == wanted =>
-            {
-                Some(what)
-            }
-            _ => None,
-        })
-    }
-
-    /// Freezes and thaws within a span.
-    fn freezes(&self, from: Millis, to: Millis) -> impl Iterator<Item = (Millis, Process, Disturbance)> + '_ {
-        self.events.iter().filter_map(move |event| match event.seen {
-            Seen::Process { process, what: what @ (Disturbance::Frozen | Disturbance::Thawed) }
-                if (from..=to).contains(&event.at) =>
-            {
-                Some((event.at, process, what))
-            }
-            _ => None,
-        })
-    }
-
-    /// Whether no controller was frozen or thawed in a span or shortly before it, and most of them were not frozen then.
-    fn are_controllers_calm(&self, from: Millis, to: Millis) -> bool {
-        let is_controller = |process: &Process| matches!(process, Process::Controller(_));
-        let changed =
-            self.freezes(from.saturating_sub(IN_TOUCH_MS), to).any(|(_, process, _)| is_controller(&process));
-        let mut running: BTreeMap<Process, bool> = BTreeMap::new();
-        for event in self.events.iter().filter(|event| event.at <= from) {
-            let Seen::Process { process, what } = event.seen else { continue };
-            let goes = match what {
-                Disturbance::Started | Disturbance::Thawed => true,
-                Disturbance::Killed | Disturbance::Frozen => false,
-                Disturbance::Ended { .. } | Disturbance::Terminated | Disturbance::Reloaded => continue,
-            };
-            if is_controller(&process) {
-                running.insert(process, goes);
-            }
-        }
-        let most_run = 2 * running.values().filter(|goes| **goes).count() > running.len();
-        let any_frozen = self.freezes(0, from).any(|(_, process, _)| is_controller(&process));
-        !changed && (most_run || !any_frozen)
-    }
-
-    fn is_steady(&self, wanted: Process, at: Millis) -> bool {
-        let mut of_process = self.events.iter().filter_map(|event| match event.seen {
-            Seen::Process { process, what } if process == wanted && event.at <= at => Some((event.at, what)),
-            _ => None,
-        });
-        let disturbed = |what: &Disturbance| {
-            matches!(
-                what,
-                Disturbance::Killed | Disturbance::Started | Disturbance::Frozen | Disturbance::Thawed
-            )
-        };
-        match of_process.rfind(|(_, what)| disturbed(what)) {
-            Some((_, Disturbance::Killed | Disturbance::Frozen)) | None => false,
-            Some((started, _)) => at > started + IN_TOUCH_MS,
-        }
-    }
-
-    /// Whether some controller was killed, ended or started within this span.
-    fn were_controllers_down(&self, from: Millis, to: Millis) -> bool {
-        self.events.iter().any(|Event { at, seen }| {
-            matches!(seen, Seen::Process { process: Process::Controller(_), what }
-                if *what != Disturbance::Reloaded)
-                && (from..=to).contains(at)
-        })
-    }
-
     fn processes(&self, faults: &mut Vec<String>) {
         for Event { at, seen } in self.events {
             match seen {
@@ -347,12 +246,6 @@
         }
     }
 
-    /// Whether a controller was thawed so lately that its orders don't count.
-    fn has_just_thawed(&self, holder: &str, at: Millis) -> bool {
-        self.freezes(at.saturating_sub(THAW_MS), at)
-            .any(|(_, process, what)| what == Disturbance::Thawed && name(process) == holder)
-    }
-
     /// Orders to replicas come from one holder at a time.
     fn orders(&self, faults: &mut Vec<String>) {
         let mut last: Option<(Millis, &str, u64)> = None;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod record;
 mod replica;
+mod touch;
 
 use client::Clients;
 use fleet::{Fleet, SERVICES, VERSION_MS};
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod front;
 pub mod hand;
 pub mod site;
+pub mod traffic;
 
 use quickcheck::{Gen, QuickCheck, Testable};
 use std::io::{BufRead, BufReader, Write};
--- a/tests/taking_over.rs
+++ b/tests/taking_over.rs
@@ -3,37 +3,15 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use support::hand::SOON;
 use support::site::*;
+use support::traffic::{Count, KILL};
 use support::{apart, Client, Folder, Program};
 
 const CLIENTS: u64 = 6;
-/// The platform kills this long after SIGTERM: the longest deadline, 2 s here, and 0.7 s.
-const KILL: Duration = Duration::from_millis(2700);
-
-#[derive(Default)]
-struct Count {
-    answered: AtomicU64,
-    refused: AtomicU64,
-    failed: AtomicU64,
-    lost: AtomicU64,
-    /// Sent once more since a kept connection was closed as one crossed.
-    crossed: AtomicU64,
-    unconnected: AtomicU64,
-}
-
-impl Count {
-    fn of(counter: &AtomicU64) -> u64 {
-        counter.load(Ordering::SeqCst)
-    }
-
-    fn add(counter: &AtomicU64) {
-        counter.fetch_add(1, Ordering::SeqCst);
-    }
-}
 
 /// Asks without a pause on one connection for as long as it stays open, but `fresh` takes a new one for each request.
 fn client(address: SocketAddr, fresh: bool, stop: &AtomicBool, count: &Count, seed: u64) {
@@ -49,11 +27,7 @@
         match connection.try_ask("/view", &headers("view", id), &body(&[0, 1])) {
             Some((status, stays)) => {
                 kept = (stays && !fresh).then_some(connection);
-                Count::add(match status {
-                    200 => &count.answered,
-                    429 | 503 => &count.refused,
-                    _ => &count.failed,
-                });
+                Count::add(count.with_status(status));
             }
             None if was_kept => Count::add(&count.crossed),
             None => Count::add(&count.lost),
