Failing tests for incident VERSION: a holder of the duty that orders nobody keeps it

Cause: a holder renews its duty as long as there is work, whether or not it may order or any replica answers it; an order refused for its fence (412) is sent again each second with the same fence.

--- a/crates/controller/tests/duty.rs
+++ b/crates/controller/tests/duty.rs
@@ -310,3 +310,42 @@
     assert!(proposal.value.is_released());
     assert_eq!(holder.may_order(1_200), None);
 }
+
+/// The holder reaches the register, and no replica; the others reach all. Nothing moves until it hands the duty on.
+#[test]
+fn a_holder_that_reaches_no_replica_hands_the_duty_on() {
+    (1..=3).for_each(hand_on_from_a_holder_without_replicas);
+}
+
+fn hand_on_from_a_holder_without_replicas(seed: u64) {
+    let mut cluster = started(seed, 9);
+    cluster.replicas.load_ms = 900;
+    assert_eq!(name(&mut cluster, 1, 2), Some(200));
+    cluster.play(700);
+    let holder = cluster.replicas.orders.last().expect("an order").host;
+    let ids: Vec<String> = cluster.replicas.all.keys().cloned().collect();
+    cluster.replicas.cut.extend(ids.into_iter().map(|id| (holder, id)));
+    cluster.play(BOUND_MS + BOUND_MS / 2);
+    assert!(all_at(&cluster, 2), "held by {holder}: {:?}", cluster.replicas.orders);
+    check_orders(&cluster);
+}
+
+/// Each renewal takes longer than the window for orders: this controller may never order, and must not keep the duty.
+#[rstest]
+fn a_holder_that_may_never_order_gives_the_duty_up() {
+    let mut holder = Holder::new(0, address(1), LEASE_MS);
+    let mut now = 0;
+    for _ in 0..20 {
+        let Some(proposal) = holder.consider(work(now)) else {
+            now += 100;
+            continue;
+        };
+        if proposal.value.is_released() {
+            return;
+        }
+        now += LEASE_MS / 3 + 50;
+        holder.settled(now, true);
+        assert_eq!(holder.may_order(now), None);
+    }
+    panic!("it holds the duty for good");
+}
--- a/crates/controller/tests/moves.rs
+++ b/crates/controller/tests/moves.rs
@@ -93,3 +93,16 @@
         .collect();
     assert_eq!(models, ["n"]);
 }
+
+/// A replica that refuses an order for its fence has seen a higher one: nobody is ordered or asked again under this one.
+#[rstest]
+fn a_fence_that_was_refused_is_not_used_again() {
+    let weights = named(&[(2, 0), (3, 1_000)]);
+    let mut moves = Moves::new(BOUND);
+    assert_eq!(orders(&moves.calls(1_100, &replicas(), &weights, FENCE)), [("r5", 3)]);
+    moves.ordered(1_110, "r5", Some(412));
+    for now in [1_120, 2_200, 5_000, 60_000] {
+        assert_eq!(moves.calls(now, &replicas(), &weights, FENCE), [], "at {now} ms");
+    }
+    assert_eq!(orders(&moves.calls(60_010, &replicas(), &weights, Some(2))), [("r5", 3)]);
+}
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -33,6 +33,8 @@
     started: u64,
     /// Ticks in a row after each of which it was due again at once.
     restless_ticks: u32,
+    /// How far its time of day is off the true one, ms.
+    wall_error_ms: i64,
 }
 
 struct Flight {
@@ -245,12 +247,17 @@
         }
     }
 
-    /// Heartbeats go to the first controller that runs; calls are answered after a moment.
+    /// Heartbeats go to the first controller that acknowledges them; calls are answered after a moment.
     fn play_replicas(&mut self) {
-        let hears = self.hosts.iter().position(|host| host.machine.is_some());
         for (id, last, beat, version) in self.replicas.due(self.now) {
-            if let Some(host) = hears {
-                self.issue_heartbeat_with(host, &id, last, "ready", beat, version);
+            for host in 0..self.hosts.len() {
+                if self.hosts[host].machine.is_none() || self.replicas.is_cut(host, &id) {
+                    continue;
+                }
+                let call = self.issue_heartbeat_with(host, &id, last, "ready", beat, version);
+                if self.reply(call).is_some_and(|reply| reply.status == 200) {
+                    break;
+                }
             }
         }
         let now = self.now;
@@ -263,6 +270,16 @@
         }
     }
 
+    /// Steps the time of day of a machine.
+    pub fn set_wall_error(&mut self, host: usize, error_ms: i64) {
+        self.hosts[host].wall_error_ms = error_ms;
+    }
+
+    /// Whether a machine runs.
+    pub fn is_running(&self, host: usize) -> bool {
+        self.hosts[host].machine.is_some()
+    }
+
     fn tick(&mut self) {
         for host in 0..self.hosts.len() {
             let local = self.now - self.hosts[host].started;
@@ -286,7 +303,8 @@
     }
 
     pub fn step(&mut self, host: usize, input: Input) {
-        let at = Moment { now: self.now - self.hosts[host].started, wall_ms: WALL_START_MS + self.now };
+        let wall_ms = (WALL_START_MS + self.now).saturating_add_signed(self.hosts[host].wall_error_ms);
+        let at = Moment { now: self.now - self.hosts[host].started, wall_ms };
         let Some(machine) = self.hosts[host].machine.as_mut() else { return };
         let mut effects = Vec::new();
         machine.step(at, input, &mut effects);
--- a/crates/controller/tests/support/replicas.rs
+++ b/crates/controller/tests/support/replicas.rs
@@ -42,6 +42,8 @@
     pub most_loading: usize,
     /// Replicas that send heartbeats but answer no call.
     pub silent: BTreeSet<String>,
+    /// Paths between controllers and replicas that are cut.
+    pub cut: BTreeSet<(usize, String)>,
     /// Number of `GET /report` calls.
     pub reports: usize,
 }
@@ -74,13 +76,22 @@
         due
     }
 
+    /// Whether nothing passes between a controller and a replica.
+    pub fn is_cut(&self, host: usize, replica: &str) -> bool {
+        self.cut.contains(&(host, replica.to_string()))
+    }
+
+    fn is_mute(&self, host: usize, replica: &str) -> bool {
+        self.silent.contains(replica) || self.is_cut(host, replica)
+    }
+
     /// Takes a call; what the controller is told.
     pub fn take(&mut self, now: u64, host: usize, call: &ReplicaCall) -> Input {
         match call {
-            ReplicaCall::Order { replica, .. } if self.silent.contains(replica) => {
+            ReplicaCall::Order { replica, .. } if self.is_mute(host, replica) => {
                 Input::Ordered { replica: replica.clone(), status: None }
             }
-            ReplicaCall::Report { replica, .. } if self.silent.contains(replica) => {
+            ReplicaCall::Report { replica, .. } if self.is_mute(host, replica) => {
                 Input::Reported { replica: replica.clone(), report: None }
             }
             ReplicaCall::Order { replica, version, fence, expected, .. } => {
