Duty: a holder that orders nobody gives it up; a refused fence is never used again

Cause: a holder renewed its duty while there was work, whether or not it could do it, and nobody else could take it. A fence that was refused (412) went out again each second. Change: the holder gives the duty up, and lets others go first for three leases, when it may not order for a lease (renewals slower than the window) or no replica answers it for 4 s; a refused fence ends the tenure, the next one is higher by a step that doubles. Sight: events 2054 (replicas behind past the bound: state, holder, what is done) and 2055 (duty given up).

--- a/crates/controller/src/duty/holder.rs
+++ b/crates/controller/src/duty/holder.rs
@@ -4,6 +4,10 @@
 //! then decided. Another controller takes the duty when, by its own steady clock, the register has not
 //! changed for that window and a whole lease: from the former's last possible order to the successor's
 //! first a lease has passed, whatever the clocks of the machines say.
+//!
+//! A holder that is of no use gives the duty up though there is work: one that may never order, since its renewals take
+//! longer than the window, and one whose orders no replica answers. It then lets others go first. A fence that a
+//! replica refused is not used again: the duty is taken anew, with a higher one.
 
 use std::net::SocketAddrV4;
 
@@ -18,6 +22,8 @@
 const IDLE_MS: Millis = 1_000;
 /// Candidates take the duty one after the other, so that they don't collide.
 const RANK_DELAY_MS: Millis = 400;
+/// A holder that was of no use takes the duty again after so many leases at the earliest.
+const YIELDED_LEASES: u64 = 3;
 /// Added to what a successor waits: an order may take so long from its decision to its bytes on the wire.
 const MARGIN_MS: Millis = 400;
 
@@ -31,6 +37,10 @@
     pub rank: u64,
     /// Whether the last holder is alive.
     pub holder_alive: bool,
+    /// Whether another controller could take the duty instead.
+    pub has_others: bool,
+    /// Whether no replica answers this controller's orders.
+    pub is_unanswered: bool,
 }
 
 /// A change of the duty register that this controller wants.
@@ -61,6 +71,14 @@
     worked: Millis,
     tenure: Option<Tenure>,
     proposed: Option<(Proposal, Millis)>,
+    /// When this controller last could order, or took the duty.
+    able: Millis,
+    /// It does not take the duty before that.
+    yields_until: Millis,
+    /// The highest fence that was refused.
+    refused_fence: u64,
+    /// How far the next fence leaps; doubles with each refusal, as nobody knows how high the one seen was.
+    leap: u64,
 }
 
 impl Holder {
@@ -75,7 +93,23 @@
             worked: now,
             tenure: None,
             proposed: None,
+            able: now,
+            yields_until: 0,
+            refused_fence: 0,
+            leap: 1,
+        }
+    }
+
+    /// A replica refused this fence, as it has seen a higher one: orders under it end, and the duty is taken anew once
+    /// whoever used the higher one can't order any more.
+    pub fn fence_refused(&mut self, now: Millis, fence: u64) {
+        if self.tenure.is_none_or(|tenure| tenure.value.fence > fence) {
+            return;
         }
+        self.tenure = None;
+        self.refused_fence = self.refused_fence.max(fence);
+        self.leap = self.leap.saturating_mul(2);
+        self.yields_until = now + self.lease + self.lease / ORDER_WINDOW + MARGIN_MS;
     }
 
     /// Takes in what the register holds.
@@ -116,16 +150,29 @@
         } else {
             self.work_since = None;
         }
+        if self.may_order(now).is_some() {
+            self.able = now;
+        }
         if self.proposed.is_some() {
             return None;
         }
         let value = match self.tenure {
+            Some(tenure) if circumstances.has_others && self.is_useless(circumstances) => {
+                self.yields_until = now + YIELDED_LEASES * self.lease;
+                tenure.value.released(None)
+            }
             Some(tenure) => self.continue_or_end(now, tenure)?,
             None => self.take_over(circumstances)?,
         };
         Some(self.propose(now, value))
     }
 
+    /// Whether there is work and this holder can't do it: no order may leave, or none is answered.
+    fn is_useless(&self, circumstances: Circumstances) -> bool {
+        let may_never_order = circumstances.now >= self.able + self.lease;
+        circumstances.has_work && (may_never_order || circumstances.is_unanswered)
+    }
+
     fn continue_or_end(&self, now: Millis, tenure: Tenure) -> Option<DutyValue> {
         if now >= self.worked + IDLE_MS {
             return Some(tenure.value.released(None));
@@ -135,13 +182,17 @@
 
     fn take_over(&self, circumstances: Circumstances) -> Option<DutyValue> {
         let since = self.work_since?;
+        if circumstances.now < self.yields_until {
+            return None;
+        }
         let Some(current) = self.current else {
             let mine = DutyValue::held_by(self.me, 1, 0);
             return (circumstances.now >= since + circumstances.rank * RANK_DELAY_MS).then_some(mine);
         };
         let waited = circumstances.now >= self.free_at(&current);
         let in_turn = circumstances.now >= since + self.delay(&current, circumstances);
-        let mine = DutyValue::held_by(self.me, current.fence + 1, current.renewals + 1);
+        let fence = current.fence.max(self.refused_fence).saturating_add(self.leap);
+        let mine = DutyValue::held_by(self.me, fence, current.renewals + 1);
         (waited && in_turn).then_some(mine)
     }
 
@@ -194,6 +245,9 @@
         }
         self.learn(now, Some(proposal.value));
         if proposal.value.holder() == self.me && !proposal.value.is_released() {
+            if self.tenure.is_none() {
+                self.able = now;
+            }
             self.tenure = Some(Tenure { value: proposal.value, renewed: began });
         }
     }
--- a/crates/controller/src/duty/moves.rs
+++ b/crates/controller/src/duty/moves.rs
@@ -26,6 +26,11 @@
 const RETRY_MS: Millis = 1_000;
 /// An order that was taken is given up, and given anew, after so long.
 const GIVE_UP_MS: Millis = 10_000;
+/// A holder to which no replica has answered for so long, though they send heartbeats, reaches none of them. A replica
+/// that has ended counts as lost before.
+const UNANSWERED_MS: Millis = 4_000;
+/// The status of an order whose fence is lower than one that the replica has seen.
+const FENCE_TOO_LOW: u16 = 412;
 
 /// A call to a replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -87,6 +92,8 @@
     call_count: Option<u64>,
     /// The last call got no answer: nobody knows whether the replica loads anything.
     is_silent: bool,
+    /// The fence of the last order.
+    fence: u64,
 }
 
 /// A replica that lacks a named version.
@@ -125,12 +132,16 @@
     /// Within this after a naming nothing may begin on an older version.
     bound: Millis,
     moves: BTreeMap<String, Move>,
+    /// When a replica last answered, or the first move began after a time without any.
+    answered: Millis,
+    /// The highest fence that a replica refused.
+    refused_fence: Option<u64>,
 }
 
 impl Moves {
     /// No move; `bound` is the time to move to a named version.
     pub fn new(bound: Millis) -> Moves {
-        Moves { bound, moves: BTreeMap::new() }
+        Moves { bound, moves: BTreeMap::new(), answered: 0, refused_fence: None }
     }
 
     /// Whether anything is under way or left to do.
@@ -152,6 +163,23 @@
         self.moves.keys().map(String::as_str)
     }
 
+    /// The highest fence that a replica refused, as it has seen a higher one: orders need one above it.
+    pub fn refused_fence(&self) -> Option<u64> {
+        self.refused_fence
+    }
+
+    /// Whether replicas are to be ordered and none has answered for long: another controller may reach them.
+    pub fn is_unanswered(&self, now: Millis) -> bool {
+        let is_alone = !self.moves.is_empty() && self.moves.values().all(|one| one.is_silent);
+        is_alone && now >= self.answered + UNANSWERED_MS
+    }
+
+    /// The moves under way, as a line of a log: replicas with what is done about each.
+    pub fn describe(&self) -> String {
+        let shown = self.moves.iter().map(|(replica, one)| format!("{replica} {}", one.describe()));
+        shown.collect::<Vec<_>>().join(", ")
+    }
+
     /// Drops what was planned: another controller holds the duty.
     pub fn clear(&mut self) {
         self.moves.clear();
@@ -166,6 +194,10 @@
         fence: Option<u64>,
     ) -> Vec<ReplicaCall> {
         self.drop_finished(replicas, weights);
+        if self.moves.is_empty() {
+            self.answered = now;
+        }
+        let fence = fence.filter(|fence| self.refused_fence.is_none_or(|refused| *fence > refused));
         if fence.is_some() {
             self.plan(now, replicas, weights);
         }
@@ -224,8 +256,15 @@
     pub fn ordered(&mut self, now: Millis, replica: &str, status: Option<u16>) {
         let Some(one) = self.moves.get_mut(replica) else { return };
         one.is_silent = status.is_none();
+        if status.is_some() {
+            self.answered = now;
+        }
         one.step = match status {
             Some(202 | 200 | 409) | None => Step::Loading { ask_at: now + REPORT_EVERY_MS },
+            Some(FENCE_TOO_LOW) => {
+                self.refused_fence = self.refused_fence.max(Some(one.fence));
+                Step::Due(now)
+            }
             Some(_) => Step::Due(now + RETRY_MS),
         };
     }
@@ -238,6 +277,7 @@
             one.step = Step::Loading { ask_at: now + RETRY_MS };
             return None;
         };
+        self.answered = now;
         one.call_count = Some(report.call_count);
         let holds = |model: &ModelVersion| model.name == one.model && model.version >= one.version;
         if report.models.iter().any(holds) {
@@ -267,6 +307,16 @@
             since: now,
             call_count: None,
             is_silent: false,
+            fence: 0,
+        }
+    }
+
+    fn describe(&self) -> &'static str {
+        match self.step {
+            _ if self.is_silent => "does not answer",
+            Step::Due(_) => "is to be ordered",
+            Step::Ordering => "is ordered",
+            Step::Loading { .. } | Step::Asking => "loads",
         }
     }
 
@@ -293,6 +343,7 @@
         self.version = behind.newest;
         self.step = Step::Ordering;
         self.since = now;
+        self.fence = fence;
         Some(ReplicaCall::Order {
             replica: replica.to_string(),
             address: self.address,
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -47,6 +47,10 @@
     Order = 2052,
     /// A replica that was given an order holds the weights.
     WeightsMoved = 2053,
+    /// Replicas have lacked named weights for longer than the bound.
+    ReplicasBehind = 2054,
+    /// The holder of the duty could not do it, and gives it up to the other controllers.
+    DutyGivenUp = 2055,
     /// A connection to the control API can't be taken.
     CallRefused = 2060,
     /// A connection of another process of the fleet can't be taken.
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use catalog::State;
+use catalog::{Record, State};
 use process::Event;
 use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
 use weights::Naming;
@@ -17,6 +17,10 @@
 
 /// A change of the duty register ends within this.
 const DUTY_MS: Millis = 800;
+/// Time between two lines of the log on replicas that have lacked named weights for too long.
+const BEHIND_LOG_EVERY_MS: Millis = 5_000;
+/// Most replicas that such a line names.
+const MOST_BEHIND_LOGGED: usize = 20;
 
 impl Machine {
     pub(crate) fn learned_weights(&mut self, at: Moment, bytes: &[u8]) {
@@ -53,9 +57,24 @@
             return;
         }
         let has_work = self.moves.has_work(self.view.replicas.live(), self.view.weights());
-        let circumstances =
-            Circumstances { now: at.now, has_work, rank: self.rank(), holder_alive: self.is_holder_alive() };
+        if let Some(refused) = self.moves.refused_fence() {
+            self.holder.fence_refused(at.now, refused);
+        }
+        let circumstances = Circumstances {
+            now: at.now,
+            has_work,
+            rank: self.rank(),
+            holder_alive: self.is_holder_alive(),
+            has_others: self.membership.alive().next().is_some(),
+            is_unanswered: self.moves.is_unanswered(at.now),
+        };
+        self.log_behind(at.now);
         if let Some(proposal) = self.holder.consider(circumstances) {
+            if has_work && proposal.value.is_released() {
+                let under_way = self.moves.describe();
+                ControllerEvent::DutyGivenUp
+                    .warn(format_args!("it can't be done from here; under way: {under_way}"));
+            }
             self.propose_duty(at, proposal, out);
         }
         if !self.holder.is_mine() {
@@ -79,6 +98,37 @@
         shown.collect::<Vec<_>>().join(", ")
     }
 
+    /// Logs now and then which replicas have lacked named weights for longer than the bound, and what is done about it.
+    fn log_behind(&mut self, now: Millis) {
+        if now < self.next_behind_log {
+            return;
+        }
+        self.next_behind_log = now + BEHIND_LOG_EVERY_MS;
+        let oldest = |record: &Record| {
+            let first = record.models.iter().filter_map(|held| {
+                let first = self.view.weights().first_above(&held.name, held.version)?;
+                Some((now as i64).saturating_sub(first.named_at))
+            });
+            first.max().filter(|age| *age > self.timing.version_ms as i64)
+        };
+        let live = self.view.replicas.live();
+        let behind: Vec<String> = live
+            .filter_map(|record| Some(format!("{} {:?} for {} ms", record.id, record.state, oldest(record)?)))
+            .take(MOST_BEHIND_LOGGED)
+            .collect();
+        if behind.is_empty() {
+            return;
+        }
+        ControllerEvent::ReplicasBehind.warn(format_args!(
+            "past the bound: {}; duty held by {:?}, here: {}, may order: {}; under way: {}",
+            behind.join(", "),
+            self.holder.last_holder(),
+            self.holder.is_mine(),
+            self.holder.may_order(now).is_some(),
+            self.moves.describe()
+        ));
+    }
+
     pub(crate) fn reported(&mut self, at: Moment, replica: &str, report: Option<Report>) {
         if let Some(moved) = self.moves.reported(at.now, replica, report.as_ref()) {
             let Moved { model, version, took_ms } = moved;
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -166,6 +166,7 @@
     /// Replicas are judged from then on.
     judges_from: Millis,
     next_beats: Millis,
+    next_behind_log: Millis,
     terminating: bool,
     replies: Vec<Effect>,
 }
@@ -205,6 +206,7 @@
             next_upkeep: now,
             judges_from: now,
             next_beats: now,
+            next_behind_log: now,
             terminating: false,
             replies: Vec::new(),
             me,
