Failing tests: what a proxy believes of a replica's weights, and what corrects it

Cause: a record of a heartbeat that is known is ignored even if it tells newer weights; what was heard in answers is set back by late ones and, where too new, never given up. Ruled out: that this lets a request begin on old weights (it names the version it expects).

--- a/crates/dispatch/tests/overlapping_versions.rs
+++ b/crates/dispatch/tests/overlapping_versions.rs
@@ -106,3 +106,59 @@
         }
     }
 }
+
+/// A controller sees in a report that a replica has moved, and tells it with the number of the heartbeat before.
+#[test]
+fn newer_weights_are_taken_in_also_with_a_heartbeat_that_is_known() {
+    let mut dispatcher = dispatcher(1);
+    dispatcher.update_replica(record(2, 2));
+    named(&mut dispatcher, 2, START);
+    dispatcher.update_replica(record(1, 2));
+    let used = (0..40).map(|number| {
+        let mut ask = prompt(&format!("{number:x}:1"));
+        ask.deadline = START + 20_000.0;
+        answered(&mut dispatcher, ask, START + DUE + 10.0).id
+    });
+    let used: std::collections::BTreeSet<_> = used.collect();
+    assert_eq!(used.len(), 2, "{used:?}");
+}
+
+/// An older record of the same replica takes nothing back.
+#[test]
+fn an_older_record_takes_no_weights_back() {
+    let mut dispatcher = dispatcher(0);
+    dispatcher.update_replica(later(1, 2, 5, peer::ReplicaState::Ready));
+    dispatcher.update_replica(later(1, 1, 4, peer::ReplicaState::Ready));
+    named(&mut dispatcher, 2, START);
+    let mut ask = prompt("a:1");
+    ask.deadline = START + 20_000.0;
+    assert_eq!(sent(&mut dispatcher, ask, START + 10.0).1.version, Some(2));
+}
+
+/// A proxy that takes a replica for newer than it is asks it for what it has after one refusal.
+#[test]
+fn a_belief_that_is_too_new_is_given_up_when_it_is_refused() {
+    let mut dispatcher = dispatcher(1);
+    named(&mut dispatcher, 2, START);
+    let replica = dispatcher.replica_number("i-1").expect("known");
+    dispatcher.hear_version(replica, "m", 2);
+    let mut expected = Vec::new();
+    for step in 0..2 {
+        let now = START + 100.0 + f64::from(step) * 600.0;
+        let (mut call, target) = sent(&mut dispatcher, prompt("a:1"), now);
+        expected.push(target.version);
+        dispatcher.ended(&mut call, target.replica, Outcome::OtherVersion, now);
+    }
+    assert_eq!(expected, [Some(2), Some(1)]);
+}
+
+/// Answers on different connections pass each other: one that began before the move says nothing of what is there now.
+#[test]
+fn an_answer_that_comes_late_takes_no_weights_back() {
+    let mut dispatcher = dispatcher(1);
+    named(&mut dispatcher, 2, START);
+    let replica = dispatcher.replica_number("i-1").expect("known");
+    dispatcher.hear_version(replica, "m", 2);
+    dispatcher.hear_version(replica, "m", 1);
+    assert_eq!(sent(&mut dispatcher, prompt("a:1"), START + 10.0).1.version, Some(2));
+}
