Proxy: what is believed of a replica's weights goes up only, and is given up when refuted

Cause and change: a record is merged with what is known, so weights that a controller saw in a report count although their heartbeat is known; before, such a replica got nothing from that proxy once its old version was due, for good. A late answer takes nothing back. A refusal where no newer version is named refutes what was heard. A refusal by another replica at the address tells nothing. Ruled out: no request could begin on old weights by it; it cost replicas and refusals.

--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -109,10 +109,13 @@
             Outcome::Abandoned | Outcome::Outdated => {}
             Outcome::OtherVersion => {
                 if let (Some(model), Some(expected)) = (call.ask.model.as_deref(), expected) {
-                    // Its beat is old news: it has at least the version named after, unless the refusal told another.
-                    let next = self.weights.first_above(model, expected);
-                    if let Some(next) = next.filter(|_| replica.version(model) == Some(expected)) {
-                        replica.hear_version(model, next.version);
+                    let is_believed = replica.version(model) == Some(expected);
+                    // Its beat is old news: it has at least the version named after, unless the refusal told another. If
+                    // none was named after it, what answers told of it was too new.
+                    match self.weights.first_above(model, expected).filter(|_| is_believed) {
+                        Some(next) => replica.hear_version(model, next.version),
+                        None if is_believed => replica.forget_heard(model),
+                        None => {}
                     }
                 }
                 replica.health.full(now, None);
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -46,26 +46,36 @@
         })
     }
 
-    /// Takes a later record of the same life.
-    pub fn update(&mut self, record: ReplicaRecord) {
+    /// Takes another record of the same life: the later one counts, with the newest weights that either tells, since those
+    /// only go up in one life. A controller tells weights that it saw in a report with the heartbeat before.
+    pub fn update(&mut self, mut record: ReplicaRecord) {
         if !record.supersedes(&self.record) {
-            return;
+            return self.record.take_newer_weights(&record);
         }
         if record.beat > self.record.beat {
             // What answers told stands while the beat tells less: a beat is older than it looks.
             self.heard.retain(|(model, heard)| told(&record, model).is_some_and(|told| told < *heard));
         }
+        record.take_newer_weights(&self.record);
         self.record = record;
     }
 
-    /// An answer told the version of a model.
+    /// An answer told the version of a model. One that is older than what is known left before the replica moved.
     pub fn hear_version(&mut self, model: &str, version: u64) {
+        if self.version(model).is_some_and(|known| known >= version) {
+            return;
+        }
         match self.heard.iter_mut().find(|(known, _)| known == model) {
             Some((_, heard)) => *heard = version,
             None => self.heard.push((model.to_string(), version)),
         }
     }
 
+    /// What was heard of a model in answers is refuted: what the record tells counts again.
+    pub fn forget_heard(&mut self, model: &str) {
+        self.heard.retain(|(known, _)| known != model);
+    }
+
     /// The version of a model's weights here, as far as is known.
     pub fn version(&self, model: &str) -> Option<u64> {
         let heard = self.heard.iter().find(|(known, _)| known == model).map(|(_, version)| *version);
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -180,6 +180,15 @@
         let gone = |record: &ReplicaRecord| record.state == ReplicaState::Gone;
         (gone(self), self.beat, self.state) > (gone(other), other.beat, other.state)
     }
+
+    /// Takes over weights that another record of the same life tells and that are newer than those here.
+    pub fn take_newer_weights(&mut self, other: &ReplicaRecord) {
+        for told in &other.models {
+            if let Some(known) = self.models.iter_mut().find(|known| known.name == told.name) {
+                known.version = known.version.max(told.version);
+            }
+        }
+    }
 }
 
 /// News of replicas.
--- a/crates/proxy/src/opening.rs
+++ b/crates/proxy/src/opening.rs
@@ -87,10 +87,13 @@
         };
         let head = self.head(&mut replica).await?;
         let (shared, target) = (self.shared, self.target);
-        if let (Some(model), Some(version)) = (&self.plan.ask.model, version(&head)) {
+        let meaning = meaning(&head, self.plan, target, fresh);
+        // What another replica at this address has says nothing of the one that was meant.
+        let is_of_another = meaning == Meaning::Over(Outcome::Elsewhere);
+        if let (Some(model), Some(version), false) = (&self.plan.ask.model, version(&head), is_of_another) {
             shared.view.borrow_mut().dispatcher.hear_version(target.replica, model, version);
         }
-        match meaning(&head, self.plan, target, fresh) {
+        match meaning {
             Meaning::Over(outcome) => {
                 if outcome == Outcome::Broken {
                     self.warn(
