Feeds: ages of named weights are told again, so that one that came late is corrected

Cause: a naming is told once, as an age; a receiver that stood still, or a full link, takes it for as much younger as the message was late, for good, and sends to older weights that much longer. Change: with each sign of life (0.5 s) while a naming is younger than 30 s; no message of its own, no wake-up more.

--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -12,6 +12,11 @@
 /// Changes of what replicas keep are sent at most so often: each message costs its receivers a wake-up.
 const PREFIXES_EVERY_MS: Millis = 100;
 
+/// Namings of weights that are younger are told again with each sign of life. A message tells ages, which are as wrong as
+/// its way was long: a receiver that stood still, or a full link. The next one corrects them. Longer than any bound after
+/// which a naming is kept whatever its age.
+const AGES_AGAIN_MS: i64 = 30_000;
+
 /// A receiver hears of a configuration from its home feeder; the others wait for so long, and tell it only if it has not
 /// heard by then.
 pub const HOME_FIRST_MS: Millis = 500;
@@ -155,7 +160,9 @@
     }
 
     fn weights(&mut self, now: Millis, view: &View) -> Option<Message> {
-        (self.weights != view.weights_change).then(|| {
+        let is_news = self.weights != view.weights_change;
+        let tells_again = now >= self.alive_deadline() && has_young_naming(now, view);
+        (is_news || tells_again).then(|| {
             self.weights = view.weights_change;
             Message::Weights(view.weights_message(now))
         })
@@ -168,3 +175,8 @@
         })
     }
 }
+
+/// Whether some naming is so young that its age matters.
+fn has_young_naming(now: Millis, view: &View) -> bool {
+    view.weights().iter().any(|(_, naming)| (now as i64).saturating_sub(naming.named_at) < AGES_AGAIN_MS)
+}
