Catalogue: another id at a silent replica's address takes it for lost, not for ended

Cause: an end is final for an id; a heartbeat of the address's former holder that came seconds late, to a controller that had not heard the present one for 2 s, ended that one for good: its heartbeats were acknowledged and ignored, it was never ordered nor served from. Ruled out: that a draining replica comes back by it; one that drains still ends. Silence of 100 heartbeats still ends a replica: open. Change: it counts as lost until its next heartbeat.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -12,8 +12,8 @@
     pub lost_after_ms: Millis,
     /// Silence after which a replica that was draining or lost is taken for ended.
     pub gone_after_ms: Millis,
-    /// An id is not ended by another one at its address while it was heard so lately: the other is a late
-    /// message of the address's former owner.
+    /// An id keeps its address while it was heard so lately: another one there is a late message of the address's former
+    /// owner.
     pub reuse_after_ms: Millis,
     /// How long ended ids are remembered, so that late messages don't bring them back.
     pub remember_gone_ms: Millis,
@@ -139,7 +139,7 @@
             if now.saturating_sub(heard) < self.limits.reuse_after_ms {
                 return Heard::Late;
             }
-            self.end(now, &former);
+            self.give_up_address(now, &former);
         }
         if self.live().count() >= self.limits.most_replicas {
             return Heard::Full;
@@ -168,6 +168,18 @@
         self.take(gone) == Merged::News
     }
 
+    /// Another id was heard at the address of a replica that has been silent. One that drains has ended by that. Another
+    /// is only taken for lost, since heartbeats may come late: its own next one takes that back.
+    fn give_up_address(&mut self, now: Millis, id: &str) {
+        let Some(entry) = self.entries.get(id) else { return };
+        if entry.record.state == State::Draining {
+            self.end(now, id);
+            return;
+        }
+        let lost = Record { state: State::Lost, beat: entry.heard_beat, ..entry.record.clone() };
+        self.take(lost);
+    }
+
     /// Takes a record that a peer, a controller or a subscriber told.
     pub fn merge(&mut self, now: Millis, record: Record) -> Merged {
         let Some(entry) = self.entries.get_mut(&record.id) else {
