--- a/crates/controller/src/duty/holder.rs
+++ b/crates/controller/src/duty/holder.rs
@@ -7,7 +7,8 @@
 //!
 //! A holder that is of no use gives the duty up though there is work: one that may never order, since its renewals take
 //! longer than the window, and one whose orders no replica answers. It then lets others go first. A fence that a
-//! replica refused is not used again: the duty is taken anew, with a higher one.
+//! replica refused is not used again: the holder takes a higher one at once. Nobody else can hold the duty meanwhile, by the
+//! register, so the higher one stems from before.
 
 use std::net::SocketAddrV4;
 
@@ -77,8 +78,6 @@
     yields_until: Millis,
     /// The highest fence that was refused.
     refused_fence: u64,
-    /// How far the next fence leaps; doubles with each refusal, as nobody knows how high the one seen was.
-    leap: u64,
 }
 
 impl Holder {
@@ -96,20 +95,13 @@
             able: now,
             yields_until: 0,
             refused_fence: 0,
-            leap: 1,
         }
     }
 
-    /// A replica refused this fence, as it has seen a higher one: orders under it end, and the duty is taken anew once
-    /// whoever used the higher one can't order any more.
-    pub fn fence_refused(&mut self, now: Millis, fence: u64) {
-        if self.tenure.is_none_or(|tenure| tenure.value.fence > fence) {
-            return;
-        }
-        self.tenure = None;
+    /// A replica refused this fence, as it has seen a higher one: no order leaves under it any more, and the holder takes a
+    /// higher one.
+    pub fn fence_refused(&mut self, fence: u64) {
         self.refused_fence = self.refused_fence.max(fence);
-        self.leap = self.leap.saturating_mul(2);
-        self.yields_until = now + self.lease + self.lease / ORDER_WINDOW + MARGIN_MS;
     }
 
     /// Takes in what the register holds.
@@ -126,7 +118,7 @@
 
     /// The fence under which orders may be given at this moment, if they may.
     pub fn may_order(&self, now: Millis) -> Option<u64> {
-        let tenure = self.tenure.as_ref()?;
+        let tenure = self.tenure.as_ref().filter(|tenure| !self.is_refused(tenure))?;
         (now < tenure.renewed + self.lease / ORDER_WINDOW).then_some(tenure.value.fence)
     }
 
@@ -161,12 +153,25 @@
                 self.yields_until = now + YIELDED_LEASES * self.lease;
                 tenure.value.released(None)
             }
+            Some(tenure) if self.is_refused(&tenure) => {
+                DutyValue::held_by(self.me, self.next_fence(tenure.value.fence), tenure.value.renewals + 1)
+            }
             Some(tenure) => self.continue_or_end(now, tenure)?,
             None => self.take_over(circumstances)?,
         };
         Some(self.propose(now, value))
     }
 
+    fn is_refused(&self, tenure: &Tenure) -> bool {
+        tenure.value.fence <= self.refused_fence
+    }
+
+    /// A fence above all that were used, as far as is known. A refusal does not tell how high the one was that the replica
+    /// has seen: the next one is twice as high.
+    fn next_fence(&self, used: u64) -> u64 {
+        used.max(self.refused_fence.saturating_mul(2)).saturating_add(1)
+    }
+
     /// Whether there is work and this holder can't do it: no order may leave, or none is answered.
     fn is_useless(&self, circumstances: Circumstances) -> bool {
         let may_never_order = circumstances.now >= self.able + self.lease;
@@ -191,8 +196,7 @@
         };
         let waited = circumstances.now >= self.free_at(&current);
         let in_turn = circumstances.now >= since + self.delay(&current, circumstances);
-        let fence = current.fence.max(self.refused_fence).saturating_add(self.leap);
-        let mine = DutyValue::held_by(self.me, fence, current.renewals + 1);
+        let mine = DutyValue::held_by(self.me, self.next_fence(current.fence), current.renewals + 1);
         (waited && in_turn).then_some(mine)
     }
 
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -58,7 +58,7 @@
         }
         let has_work = self.moves.has_work(self.view.replicas.live(), self.view.weights());
         if let Some(refused) = self.moves.refused_fence() {
-            self.holder.fence_refused(at.now, refused);
+            self.holder.fence_refused(refused);
         }
         let circumstances = Circumstances {
             now: at.now,
--- a/crates/controller/tests/duty.rs
+++ b/crates/controller/tests/duty.rs
@@ -357,21 +357,20 @@
     panic!("it holds the duty for good");
 }
 
-/// A fence that a replica refused is behind one that it has seen: the next is higher, and leaves once the holder of that one
-/// can't order any more.
+/// A fence that a replica refused is behind one that it has seen: nothing leaves under it, and the holder takes a higher one.
 #[rstest]
-fn a_refused_fence_is_followed_by_a_higher_one_after_a_lease() {
+fn a_refused_fence_is_followed_by_a_higher_one() {
     let mut holder = Holder::new(0, address(1), LEASE_MS);
     holder.consider(work(0));
     holder.settled(5, true);
     assert_eq!(holder.may_order(10), Some(1));
-    holder.fence_refused(10, 1);
+    holder.fence_refused(1);
     assert_eq!(holder.may_order(11), None);
-    assert!(holder.consider(work(10 + LEASE_MS)).is_none());
-    let proposal = holder.consider(work(10 + 2 * LEASE_MS)).expect("the duty is taken anew");
+    let proposal = holder.consider(work(20)).expect("a higher fence");
+    assert_eq!((proposal.value.holder(), proposal.value.is_released()), (address(1), false));
     assert!(proposal.value.fence > 1);
-    holder.settled(10 + 2 * LEASE_MS, true);
-    assert_eq!(holder.may_order(10 + 2 * LEASE_MS), Some(proposal.value.fence));
+    holder.settled(30, true);
+    assert_eq!(holder.may_order(30), Some(proposal.value.fence));
 }
 
 /// With nobody to give the duty to, a holder that is not answered keeps it.
@@ -383,3 +382,20 @@
     let alone = Circumstances { has_others: false, is_unanswered: true, ..work(1_000) };
     assert!(holder.consider(alone).is_none_or(|proposal| !proposal.value.is_released()));
 }
+
+/// Replicas have seen fences that the register knows nothing of: the holder finds a higher one, and uses none that was
+/// refused again.
+#[rstest]
+fn replicas_that_saw_higher_fences_are_moved(#[values(1, 2, 3)] seed: u64, #[values(2, 40)] seen: u64) {
+    let mut cluster = started(seed, 9);
+    cluster.replicas.see_fence("r3", seen);
+    cluster.replicas.see_fence("r7", seen);
+    assert_eq!(name(&mut cluster, 1, 2), Some(200));
+    cluster.play(BOUND_MS);
+    assert!(all_at(&cluster, 2), "{:?}", cluster.replicas.orders);
+    let refused = cluster.replicas.orders.iter().filter(|order| order.status == 412);
+    let mut fences: Vec<(&str, u64)> = refused.map(|order| (order.replica.as_str(), order.fence)).collect();
+    let orders = fences.len();
+    fences.dedup();
+    assert_eq!(fences.len(), orders, "a refused fence was used again: {fences:?}");
+}
--- a/crates/controller/tests/support/replicas.rs
+++ b/crates/controller/tests/support/replicas.rs
@@ -17,6 +17,8 @@
     pub next_beat: u64,
     loading: Option<(u64, u64)>,
     orders: u64,
+    /// The highest fence seen.
+    fence: u64,
     /// Version as it was shown in reports, with since when.
     history: Vec<(u64, u64)>,
 }
@@ -51,8 +53,16 @@
 impl Replicas {
     pub fn add(&mut self, id: &str, last: u8, version: u64, now: u64) {
         let history = vec![(0, version)];
-        let replica =
-            SimReplica { version, beat: 0, last, next_beat: now, loading: None, orders: 0, history };
+        let replica = SimReplica {
+            version,
+            beat: 0,
+            last,
+            next_beat: now,
+            loading: None,
+            orders: 0,
+            fence: 0,
+            history,
+        };
         self.all.insert(id.to_string(), replica);
     }
 
@@ -95,7 +105,7 @@
                 Input::Reported { replica: replica.clone(), report: None }
             }
             ReplicaCall::Order { replica, version, fence, expected, .. } => {
-                let status = self.order(now, replica, *version, *expected);
+                let status = self.order(now, replica, *version, *fence, *expected);
                 if let Some(status) = status {
                     let (replica, fence, version) = (replica.clone(), *fence, *version);
                     self.orders.push(Ordered { at: now, host, replica, fence, version, status });
@@ -109,9 +119,20 @@
         }
     }
 
-    fn order(&mut self, now: u64, id: &str, version: u64, expected: Option<u64>) -> Option<u16> {
+    /// A replica has seen this fence, whoever used it.
+    pub fn see_fence(&mut self, id: &str, fence: u64) {
+        if let Some(replica) = self.all.get_mut(id) {
+            replica.fence = replica.fence.max(fence);
+        }
+    }
+
+    fn order(&mut self, now: u64, id: &str, version: u64, fence: u64, expected: Option<u64>) -> Option<u16> {
         let load_ms = self.load_ms;
         let replica = self.all.get_mut(id)?;
+        if fence < replica.fence {
+            return Some(412);
+        }
+        replica.fence = fence;
         if replica.version == version {
             return Some(200);
         }
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -90,6 +90,7 @@
     assert!((15..=25).contains(&there), "{there} of 60 at one of three");
 }
 
+/// Both are busy with what was sent: until the version is due it is weighed with that, from then on it alone counts.
 #[rstest]
 #[case::before(4_000.0, &["i-1", "i-2"])]
 #[case::after(4_300.0, &["i-2"])]
@@ -99,9 +100,9 @@
     named(&mut dispatcher, 2, START);
     let mut ids = HashSet::new();
     for number in 0..40 {
-        let mut ask = prompt(&format!("{number:x}:1"));
+        let mut ask = prompt(&format!("{number:x}:4000"));
         ask.deadline = START + 10_000.0;
-        let target = answered(&mut dispatcher, ask, START + after);
+        let (_, target) = sent(&mut dispatcher, ask, START + after);
         let version = if &*target.id == "i-2" { 2 } else { 1 };
         assert_eq!(target.version, Some(version));
         assert_eq!(target.salt, Some(Salts::default().salt(version, None)));
