Soak: a change of the configuration may be in force from its sending on

Traced in its events: version 5, which removes that route, was in force 0.13 s before its acknowledgement reached its operator; the check counted a newer change from its acknowledgement on. Ruled out: an edge machine that forgot a configuration (it answered the route of version 5 next). Change: the check reads when a change was first sent; refused changes, which it exempted before, are sent ones, too.

--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -122,6 +122,7 @@
             order.based_on
         );
         let Order { number, based_on, version, .. } = order;
+        state.record.note(Seen::Ordering { version });
         while !state.stopped.get() {
             let controller = state.fleet.controller(self.controller());
             match call(controller, &head, &order.body, PATIENCE).await {
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -109,6 +109,10 @@
     Named {
         version: u64,
     },
+    /// A change of the configuration was sent for the first time: from now on it may be in force.
+    Ordering {
+        version: u64,
+    },
     /// A change of the configuration was acknowledged.
     Configured {
         order: u64,
