--- a/crates/controller/tests/duty.rs
+++ b/crates/controller/tests/duty.rs
@@ -399,3 +399,19 @@
     fences.dedup();
     assert_eq!(fences.len(), orders, "a refused fence was used again: {fences:?}");
 }
+
+/// A processor may come as a quota: controllers run 30 ms of each tenth of a second, one after the other.
+#[rstest]
+fn controllers_on_a_quota_move_every_replica_and_acknowledge_in_time(#[values(1, 2, 3)] seed: u64) {
+    const QUOTA_MS: u64 = 30;
+    const ACK_MS: u64 = 4_000;
+    let mut cluster = started(seed, 18);
+    cluster.set_quota(QUOTA_MS);
+    let began = cluster.now;
+    while name(&mut cluster, 1, 2) != Some(200) {
+        assert!(cluster.now < began + ACK_MS, "not acknowledged");
+    }
+    cluster.play(BOUND_MS);
+    assert!(all_at(&cluster, 2), "{:?}", cluster.replicas.orders);
+    check_orders(&cluster);
+}
--- a/crates/controller/tests/support/cluster/calls.rs
+++ b/crates/controller/tests/support/cluster/calls.rs
@@ -45,6 +45,9 @@
         based_on: Option<&str>,
         body: &str,
     ) -> Option<Reply> {
+        while self.stands_still(host) {
+            self.play(1);
+        }
         let handle = self.issue(host, method, path, based_on, body);
         for _ in 0..1_000 {
             if self.replies.contains_key(&handle) {
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -22,6 +22,10 @@
 
 const SEEDS: usize = 3;
 const WALL_START_MS: u64 = 1_700_000_000_000;
+/// The time for which a quota of the processor is given.
+const QUOTA_PERIOD_MS: u64 = 100;
+/// How much later each machine's period begins than that of the one before.
+const QUOTA_SHIFT_MS: u64 = 37;
 
 /// Ticks in a row, one each ms, after which a machine that is due again at once counts as one that spins.
 const MOST_RESTLESS_TICKS: u32 = 3;
@@ -84,6 +88,8 @@
     replica_calls: Vec<(u64, usize, ReplicaCall)>,
     /// Bytes of other controllers' messages that arrived at each controller.
     arrived: BTreeMap<usize, usize>,
+    /// Of each tenth of a second a machine runs so many ms, and stands still for the rest; machines begin at different times.
+    quota_ms: u64,
 }
 
 fn address(host: usize) -> SocketAddrV4 {
@@ -108,6 +114,7 @@
             replicas: Replicas { load_ms: 300, ..Replicas::default() },
             replica_calls: Vec::new(),
             arrived: BTreeMap::new(),
+            quota_ms: QUOTA_PERIOD_MS,
         };
         for host in 0..size {
             cluster.hosts.push(Host::default());
@@ -214,8 +221,9 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<Flight>, Vec<Flight>) =
-            self.flights.drain(..).partition(|flight| flight.arrives <= now);
+        let (due, later): (Vec<Flight>, Vec<Flight>) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|flight| flight.arrives <= now && !self.stands_still(flight.to));
         self.flights = later;
         for flight in due {
             if self.cut.contains(&(flight.from, flight.to)) {
@@ -229,7 +237,7 @@
     }
 
     fn end_writes(&mut self) {
-        for host in 0..self.hosts.len() {
+        for host in self.going() {
             for token in self.hosts[host].disk.end(self.now) {
                 self.step(host, Input::DiskDone { token, result: Ok(()) });
             }
@@ -250,8 +258,13 @@
     /// Heartbeats go to the first controller that acknowledges them; calls are answered after a moment.
     fn play_replicas(&mut self) {
         for (id, last, beat, version) in self.replicas.due(self.now) {
+            let is_kept_waiting = (0..self.hosts.len()).all(|host| self.stands_still(host));
+            if is_kept_waiting {
+                self.replicas.beat_again(&id, self.now + 1);
+            }
             for host in 0..self.hosts.len() {
-                if self.hosts[host].machine.is_none() || self.replicas.is_cut(host, &id) {
+                let hears = self.hosts[host].machine.is_some() && !self.stands_still(host);
+                if !hears || self.replicas.is_cut(host, &id) {
                     continue;
                 }
                 let call = self.issue_heartbeat_with(host, &id, last, "ready", beat, version);
@@ -261,7 +274,9 @@
             }
         }
         let now = self.now;
-        let (due, later) = self.replica_calls.drain(..).partition(|(arrives, ..)| *arrives <= now);
+        let calls = std::mem::take(&mut self.replica_calls);
+        let (due, later) =
+            calls.into_iter().partition(|(arrives, host, _)| *arrives <= now && !self.stands_still(*host));
         self.replica_calls = later;
         let due: Vec<(u64, usize, ReplicaCall)> = due;
         for (_, host, call) in due {
@@ -270,6 +285,21 @@
         }
     }
 
+    /// All machines run so many ms of each tenth of a second.
+    pub fn set_quota(&mut self, quota_ms: u64) {
+        self.quota_ms = quota_ms;
+    }
+
+    /// Whether a machine's quota is spent.
+    fn stands_still(&self, host: usize) -> bool {
+        (self.now + host as u64 * QUOTA_SHIFT_MS) % QUOTA_PERIOD_MS >= self.quota_ms
+    }
+
+    /// The machines whose quota is not spent.
+    fn going(&self) -> Vec<usize> {
+        (0..self.hosts.len()).filter(|host| !self.stands_still(*host)).collect()
+    }
+
     /// Steps the time of day of a machine.
     pub fn set_wall_error(&mut self, host: usize, error_ms: i64) {
         self.hosts[host].wall_error_ms = error_ms;
@@ -281,7 +311,7 @@
     }
 
     fn tick(&mut self) {
-        for host in 0..self.hosts.len() {
+        for host in self.going() {
             let local = self.now - self.hosts[host].started;
             if self.hosts[host].machine.as_ref().is_some_and(|machine| machine.deadline() <= local) {
                 self.step(host, Input::Tick);
--- a/crates/controller/tests/support/replicas.rs
+++ b/crates/controller/tests/support/replicas.rs
@@ -86,6 +86,13 @@
         due
     }
 
+    /// A replica's heartbeat was not read yet.
+    pub fn beat_again(&mut self, id: &str, at: u64) {
+        if let Some(replica) = self.all.get_mut(id) {
+            replica.next_beat = at;
+        }
+    }
+
     /// Whether nothing passes between a controller and a replica.
     pub fn is_cut(&self, host: usize, replica: &str) -> bool {
         self.cut.contains(&(host, replica.to_string()))
