--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -14,12 +14,6 @@
 /// The part of the retry budget that must be left for twins to be sent.
 const LEAST_BUDGET: f64 = 0.5;
 
-/// Time from a naming on after which what begins on older weights is worth less, ms; less the way to the replica.
-const WORTH_LESS_AFTER: Ms = 1_400.0;
-/// What older weights cost from then on, in ms of waiting: an idle replica that has moved is taken first, and none of those
-/// is overrun.
-const OLD_WEIGHTS_COST: Ms = 100.0;
-
 /// What a replica has to do for a request.
 #[derive(Debug, Clone, Copy)]
 struct Work {
@@ -233,12 +227,6 @@
         let mean = f64::from(self.proxies.saturating_sub(1)) * f64::from(out) / numbers.len().max(1) as f64;
         let mean = if self.proxies == FIRST_PROXIES { 0.0 } else { mean };
         let is_told = self.fleet_load.is_known(now);
-        let model = call.ask.model.as_deref();
-        let wanted = model.and_then(|model| self.weights.floor(model, now as i64, WORTH_LESS_AFTER as i64));
-        let is_worth_less = |replica: &Replica| {
-            let held = model.and_then(|model| replica.version(model));
-            held.zip(wanted).is_some_and(|(held, wanted)| held < wanted)
-        };
         let candidate = |(at, number): (usize, &ReplicaNumber)| {
             let kept = known.expected[at];
             let replica = &self.replicas[number];
@@ -249,7 +237,6 @@
             let unread = replica.pending_tokens + f64::from(others.tokens);
             let wait =
                 unread / speed.rate().0 + queued / slots * speed.duration() + replica.health.delay(now);
-            let outdated = if is_worth_less(replica) { OLD_WEIGHTS_COST } else { 0.0 };
             let really_kept = known.kept[at];
             let fetched = self.best_move(call, *number, really_kept, known, now);
             let (had, moving) = fetched.map_or((really_kept, 0.0), |fetched| (fetched.tokens, fetched.takes));
@@ -259,7 +246,7 @@
                 replica: *number,
                 out: replica.out,
                 kept,
-                wait: wait + moving + outdated,
+                wait: wait + moving,
                 reading: rate.reading(tokens.saturating_sub(had)) - at_home,
                 again: rate.reading(self.longest_kept(call, *number, known, now).saturating_sub(had)),
             }
