Controller, tests: which naming a replica lacks is worked out once; shared beginnings

Cause: read again as a whole: the log of replicas behind worked out anew what the plan of moves does; three tests of orders and six of versions began alike; a comment on ages said little. Ruled out: any change of what is done. Change: first_lacking, behind_by_one, patient.

--- a/crates/controller/src/duty/moves.rs
+++ b/crates/controller/src/duty/moves.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddrV4;
 
 use catalog::{ModelVersion, Record, State};
-use weights::{due_after, NamedWeights};
+use weights::{due_after, NamedWeights, Naming};
 
 use crate::Millis;
 
@@ -113,12 +113,8 @@
         if record.state != State::Ready {
             return None;
         }
-        let behind = record.models.iter().filter_map(|held| {
-            let first = weights.first_above(&held.name, held.version)?;
-            let newest = weights.newest(&held.name);
-            Some(Behind { record, model: &held.name, newest, since: first.named_at })
-        });
-        behind.min_by_key(|behind| behind.since)
+        let (model, first) = first_lacking(record, weights)?;
+        Some(Behind { record, model, newest: weights.newest(model), since: first.named_at })
     }
 
     fn age(&self, now: Millis) -> i64 {
@@ -126,6 +122,15 @@
     }
 }
 
+/// The naming that was made first of those that a replica lacks, with its model.
+pub(crate) fn first_lacking<'a>(record: &'a Record, weights: &NamedWeights) -> Option<(&'a str, Naming)> {
+    let lacking = record.models.iter().filter_map(|held| {
+        let first = weights.first_above(&held.name, held.version)?;
+        Some((held.name.as_str(), first))
+    });
+    lacking.min_by_key(|(_, first)| first.named_at)
+}
+
 /// Moves under way.
 #[derive(Debug)]
 pub struct Moves {
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -8,7 +8,7 @@
 use weights::Naming;
 
 use crate::duty::holder::{Circumstances, Proposal};
-use crate::duty::moves::{Moved, Report};
+use crate::duty::moves::{first_lacking, Moved, Report};
 use crate::event::ControllerEvent;
 use crate::machine::calls::Pending;
 use crate::machine::{Effect, Machine, Moment};
@@ -104,18 +104,14 @@
             return;
         }
         self.next_behind_log = now + BEHIND_LOG_EVERY_MS;
-        let oldest = |record: &Record| {
-            let first = record.models.iter().filter_map(|held| {
-                let first = self.view.weights().first_above(&held.name, held.version)?;
-                Some((now as i64).saturating_sub(first.named_at))
-            });
-            first.max().filter(|age| *age > self.timing.version_ms as i64)
+        let shown = |record: &Record| {
+            let (_, first) = first_lacking(record, self.view.weights())?;
+            let age = (now as i64).saturating_sub(first.named_at);
+            let is_past = age > self.timing.version_ms as i64;
+            is_past.then(|| format!("{} {:?} for {age} ms", record.id, record.state))
         };
         let live = self.view.replicas.live();
-        let behind: Vec<String> = live
-            .filter_map(|record| Some(format!("{} {:?} for {} ms", record.id, record.state, oldest(record)?)))
-            .take(MOST_BEHIND_LOGGED)
-            .collect();
+        let behind: Vec<String> = live.filter_map(shown).take(MOST_BEHIND_LOGGED).collect();
         if behind.is_empty() {
             return;
         }
--- a/crates/controller/tests/contracts.rs
+++ b/crates/controller/tests/contracts.rs
@@ -110,6 +110,13 @@
     Report { models: vec![ModelVersion { name: "m".into(), version: 1 }], busy, call_count }
 }
 
+/// A replica that lacks a named version, and no move yet.
+fn behind_by_one() -> ([Record; 1], NamedWeights, Moves) {
+    let mut weights = NamedWeights::default();
+    weights.name("m", Naming { version: 2, named_at: 0 });
+    ([replica(1)], weights, Moves::new(BOUND_MS))
+}
+
 fn expected(calls: &[ReplicaCall]) -> Option<Option<u64>> {
     match calls {
         [ReplicaCall::Order { expected, .. }] => Some(*expected),
@@ -127,9 +134,7 @@
 #[case::not_named(Some(400), false)]
 #[case::another_replica(Some(421), false)]
 fn an_order_is_followed_up_as_its_answer_says(#[case] status: Option<u16>, #[case] asks: bool) {
-    let (replicas, mut weights) = ([replica(1)], NamedWeights::default());
-    weights.name("m", Naming { version: 2, named_at: 0 });
-    let mut moves = Moves::new(BOUND_MS);
+    let (replicas, weights, mut moves) = behind_by_one();
     assert_eq!(expected(&moves.calls(0, &replicas, &weights, Some(7))), Some(None));
     moves.ordered(10, "i-1", status);
     let next: Vec<ReplicaCall> =
@@ -144,9 +149,7 @@
 /// 412 tells of a higher fence: nothing leaves under the refused one, and the order is given again under a higher one.
 #[rstest]
 fn an_order_refused_for_its_fence_waits_for_a_higher_one() {
-    let (replicas, mut weights) = ([replica(1)], NamedWeights::default());
-    weights.name("m", Naming { version: 2, named_at: 0 });
-    let mut moves = Moves::new(BOUND_MS);
+    let (replicas, weights, mut moves) = behind_by_one();
     moves.calls(0, &replicas, &weights, Some(7));
     moves.ordered(10, "i-1", Some(412));
     let refused = (10..60_000).step_by(10).flat_map(|now| moves.calls(now, &replicas, &weights, Some(7)));
@@ -158,9 +161,7 @@
 /// After an order whose fate is open, the next one names how many the replica took: it can't come twice.
 #[rstest]
 fn an_order_that_is_given_again_names_the_count_it_expects() {
-    let (replicas, mut weights) = ([replica(1)], NamedWeights::default());
-    weights.name("m", Naming { version: 2, named_at: 0 });
-    let mut moves = Moves::new(BOUND_MS);
+    let (replicas, weights, mut moves) = behind_by_one();
     moves.calls(0, &replicas, &weights, Some(7));
     moves.ordered(10, "i-1", None);
     assert_eq!(moves.calls(1_000, &replicas, &weights, Some(7)).len(), 1, "a question");
--- a/crates/dispatch/tests/overlapping_versions.rs
+++ b/crates/dispatch/tests/overlapping_versions.rs
@@ -21,6 +21,11 @@
     dispatcher
 }
 
+/// A request with a prompt that may wait long after `START`.
+fn patient(text: &str) -> dispatch::Ask {
+    dispatch::Ask { deadline: START + 20_000.0, ..prompt(text) }
+}
+
 /// Times after `START` at which versions 3, 4 and so on are named, ms.
 const LATER_NAMINGS: [&[Ms]; 4] = [
     &[3_400.0],
@@ -34,8 +39,7 @@
     for steps in LATER_NAMINGS {
         let mut dispatcher = overlapping(steps);
         for number in 0..40 {
-            let mut ask = prompt(&format!("{number:x}:1"));
-            ask.deadline = START + 20_000.0;
+            let ask = patient(&format!("{number:x}:1"));
             let target = answered(&mut dispatcher, ask, START + DUE + 10.0);
             assert_eq!((&*target.id, target.version), ("i-2", Some(2)), "after {steps:?}");
         }
@@ -50,8 +54,7 @@
     for (version, at) in [(2, 0.0), (3, 2_000.0), (4, 4_000.0)] {
         named(&mut dispatcher, version, START + at);
     }
-    let mut ask = prompt("a:1");
-    ask.deadline = START + 20_000.0;
+    let ask = patient("a:1");
     assert_eq!(sent(&mut dispatcher, ask, START + DUE + 10.0).1.version, Some(3));
 }
 
@@ -60,8 +63,7 @@
 fn what_is_behind_the_least_version_is_asked_for_the_newest() {
     let mut dispatcher = overlapping(&[2_000.0, 4_000.0]);
     dispatcher.update_replica(later(2, 2, 2, peer::ReplicaState::Draining));
-    let mut ask = prompt("a:1");
-    ask.deadline = START + 20_000.0;
+    let ask = patient("a:1");
     let (_, target) = sent(&mut dispatcher, ask, START + DUE + 10.0);
     assert_eq!((&*target.id, target.version), ("i-1", Some(4)));
 }
@@ -115,8 +117,7 @@
     named(&mut dispatcher, 2, START);
     dispatcher.update_replica(record(1, 2));
     let used = (0..40).map(|number| {
-        let mut ask = prompt(&format!("{number:x}:1"));
-        ask.deadline = START + 20_000.0;
+        let ask = patient(&format!("{number:x}:1"));
         answered(&mut dispatcher, ask, START + DUE + 10.0).id
     });
     let used: std::collections::BTreeSet<_> = used.collect();
@@ -130,8 +131,7 @@
     dispatcher.update_replica(later(1, 2, 5, peer::ReplicaState::Ready));
     dispatcher.update_replica(later(1, 1, 4, peer::ReplicaState::Ready));
     named(&mut dispatcher, 2, START);
-    let mut ask = prompt("a:1");
-    ask.deadline = START + 20_000.0;
+    let ask = patient("a:1");
     assert_eq!(sent(&mut dispatcher, ask, START + 10.0).1.version, Some(2));
 }
 
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -12,9 +12,9 @@
 /// Changes of what replicas keep are sent at most so often: each message costs its receivers a wake-up.
 const PREFIXES_EVERY_MS: Millis = 100;
 
-/// Namings of weights that are younger are told again with each sign of life. A message tells ages, which are as wrong as
-/// its way was long: a receiver that stood still, or a full link. The next one corrects them. Longer than any bound after
-/// which a naming is kept whatever its age.
+/// Namings of weights that are younger are told again with each sign of life, ms. A message tells ages: one that is read
+/// late, by a receiver that stood still or behind a full link, makes a naming look younger, and the next one corrects
+/// that. Longer than the bounds of deployments, after which no proxy sends to older weights anyway.
 const AGES_AGAIN_MS: i64 = 30_000;
 
 /// A receiver hears of a configuration from its home feeder; the others wait for so long, and tell it only if it has not
