--- a/crates/proxy/tests/life.rs
+++ b/crates/proxy/tests/life.rs
@@ -63,7 +63,7 @@
 
 #[rstest]
 #[case(0.0, 1, Phase::Leaving)]
-#[case(3_000.0, 0, Phase::Leaving)]
+#[case(2_500.0, 0, Phase::Leaving)]
 #[case(4_000.0, 1, Phase::Finishing)]
 #[case(4_000.0, 0, Phase::Over)]
 #[case(7_600.0, 1, Phase::Over)]
@@ -74,3 +74,21 @@
     life.end(5_000.0);
     assert_eq!(life.phase(100.0 + since, under_way), phase);
 }
+
+/// A process may be cut off in its end only on requests that were sent within 3 s of the signal: a stream that is taken later
+/// may run longer than the process lives.
+#[test]
+fn nothing_is_taken_that_was_sent_three_seconds_after_the_signal() {
+    const SIGNAL: f64 = 100.0;
+    const ON_THE_WAY: f64 = 10.0;
+    const LOOKED_AT_EVERY: f64 = 50.0;
+    for grace in [4_000.0, 8_000.0, 30_000.0] {
+        let mut life = Lifecycle::new(grace);
+        life.end(SIGNAL);
+        assert_eq!(
+            life.phase(SIGNAL + 3_000.0 - LOOKED_AT_EVERY + ON_THE_WAY, 1),
+            Phase::Finishing,
+            "{grace} ms"
+        );
+    }
+}
