--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -2,8 +2,9 @@
 
 use dispatch::Ms;
 
-/// How long new connections are still taken after SIGTERM: until the platform has seen that this proxy is not ready.
-const ACCEPT_AFTER_TERM: Ms = 3_500.0;
+/// How long requests are still taken after SIGTERM: until the platform, which asks each second, has seen twice that this proxy
+/// is not ready. What is sent 3 s after the signal or later must be answered to its end, and may run longer than the process.
+const ACCEPT_AFTER_TERM: Ms = 2_900.0;
 /// How long before the platform's SIGKILL the process ends by itself.
 const END_MARGIN: Ms = 500.0;
 
