--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -51,6 +51,8 @@
     ReplicasBehind = 2054,
     /// The holder of the duty could not do it, and gives it up to the other controllers.
     DutyGivenUp = 2055,
+    /// A replica tells older weights than it is believed to hold.
+    WeightsWentBack = 2056,
     /// A connection to the control API can't be taken.
     CallRefused = 2060,
     /// A connection of another process of the fleet can't be taken.
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -1,8 +1,9 @@
 //! The duty of moving replicas to named weights, joined to the register and the catalogue.
 
 use std::collections::BTreeMap;
+use std::fmt::Arguments;
 
-use catalog::{Record, State};
+use catalog::{ModelVersion, Record, State};
 use process::Event;
 use register::{Accepted, Decision, Input as RegisterInput, Outcome, RegisterKey};
 use weights::Naming;
@@ -125,6 +126,20 @@
         ));
     }
 
+    /// Logs weights that a replica tells and that are older than it is believed to hold.
+    pub(crate) fn log_older_weights(&self, replica: &str, told: &[ModelVersion], by: Arguments) {
+        let Some(known) = self.view.replicas.get(replica) else { return };
+        for ModelVersion { name, version } in told {
+            let believed = known.models.iter().find(|known| known.name == *name);
+            if let Some(believed) = believed.filter(|believed| believed.version > *version) {
+                ControllerEvent::WeightsWentBack.warn(format_args!(
+                    "replica {replica}: {by} tells {name} version {version}, it was believed to hold {}",
+                    believed.version
+                ));
+            }
+        }
+    }
+
     pub(crate) fn reported(&mut self, at: Moment, replica: &str, report: Option<Report>) {
         if let Some(moved) = self.moves.reported(at.now, replica, report.as_ref()) {
             let Moved { model, version, took_ms } = moved;
@@ -133,6 +148,7 @@
             ));
         }
         if let Some(report) = report {
+            self.log_older_weights(replica, &report.models, format_args!("a report"));
             self.view.replicas.note_models(replica, report.models);
         }
     }
