--- a/crates/catalog/tests/catalogue.rs
+++ b/crates/catalog/tests/catalogue.rs
@@ -140,6 +140,24 @@
     assert_eq!(here.get("a").map(|record| record.models.clone()), Some(newer), "that heartbeat was late");
 }
 
+/// Guards against incident VERSION (12 of 48): what a replica held once hides what it holds now.
+#[rstest]
+fn a_later_heartbeat_that_tells_older_weights_is_believed() {
+    let with = |version, beat| {
+        let models = vec![ModelVersion { name: "m".to_string(), version }];
+        Record { models, ..record("a", 1, beat, State::Ready) }
+    };
+    let (mut here, mut there) = (catalogue(), catalogue());
+    here.heartbeat(0, with(3, 4));
+    there.merge(0, with(3, 4));
+    assert_eq!(here.heartbeat(1_200, with(2, 5)), Heard::News);
+    assert_eq!(there.merge(1_200, with(2, 5)), Merged::News);
+    for table in [&here, &there] {
+        assert_eq!(table.get("a").map(|record| record.models[0].version), Some(2));
+    }
+    assert_eq!(there.merge(1_300, with(3, 4)), Merged::Older, "an earlier word takes nothing back");
+}
+
 #[rstest]
 fn a_draining_replica_that_falls_silent_is_not_taken_for_lost_but_ends_at_last() {
     let mut table = catalogue();
--- a/crates/controller/tests/contracts.rs
+++ b/crates/controller/tests/contracts.rs
@@ -168,3 +168,12 @@
     moves.reported(1_010, "i-1", Some(&report(false, 4)));
     assert_eq!(expected(&moves.calls(1_020, &replicas, &weights, Some(7))), Some(Some(4)));
 }
+
+/// Guards against incident VERSION (12 of 48): an order without a count is taken whenever it arrives.
+#[rstest]
+fn every_order_names_the_count_it_expects() {
+    let (replicas, weights, mut moves) = behind_by_one();
+    assert_eq!(moves.calls(0, &replicas, &weights, Some(7)).len(), 1);
+    moves.reported(10, "i-1", Some(&report(false, 4)));
+    assert_eq!(expected(&moves.calls(20, &replicas, &weights, Some(7))), Some(Some(4)));
+}
--- a/crates/controller/tests/support/replicas.rs
+++ b/crates/controller/tests/support/replicas.rs
@@ -48,6 +48,19 @@
     pub cut: BTreeSet<(usize, String)>,
     /// Number of `GET /report` calls.
     pub reports: usize,
+    /// Orders to these replicas are not answered, and reach them so much later, ms.
+    pub late: BTreeMap<String, u64>,
+    /// Orders that have not reached their replica yet.
+    pub on_their_way: Vec<LateOrder>,
+}
+
+/// An order that reaches its replica long after it was given up.
+pub struct LateOrder {
+    arrives: u64,
+    replica: String,
+    version: u64,
+    fence: u64,
+    expected: Option<u64>,
 }
 
 impl Replicas {
@@ -68,6 +81,7 @@
 
     /// Replicas whose heartbeat is due: id, last byte of the address, number and version.
     pub fn due(&mut self, now: u64) -> Vec<(String, u8, u64, u64)> {
+        self.take_late_orders(now);
         let mut due = Vec::new();
         for (id, replica) in &mut self.all {
             if let Some((version, done)) = replica.loading {
@@ -111,6 +125,21 @@
             ReplicaCall::Report { replica, .. } if self.is_mute(host, replica) => {
                 Input::Reported { replica: replica.clone(), report: None }
             }
+            ReplicaCall::Order { replica, version, fence, expected, .. }
+                if self.late.contains_key(replica) =>
+            {
+                let (version, fence, expected) = (*version, *fence, *expected);
+                let arrives = now + self.late[replica];
+                let replica = replica.clone();
+                self.on_their_way.push(LateOrder {
+                    arrives,
+                    replica: replica.clone(),
+                    version,
+                    fence,
+                    expected,
+                });
+                Input::Ordered { replica, status: None }
+            }
             ReplicaCall::Order { replica, version, fence, expected, .. } => {
                 let status = self.order(now, replica, *version, *fence, *expected);
                 if let Some(status) = status {
@@ -126,6 +155,26 @@
         }
     }
 
+    /// Orders that were on their way for long arrive; nobody waits for their answers.
+    fn take_late_orders(&mut self, now: u64) {
+        let (due, later) =
+            std::mem::take(&mut self.on_their_way).into_iter().partition(|one| one.arrives <= now);
+        self.on_their_way = later;
+        let due: Vec<LateOrder> = due;
+        for one in due {
+            self.order(now, &one.replica, one.version, one.fence, one.expected);
+        }
+    }
+
+    /// A replica has other weights than before, whoever gave them to it.
+    pub fn set_version(&mut self, now: u64, id: &str, version: u64) {
+        if let Some(replica) = self.all.get_mut(id) {
+            replica.version = version;
+            replica.loading = None;
+            replica.history.push((now, version));
+        }
+    }
+
     /// A replica has seen this fence, whoever used it.
     pub fn see_fence(&mut self, id: &str, fence: u64) {
         if let Some(replica) = self.all.get_mut(id) {
--- a/crates/dispatch/tests/overlapping_versions.rs
+++ b/crates/dispatch/tests/overlapping_versions.rs
@@ -124,6 +124,21 @@
     assert_eq!(used.len(), 2, "{used:?}");
 }
 
+/// Guards against incident VERSION (12 of 48): a proxy sends for good to a replica that has gone back to older weights.
+#[test]
+fn a_later_record_that_tells_older_weights_is_believed() {
+    let mut dispatcher = dispatcher(1);
+    named(&mut dispatcher, 2, START);
+    dispatcher.update_replica(later(1, 2, 4, peer::ReplicaState::Ready));
+    dispatcher.update_replica(later(2, 2, 4, peer::ReplicaState::Ready));
+    dispatcher.update_replica(later(1, 1, 5, peer::ReplicaState::Ready));
+    for number in 0..40 {
+        let ask = patient(&format!("{number:x}:1"));
+        let target = answered(&mut dispatcher, ask, START + DUE + 10.0);
+        assert_eq!((&*target.id, target.version), ("i-2", Some(2)));
+    }
+}
+
 /// An older record of the same replica takes nothing back.
 #[test]
 fn an_older_record_takes_no_weights_back() {
