Catalogue, proxy: a later heartbeat that tells older weights is believed

Cause: records joined by the newest weights that anybody ever told of an id, whatever later heartbeats said; a replica that went back stayed 'moved' for good in controllers, agents and proxies, nobody took the duty, and proxies sent there on and on. Why it works: of two records the later heartbeat counts alone, so what a replica tells is believed within one heartbeat, by all. A report counts with the heartbeat after the last one heard: one that was on its way takes it back no more than before. Ruled out: believing reports that tell older weights; they show the past by some hundred ms.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -85,6 +85,13 @@
     untold: bool,
 }
 
+impl Entry {
+    /// The record with the number of the newest heartbeat of which anything is known.
+    fn newest(&self) -> Record {
+        Record { beat: self.heard_beat.max(self.record.beat), ..self.record.clone() }
+    }
+}
+
 /// Replicas by id, with the order of their changes.
 #[derive(Debug, Clone)]
 pub struct Catalog {
@@ -176,7 +183,7 @@
             self.end(now, id);
             return;
         }
-        let lost = Record { state: State::Lost, beat: entry.heard_beat, ..entry.record.clone() };
+        let lost = Record { state: State::Lost, ..entry.newest() };
         self.take(lost);
     }
 
@@ -200,10 +207,16 @@
         }
     }
 
-    /// Notes weights that a replica was seen to hold between two heartbeats. Whether that was news.
-    pub fn note_models(&mut self, id: &str, models: Vec<ModelVersion>) -> bool {
-        let Some(record) = self.get(id).cloned() else { return false };
-        self.take(Record { models, ..record }) == Merged::News
+    /// Notes newer weights that a replica was seen to hold between two heartbeats. Whether that was news.
+    ///
+    /// They count with the next heartbeat: it may be on its way already, sent before the replica held them. The one after it
+    /// tells by itself what the replica holds. Older weights are no news: what was seen is older than it looks.
+    pub fn note_models(&mut self, id: &str, models: &[ModelVersion]) -> bool {
+        let Some(entry) = self.entries.get(id) else { return false };
+        let next_beat = entry.heard_beat + 1;
+        let mut noted = Record { beat: next_beat.max(entry.record.beat), ..entry.record.clone() };
+        noted.take_newer_weights(models);
+        noted.models != entry.record.models && self.take(noted) == Merged::News
     }
 
     /// Notes heartbeats that a peer heard. They only tell that a replica lives: what it says comes by `merge`,
@@ -236,7 +249,7 @@
         if proved {
             for (id, state) in self.overdue(now) {
                 let Some(entry) = self.entries.get(&id) else { continue };
-                let record = Record { state, beat: entry.heard_beat, ..entry.record.clone() };
+                let record = Record { state, ..entry.newest() };
                 news |= self.take(record) == Merged::News;
             }
         }
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -49,18 +49,30 @@
         gone(self).cmp(&gone(other)).then(self.beat.cmp(&other.beat)).then(self.state.cmp(&other.state))
     }
 
-    /// The least description that includes both: that of the greater in [`Record::order`], with the newest weights
-    /// that either names, since a replica's weights only go up during its life.
+    /// The least description that includes both: that of the greater in [`Record::order`]. Of two with the same heartbeat
+    /// the newest weights count, since one of them may stem from a report after it. A later heartbeat counts alone: a
+    /// replica may go back to older weights.
     pub fn join(&self, other: &Record) -> Record {
         let (mut greater, lesser) =
             if self.order(other).is_lt() { (other.clone(), self) } else { (self.clone(), other) };
-        for model in &lesser.models {
-            match greater.models.iter_mut().find(|known| known.name == model.name) {
+        if greater.is_as_late_as(lesser) {
+            greater.take_newer_weights(&lesser.models);
+        }
+        greater.sorted()
+    }
+
+    fn is_as_late_as(&self, other: &Record) -> bool {
+        self.beat == other.beat && (self.state == State::Gone) == (other.state == State::Gone)
+    }
+
+    /// Takes over what `others` tell of weights where it is newer.
+    pub(crate) fn take_newer_weights(&mut self, others: &[ModelVersion]) {
+        for model in others {
+            match self.models.iter_mut().find(|known| known.name == model.name) {
                 Some(known) => known.version = known.version.max(model.version),
-                None => greater.models.push(model.clone()),
+                None => self.models.push(model.clone()),
             }
         }
-        greater.sorted()
     }
 
     /// The same with its models in order of their names, as [`Record::join`] leaves them.
--- a/crates/catalog/tests/catalogue.rs
+++ b/crates/catalog/tests/catalogue.rs
@@ -131,7 +131,7 @@
     here.heartbeat(0, record("a", 1, 5, State::Ready));
     there.merge(0, record("a", 1, 5, State::Ready));
     let newer = vec![ModelVersion { name: "m".to_string(), version: 2 }];
-    assert!(here.note_models("a", newer.clone()));
+    assert!(here.note_models("a", &newer));
     let told = here.get("a").cloned().expect("known");
     assert_eq!(there.merge(10, told), Merged::News, "though its heartbeat is the same");
     assert_eq!(there.get("a").map(|record| record.models.clone()), Some(newer.clone()));
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -51,7 +51,7 @@
     ReplicasBehind = 2054,
     /// The holder of the duty could not do it, and gives it up to the other controllers.
     DutyGivenUp = 2055,
-    /// A replica tells older weights than it is believed to hold.
+    /// A heartbeat of a replica tells older weights than it is believed to hold.
     WeightsWentBack = 2056,
     /// A connection to the control API can't be taken.
     CallRefused = 2060,
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -72,9 +72,7 @@
     /// Takes a heartbeat in, whether or not it may be acknowledged here: what it tells is true all the same.
     fn heartbeat(&mut self, now: Millis, call: CallId, record: Record) {
         let (id, zone, state) = (record.id.clone(), record.zone.clone(), record.state);
-        if self.view.replicas.get(&id).is_some_and(|known| known.beat < record.beat) {
-            self.log_older_weights(&id, &record.models, format_args!("heartbeat {}", record.beat));
-        }
+        self.log_older_weights(&record);
         match self.view.replicas.heartbeat(now, record) {
             Heard::Full => {
                 let reply = Reply::later(503, "too many replicas; raise the limit", 1_000);
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -1,7 +1,6 @@
 //! The duty of moving replicas to named weights, joined to the register and the catalogue.
 
 use std::collections::BTreeMap;
-use std::fmt::Arguments;
 
 use catalog::{ModelVersion, Record, State};
 use process::Event;
@@ -126,15 +125,17 @@
         ));
     }
 
-    /// Logs weights that a replica tells and that are older than it is believed to hold.
-    pub(crate) fn log_older_weights(&self, replica: &str, told: &[ModelVersion], by: Arguments) {
-        let Some(known) = self.view.replicas.get(replica) else { return };
-        for ModelVersion { name, version } in told {
+    /// Logs weights that a later heartbeat tells and that are older than the replica is believed to hold.
+    pub(crate) fn log_older_weights(&self, told: &Record) {
+        let Some(known) = self.view.replicas.get(&told.id).filter(|known| known.beat < told.beat) else {
+            return;
+        };
+        for ModelVersion { name, version } in &told.models {
             let believed = known.models.iter().find(|known| known.name == *name);
             if let Some(believed) = believed.filter(|believed| believed.version > *version) {
                 ControllerEvent::WeightsWentBack.warn(format_args!(
-                    "replica {replica}: {by} tells {name} version {version}, it was believed to hold {}",
-                    believed.version
+                    "replica {}: heartbeat {} tells {name} version {version}, it was believed to hold {}",
+                    told.id, told.beat, believed.version
                 ));
             }
         }
@@ -148,8 +149,7 @@
             ));
         }
         if let Some(report) = report {
-            self.log_older_weights(replica, &report.models, format_args!("a report"));
-            self.view.replicas.note_models(replica, report.models);
+            self.view.replicas.note_models(replica, &report.models);
         }
     }
 
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -46,17 +46,22 @@
         })
     }
 
-    /// Takes another record of the same life: the later one counts, with the newest weights that either tells, since those
-    /// only go up in one life. A controller tells weights that it saw in a report with the heartbeat before.
+    /// Takes another record of the same life: the later one counts. Of two with the same heartbeat the newest weights count,
+    /// since one of them may stem from a report after it.
     pub fn update(&mut self, mut record: ReplicaRecord) {
+        let is_as_late = record.is_as_late_as(&self.record);
         if !record.supersedes(&self.record) {
-            return self.record.take_newer_weights(&record);
+            if is_as_late {
+                self.record.take_newer_weights(&record);
+            }
+            return;
         }
-        if record.beat > self.record.beat {
+        if is_as_late {
+            record.take_newer_weights(&self.record);
+        } else {
             // What answers told stands while the beat tells less: a beat is older than it looks.
             self.heard.retain(|(model, heard)| told(&record, model).is_some_and(|told| told < *heard));
         }
-        record.take_newer_weights(&self.record);
         self.record = record;
     }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -181,6 +181,12 @@
         (gone(self), self.beat, self.state) > (gone(other), other.beat, other.state)
     }
 
+    /// Whether another record of the same id stems from the same heartbeat.
+    pub fn is_as_late_as(&self, other: &ReplicaRecord) -> bool {
+        let is_gone = |record: &ReplicaRecord| record.state == ReplicaState::Gone;
+        self.beat == other.beat && is_gone(self) == is_gone(other)
+    }
+
     /// Takes over weights that another record of the same life tells and that are newer than those here.
     pub fn take_newer_weights(&mut self, other: &ReplicaRecord) {
         for told in &other.models {
