Duty: every order names the count that it expects, so that a late one is refused

Callers saw: replicas with older weights (VERSION) after versions named 4.4 s apart. Cause: the first order to a replica named no count; one that was given up after a second without an answer and reached the replica seconds later was taken as a new one, and took the replica back from version 10 to 8 or 9. Why it works: a move begins with the question how many orders the replica has taken; the order names that number, and the replica refuses it once another has been taken since. The type has no order without a count any more.

--- a/crates/controller/src/duty/moves.rs
+++ b/crates/controller/src/duty/moves.rs
@@ -3,6 +3,9 @@
 //! A replica is behind since the first naming above what it has, and that naming's bound is the one to keep. So the order
 //! of moves is that of these bounds, whatever is named meanwhile; and a replica whose naming is due is ordered even if
 //! others load already: nothing is sent there any more, and what waits in its queue goes elsewhere.
+//!
+//! An order may reach its replica long after it was given up. So each one names how many orders the replica has taken, as a
+//! report told before: once a later order has been taken, the earlier one is refused whenever it comes.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -42,7 +45,8 @@
         model: String,
         version: u64,
         fence: u64,
-        expected: Option<u64>,
+        /// Orders that the replica has taken; it refuses this one if there were others since.
+        expected: u64,
         /// How long ago the first version was named that the replica lacks.
         behind_ms: Millis,
     },
@@ -71,14 +75,14 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
-    /// An order is to be given, from that time on.
-    Due(Millis),
-    /// The order was sent and not answered yet.
-    Ordering,
-    /// The order was taken, or may have been; the next question is due then.
-    Loading { ask_at: Millis },
+    /// The next question is due then: how many orders it has taken, and whether the one given is done.
+    ToAsk { at: Millis },
     /// A question was sent.
     Asking,
+    /// An order is to be given, from that time on; the replica has taken so many.
+    ToOrder { at: Millis, expected: u64 },
+    /// The order was sent and not answered yet.
+    Ordering { expected: u64 },
 }
 
 #[derive(Debug, Clone)]
@@ -87,9 +91,10 @@
     version: u64,
     address: SocketAddrV4,
     step: Step,
+    /// An order was given that the replica may have taken.
+    is_ordered: bool,
+    /// When the move was planned, or the last order was given.
     since: Millis,
-    /// Orders taken, from the last report.
-    call_count: Option<u64>,
     /// The last call got no answer: nobody knows whether the replica loads anything.
     is_silent: bool,
     /// The fence of the last order.
@@ -160,12 +165,18 @@
 
     /// Whether a call to a replica is under way.
     pub fn is_calling(&self) -> bool {
-        self.moves.values().any(|one| matches!(one.step, Step::Ordering | Step::Asking))
+        self.moves.values().any(|one| one.is_calling())
     }
 
     /// The replicas that have been given an order which is not seen done yet.
     pub fn under_way(&self) -> impl Iterator<Item = &str> {
-        self.moves.keys().map(String::as_str)
+        self.moves.iter().filter(|(_, one)| one.is_ordered).map(|(replica, _)| replica.as_str())
+    }
+
+    /// Whether a replica's next order may be given now.
+    pub fn is_to_be_ordered(&self, now: Millis, replica: &str) -> bool {
+        let step = self.moves.get(replica).map(|one| one.step);
+        matches!(step, Some(Step::ToOrder { at, .. }) if now >= at)
     }
 
     /// The highest fence that a replica refused, as it has seen a higher one: orders need one above it.
@@ -218,8 +229,7 @@
     fn drop_finished(&mut self, replicas: &[Record], weights: &NamedWeights) {
         self.moves.retain(|id, one| {
             let record = replicas.iter().find(|record| record.id == *id);
-            let calling = matches!(one.step, Step::Ordering | Step::Asking);
-            calling || record.is_some_and(|record| Behind::of(record, weights).is_some())
+            one.is_calling() || record.is_some_and(|record| Behind::of(record, weights).is_some())
         });
     }
 
@@ -260,43 +270,40 @@
     /// An order was answered with this status; `None`: no answer.
     pub fn ordered(&mut self, now: Millis, replica: &str, status: Option<u16>) {
         let Some(one) = self.moves.get_mut(replica) else { return };
+        let Step::Ordering { expected } = one.step else { return };
         one.is_silent = status.is_none();
         if status.is_some() {
             self.answered = now;
         }
         one.step = match status {
-            Some(202 | 200 | 409) | None => Step::Loading { ask_at: now + REPORT_EVERY_MS },
+            Some(202 | 200 | 409) | None => Step::ToAsk { at: now + REPORT_EVERY_MS },
             Some(FENCE_TOO_LOW) => {
                 self.refused_fence = self.refused_fence.max(Some(one.fence));
-                Step::Due(now)
+                Step::ToOrder { at: now, expected }
             }
-            Some(_) => Step::Due(now + RETRY_MS),
+            Some(_) => Step::ToOrder { at: now + RETRY_MS, expected },
         };
     }
 
     /// A question was answered; `None`: no answer. Tells of a move that is done.
     pub fn reported(&mut self, now: Millis, replica: &str, report: Option<&Report>) -> Option<Moved> {
-        let one = self.moves.get_mut(replica)?;
+        let one = self.moves.get_mut(replica).filter(|one| one.step == Step::Asking)?;
         one.is_silent = report.is_none();
         let Some(report) = report else {
-            one.step = Step::Loading { ask_at: now + RETRY_MS };
+            one.step = Step::ToAsk { at: now + RETRY_MS };
             return None;
         };
         self.answered = now;
-        one.call_count = Some(report.call_count);
         let holds = |model: &ModelVersion| model.name == one.model && model.version >= one.version;
         if report.models.iter().any(holds) {
             let done = self.moves.remove(replica)?;
             let took_ms = now.saturating_sub(done.since);
-            return Some(Moved { model: done.model, version: done.version, took_ms });
+            return done.is_ordered.then_some(Moved { model: done.model, version: done.version, took_ms });
         }
-        let given_up = now >= one.since + GIVE_UP_MS;
-        let idle = !report.busy && now >= one.since + SETTLED_MS;
-        one.step = if idle || given_up {
-            one.since = now;
-            Step::Due(now)
+        one.step = if one.may_be_ordered(now, report) {
+            Step::ToOrder { at: now, expected: report.call_count }
         } else {
-            Step::Loading { ask_at: now + REPORT_EVERY_MS }
+            Step::ToAsk { at: now + REPORT_EVERY_MS }
         };
         None
     }
@@ -308,23 +315,35 @@
             model: behind.model.to_string(),
             version: behind.newest,
             address: behind.record.address,
-            step: Step::Due(now),
+            step: Step::ToAsk { at: now },
+            is_ordered: false,
             since: now,
-            call_count: None,
             is_silent: false,
             fence: 0,
         }
     }
 
+    fn is_calling(&self) -> bool {
+        matches!(self.step, Step::Ordering { .. } | Step::Asking)
+    }
+
     fn describe(&self) -> &'static str {
         match self.step {
             _ if self.is_silent => "does not answer",
-            Step::Due(_) => "is to be ordered",
-            Step::Ordering => "is ordered",
-            Step::Loading { .. } | Step::Asking => "loads",
+            Step::ToOrder { .. } => "is to be ordered",
+            Step::Ordering { .. } => "is ordered",
+            Step::ToAsk { .. } | Step::Asking if self.is_ordered => "loads",
+            Step::ToAsk { .. } | Step::Asking => "is asked",
         }
     }
 
+    /// Whether nothing is under way at the replica as far as a report tells: what was ordered has not been taken, or takes
+    /// too long.
+    fn may_be_ordered(&self, now: Millis, report: &Report) -> bool {
+        let is_settled = !self.is_ordered || now >= self.since + SETTLED_MS;
+        (is_settled && !report.busy) || now >= self.since + GIVE_UP_MS
+    }
+
     fn next_call(
         &mut self,
         now: Millis,
@@ -333,8 +352,10 @@
         fence: Option<u64>,
     ) -> Option<ReplicaCall> {
         match self.step {
-            Step::Due(at) if now >= at => self.order(now, replica, behind?, fence?),
-            Step::Loading { ask_at } if now >= ask_at => {
+            Step::ToOrder { at, expected } if now >= at => {
+                Some(self.order(now, replica, behind?, fence?, expected))
+            }
+            Step::ToAsk { at } if now >= at => {
                 self.step = Step::Asking;
                 Some(ReplicaCall::Report { replica: replica.to_string(), address: self.address })
             }
@@ -343,21 +364,29 @@
     }
 
     /// Orders what is newest now: it may be newer than what was planned.
-    fn order(&mut self, now: Millis, replica: &str, behind: &Behind, fence: u64) -> Option<ReplicaCall> {
+    fn order(
+        &mut self,
+        now: Millis,
+        replica: &str,
+        behind: &Behind,
+        fence: u64,
+        expected: u64,
+    ) -> ReplicaCall {
         self.model = behind.model.to_string();
         self.version = behind.newest;
-        self.step = Step::Ordering;
+        self.step = Step::Ordering { expected };
+        self.is_ordered = true;
         self.since = now;
         self.fence = fence;
-        Some(ReplicaCall::Order {
+        ReplicaCall::Order {
             replica: replica.to_string(),
             address: self.address,
             model: self.model.clone(),
             version: self.version,
             fence,
-            expected: self.call_count,
+            expected,
             behind_ms: behind.age(now).max(0) as Millis,
-        })
+        }
     }
 }
 
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -151,6 +151,9 @@
         if let Some(report) = report {
             self.view.replicas.note_models(replica, &report.models);
         }
+        if self.moves.is_to_be_ordered(at.now, replica) {
+            self.next_upkeep = at.now;
+        }
     }
 
     fn propose_duty(&mut self, at: Moment, proposal: Proposal, out: &mut Vec<Effect>) {
--- a/crates/controller/src/replica_calls.rs
+++ b/crates/controller/src/replica_calls.rs
@@ -29,8 +29,7 @@
     method: &'a str,
     holder: &'a str,
     fence: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    expected: Option<u64>,
+    expected: u64,
 }
 
 #[derive(Deserialize)]
--- a/crates/controller/tests/calm.rs
+++ b/crates/controller/tests/calm.rs
@@ -1,8 +1,8 @@
 //! Whatever happened before: once all is calm, every replica moves to the newest weights.
 //!
 //! Each seed draws a story of namings and trouble: controllers that stop, start, are cut off from each other or from replicas,
-//! lose their disks (no more at a time than the group bears) or the right time of day, replicas that restart or answer no
-//! call. `CALM_SEEDS=1000..3000` plays others than those of CI.
+//! lose their disks (no more at a time than the group bears) or the right time of day, replicas that restart, answer no
+//! call, take orders long after they were given up, or go back to older weights. `CALM_SEEDS=1000..3000` plays others than those of CI.
 
 mod support;
 
@@ -20,6 +20,8 @@
 const CALM_MS: u64 = BOUND_MS / 2 * 3;
 /// Disks that were lost have been replaced once all has been well for so long, ms.
 const REPLACED_MS: u64 = 7_000;
+/// Orders that are late arrive within this, ms.
+const LATEST_ORDER_MS: u64 = 10_000;
 /// How far a time of day may be off, ms.
 const CLOCK_ERRORS_MS: [i64; 3] = [-2_000, 0, 2_000];
 
@@ -37,10 +39,12 @@
     HealPaths,
     Silence,
     RestartReplica,
+    LateOrders,
+    GoBack,
 }
 
 /// The steps, each as often as it is to be drawn.
-const STEPS: [Step; 14] = [
+const STEPS: [Step; 17] = [
     Step::Name,
     Step::Name,
     Step::Name,
@@ -55,6 +59,9 @@
     Step::HealPaths,
     Step::Silence,
     Step::RestartReplica,
+    Step::LateOrders,
+    Step::LateOrders,
+    Step::GoBack,
 ];
 
 struct Story {
@@ -152,6 +159,8 @@
                 self.cluster.replicas.silent.insert(id);
             }
             Step::RestartReplica => self.restart_replica(),
+            Step::LateOrders => self.delay_orders(),
+            Step::GoBack => self.go_back(),
         }
     }
 
@@ -180,6 +189,7 @@
     fn heal_paths(&mut self) {
         self.cluster.replicas.cut.clear();
         self.cluster.replicas.silent.clear();
+        self.cluster.replicas.late.clear();
     }
 
     /// All lose power; as many as the group bears lose their disks as well.
@@ -208,6 +218,21 @@
         self.cluster.replicas.add(&id, former.last, former.version, first_beat);
     }
 
+    /// Orders to some replicas arrive seconds after they were given up.
+    fn delay_orders(&mut self) {
+        let ids: Vec<String> = self.cluster.replicas.all.keys().cloned().collect();
+        let late_ms = self.random.random_range(1_000..LATEST_ORDER_MS);
+        let late = ids.into_iter().filter(|_| self.random.random_bool(0.3));
+        self.cluster.replicas.late.extend(late.map(|id| (id, late_ms)));
+    }
+
+    /// A replica goes back by a version.
+    fn go_back(&mut self) {
+        let id = self.some_replica();
+        let held = self.cluster.replicas.all[&id].version;
+        self.cluster.replicas.set_version(self.cluster.now, &id, held.max(2) - 1);
+    }
+
     /// Ends all trouble; the replicas that lack what was acknowledged after a time of calm.
     fn behind_after_calm(mut self) -> Option<String> {
         self.heal();
--- a/crates/controller/tests/contracts.rs
+++ b/crates/controller/tests/contracts.rs
@@ -117,13 +117,21 @@
     ([replica(1)], weights, Moves::new(BOUND_MS))
 }
 
-fn expected(calls: &[ReplicaCall]) -> Option<Option<u64>> {
+fn expected(calls: &[ReplicaCall]) -> Option<u64> {
     match calls {
         [ReplicaCall::Order { expected, .. }] => Some(*expected),
         _ => None,
     }
 }
 
+/// The replica is asked at 0 ms, says that it has taken four orders, and is given one under fence 7.
+fn order(replicas: &[Record], weights: &NamedWeights, moves: &mut Moves) {
+    let asked = moves.calls(0, replicas, weights, Some(7));
+    assert!(matches!(asked.as_slice(), [ReplicaCall::Report { .. }]), "{asked:?}");
+    moves.reported(0, "i-1", Some(&report(false, 4)));
+    assert_eq!(expected(&moves.calls(0, replicas, weights, Some(7))), Some(4));
+}
+
 /// 202 and 200: it is on its way; 409 or silence: what became of it is asked; 400, 421: the order did not count. What
 /// follows 412 is a test of its own: the order would be refused again.
 #[rstest]
@@ -135,7 +143,7 @@
 #[case::another_replica(Some(421), false)]
 fn an_order_is_followed_up_as_its_answer_says(#[case] status: Option<u16>, #[case] asks: bool) {
     let (replicas, weights, mut moves) = behind_by_one();
-    assert_eq!(expected(&moves.calls(0, &replicas, &weights, Some(7))), Some(None));
+    order(&replicas, &weights, &mut moves);
     moves.ordered(10, "i-1", status);
     let next: Vec<ReplicaCall> =
         (10..1_500).step_by(10).flat_map(|now| moves.calls(now, &replicas, &weights, Some(7))).collect();
@@ -150,23 +158,23 @@
 #[rstest]
 fn an_order_refused_for_its_fence_waits_for_a_higher_one() {
     let (replicas, weights, mut moves) = behind_by_one();
-    moves.calls(0, &replicas, &weights, Some(7));
+    order(&replicas, &weights, &mut moves);
     moves.ordered(10, "i-1", Some(412));
     let refused = (10..60_000).step_by(10).flat_map(|now| moves.calls(now, &replicas, &weights, Some(7)));
     assert_eq!(refused.collect::<Vec<_>>(), []);
     assert_eq!(moves.refused_fence(), Some(7));
-    assert_eq!(expected(&moves.calls(60_000, &replicas, &weights, Some(8))), Some(None));
+    assert_eq!(expected(&moves.calls(60_000, &replicas, &weights, Some(8))), Some(4));
 }
 
 /// After an order whose fate is open, the next one names how many the replica took: it can't come twice.
 #[rstest]
 fn an_order_that_is_given_again_names_the_count_it_expects() {
     let (replicas, weights, mut moves) = behind_by_one();
-    moves.calls(0, &replicas, &weights, Some(7));
+    order(&replicas, &weights, &mut moves);
     moves.ordered(10, "i-1", None);
     assert_eq!(moves.calls(1_000, &replicas, &weights, Some(7)).len(), 1, "a question");
-    moves.reported(1_010, "i-1", Some(&report(false, 4)));
-    assert_eq!(expected(&moves.calls(1_020, &replicas, &weights, Some(7))), Some(Some(4)));
+    moves.reported(1_010, "i-1", Some(&report(false, 5)));
+    assert_eq!(expected(&moves.calls(1_020, &replicas, &weights, Some(7))), Some(5));
 }
 
 /// Guards against incident VERSION (12 of 48): an order without a count is taken whenever it arrives.
@@ -175,5 +183,5 @@
     let (replicas, weights, mut moves) = behind_by_one();
     assert_eq!(moves.calls(0, &replicas, &weights, Some(7)).len(), 1);
     moves.reported(10, "i-1", Some(&report(false, 4)));
-    assert_eq!(expected(&moves.calls(20, &replicas, &weights, Some(7))), Some(Some(4)));
+    assert_eq!(expected(&moves.calls(20, &replicas, &weights, Some(7))), Some(4));
 }
--- a/crates/controller/tests/moves.rs
+++ b/crates/controller/tests/moves.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use catalog::{ModelVersion, Record, State};
-use controller::duty::moves::{Moves, ReplicaCall};
+use controller::duty::moves::{Moves, ReplicaCall, Report};
 use rstest::rstest;
 use weights::{NamedWeights, Naming};
 
@@ -41,6 +41,31 @@
     weights
 }
 
+/// The next calls, after every replica that was asked has told that nothing is under way.
+fn next_calls(moves: &mut Moves, now: u64, replicas: &[Record], weights: &NamedWeights) -> Vec<ReplicaCall> {
+    next_calls_under(moves, now, replicas, weights, FENCE)
+}
+
+fn next_calls_under(
+    moves: &mut Moves,
+    now: u64,
+    replicas: &[Record],
+    weights: &NamedWeights,
+    fence: Option<u64>,
+) -> Vec<ReplicaCall> {
+    let calls = moves.calls(now, replicas, weights, fence);
+    let (asked, mut ordered): (Vec<_>, Vec<_>) =
+        calls.into_iter().partition(|call| matches!(call, ReplicaCall::Report { .. }));
+    for call in asked {
+        let ReplicaCall::Report { replica, .. } = call else { continue };
+        let held = replicas.iter().find(|record| record.id == replica);
+        let models = held.map(|record| record.models.clone()).unwrap_or_default();
+        moves.reported(now, &replica, Some(&Report { models, busy: false, call_count: 0 }));
+    }
+    ordered.extend(moves.calls(now, replicas, weights, fence));
+    ordered
+}
+
 /// The replicas that are ordered, each with the version.
 fn orders(calls: &[ReplicaCall]) -> Vec<(&str, u64)> {
     let order = |call| match call {
@@ -53,7 +78,7 @@
 #[rstest]
 fn the_replica_whose_bound_ends_first_is_ordered_first() {
     let weights = named(&[(2, 0), (3, 1_000)]);
-    let calls = Moves::new(BOUND).calls(1_100, &replicas(), &weights, FENCE);
+    let calls = next_calls(&mut Moves::new(BOUND), 1_100, &replicas(), &weights);
     assert_eq!(orders(&calls), [("r5", 3)]);
 }
 
@@ -61,19 +86,19 @@
 fn a_replica_that_does_not_answer_its_order_leaves_its_place_at_once() {
     let weights = named(&[(2, 0), (3, 1_000)]);
     let mut moves = Moves::new(BOUND);
-    moves.calls(1_100, &replicas(), &weights, FENCE);
-    assert_eq!(orders(&moves.calls(1_110, &replicas(), &weights, FENCE)), [], "one at a time");
+    next_calls(&mut moves, 1_100, &replicas(), &weights);
+    assert_eq!(orders(&next_calls(&mut moves, 1_110, &replicas(), &weights)), [], "one at a time");
     moves.ordered(1_120, "r5", None);
-    assert_eq!(orders(&moves.calls(1_120, &replicas(), &weights, FENCE)), [("r1", 3)]);
+    assert_eq!(orders(&next_calls(&mut moves, 1_120, &replicas(), &weights)), [("r1", 3)]);
 }
 
 #[rstest]
 fn an_order_that_is_given_again_asks_for_what_is_newest_by_then() {
     let mut moves = Moves::new(BOUND);
-    let calls = moves.calls(100, &replicas(), &named(&[(2, 0)]), FENCE);
+    let calls = next_calls(&mut moves, 100, &replicas(), &named(&[(2, 0)]));
     assert_eq!(orders(&calls), [("r5", 2)]);
     moves.ordered(110, "r5", Some(503));
-    let calls = moves.calls(2_000, &replicas(), &named(&[(2, 0), (3, 1_500)]), FENCE);
+    let calls = next_calls(&mut moves, 2_000, &replicas(), &named(&[(2, 0), (3, 1_500)]));
     assert_eq!(orders(&calls), [("r5", 3)]);
 }
 
@@ -83,7 +108,7 @@
     weights.name("n", Naming { version: 2, named_at: 0 });
     let mut both = replica("r1", 1);
     both.models.push(ModelVersion { name: "n".to_string(), version: 1 });
-    let calls = Moves::new(BOUND).calls(1_100, &[both], &weights, FENCE);
+    let calls = next_calls(&mut Moves::new(BOUND), 1_100, &[both], &weights);
     let models: Vec<&str> = calls
         .iter()
         .filter_map(|call| match call {
@@ -99,10 +124,10 @@
 fn a_fence_that_was_refused_is_not_used_again() {
     let weights = named(&[(2, 0), (3, 1_000)]);
     let mut moves = Moves::new(BOUND);
-    assert_eq!(orders(&moves.calls(1_100, &replicas(), &weights, FENCE)), [("r5", 3)]);
+    assert_eq!(orders(&next_calls(&mut moves, 1_100, &replicas(), &weights)), [("r5", 3)]);
     moves.ordered(1_110, "r5", Some(412));
     for now in [1_120, 2_200, 5_000, 60_000] {
         assert_eq!(moves.calls(now, &replicas(), &weights, FENCE), [], "at {now} ms");
     }
-    assert_eq!(orders(&moves.calls(60_010, &replicas(), &weights, Some(2))), [("r5", 3)]);
+    assert_eq!(orders(&next_calls_under(&mut moves, 60_010, &replicas(), &weights, Some(2))), [("r5", 3)]);
 }
--- a/crates/controller/tests/support/replicas.rs
+++ b/crates/controller/tests/support/replicas.rs
@@ -60,7 +60,7 @@
     replica: String,
     version: u64,
     fence: u64,
-    expected: Option<u64>,
+    expected: u64,
 }
 
 impl Replicas {
@@ -182,7 +182,7 @@
         }
     }
 
-    fn order(&mut self, now: u64, id: &str, version: u64, fence: u64, expected: Option<u64>) -> Option<u16> {
+    fn order(&mut self, now: u64, id: &str, version: u64, fence: u64, expected: u64) -> Option<u16> {
         let load_ms = self.load_ms;
         let replica = self.all.get_mut(id)?;
         if fence < replica.fence {
@@ -192,7 +192,7 @@
         if replica.version == version {
             return Some(200);
         }
-        if replica.loading.is_some() || expected.is_some_and(|expected| expected != replica.orders) {
+        if replica.loading.is_some() || expected != replica.orders {
             return Some(409);
         }
         replica.orders += 1;
