Controllers keep acknowledged leaves on disk at a majority before they acknowledge them

Cause: ends of replicas were held in memory only, by all. Why it works: the controller that takes a leave asks the others to keep it, in a file of its own beside the register's, and answers 200 when a majority of the acceptors' machines has written it. After a restart contact needs a majority of the acceptors, one of which holds it and tells it with its first message; a machine without its disk is another acceptor. Ruled out: a register of ends: digests, transfers and the register's file would carry a key that earlier releases can't read, so that a roll-back would give up every disk. The new messages are skipped by earlier releases; while such members are in the set they count by the barrier alone, as before. Also: an answer that waits for disks holds no other back.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 mod control_api;
 mod disk;
 pub mod duty;
+pub mod ends;
 mod error;
 pub mod event;
 pub mod http_client;
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -49,12 +49,7 @@
             Command::Heartbeat(record) => {
                 self.heartbeat(at.now, call, *record);
             }
-            Command::Leave { id } => {
-                if self.view.replicas.leave(at.now, &id) {
-                    ControllerEvent::ReplicaLeft.info(format_args!("replica {id} left"));
-                }
-                self.barrier.hold(at.now, call, Reply::empty(200));
-            }
+            Command::Leave { id } => self.replica_leaves(at, call, id),
             Command::Configure(order) => self.configure(at, call, *order, out),
             Command::NameWeights(order) => self.name_weights(at, call, order, out),
             Command::ShowStatus => {
--- a/crates/controller/src/machine/contact.rs
+++ b/crates/controller/src/machine/contact.rs
@@ -7,7 +7,8 @@
 //!   so a controller that is cut off keeps no replica to itself.
 //! * The **barrier** for a replica that drains or leaves: the answer waits until a majority has answered a digest that
 //!   left *after* the record. Record and digest travel on the same links in this order, so a majority of the
-//!   controllers holds the record by then, and every agent is linked to all of them.
+//!   controllers holds the record by then, and every agent is linked to all of them. One that leaves waits for a majority
+//!   of disks as well ([`crate::ends`]).
 
 use std::collections::VecDeque;
 
@@ -30,6 +31,8 @@
     call: CallId,
     since: Millis,
     reply: Reply,
+    /// The replica whose end a majority has to keep first, if it is one.
+    end: Option<String>,
 }
 
 /// The calls that wait for proof, the oldest first.
@@ -43,7 +46,13 @@
 impl Barrier {
     /// Holds an answer until a majority has heard what the call told.
     pub fn hold(&mut self, now: Millis, call: CallId, reply: Reply) {
-        self.waiting.push_back(Waiting { call, since: now, reply });
+        self.waiting.push_back(Waiting { call, since: now, reply, end: None });
+        self.wants_digest = true;
+    }
+
+    /// Holds the acknowledgement of a replica's end until a majority has heard of it and keeps it.
+    pub fn hold_end(&mut self, now: Millis, call: CallId, id: String) {
+        self.waiting.push_back(Waiting { call, since: now, reply: Reply::empty(200), end: Some(id) });
         self.wants_digest = true;
     }
 
@@ -57,19 +66,41 @@
         self.waiting.is_empty()
     }
 
-    /// The answers that are due: those that `confirmed_at` proves, and those that have waited too long.
-    fn take_due(&mut self, now: Millis, confirmed_at: Option<Millis>) -> Vec<(CallId, Reply)> {
+    /// The answers that are due: those that `confirmed_at` proves, with an end that is kept, and those that have waited too
+    /// long.
+    fn take_due(
+        &mut self,
+        now: Millis,
+        confirmed_at: Option<Millis>,
+        is_end_kept: impl Fn(&str) -> bool,
+    ) -> Vec<Due> {
         let mut due = Vec::new();
-        while let Some(first) = self.waiting.front() {
-            let is_proved = confirmed_at.is_some_and(|at| at >= first.since);
-            if !is_proved && now < first.since + CALL_MS {
-                break;
+        let mut left = VecDeque::new();
+        for waiting in self.waiting.drain(..) {
+            let is_heard = confirmed_at.is_some_and(|at| at >= waiting.since);
+            let is_proved = is_heard && waiting.end.as_deref().is_none_or(&is_end_kept);
+            if !is_proved && now < waiting.since + CALL_MS {
+                left.push_back(waiting);
+                continue;
             }
-            let Some(Waiting { call, reply, .. }) = self.waiting.pop_front() else { break };
-            due.push((call, if is_proved { reply } else { without_contact() }));
+            let Waiting { call, reply, end, .. } = waiting;
+            due.push(Due { call, reply: if is_proved { reply } else { without_contact() }, end });
         }
+        self.waiting = left;
         due
     }
+
+    /// Whether a call waits for a replica's end to be kept.
+    fn wants_end(&self, id: &str) -> bool {
+        self.waiting.iter().any(|waiting| waiting.end.as_deref() == Some(id))
+    }
+}
+
+/// A call that is to be answered now.
+struct Due {
+    call: CallId,
+    reply: Reply,
+    end: Option<String>,
 }
 
 /// The answer of a controller that can't prove contact with a majority.
@@ -101,8 +132,14 @@
             return;
         }
         let confirmed_at = self.confirmed_at(at.now);
-        for (call, reply) in self.barrier.take_due(at.now, confirmed_at) {
+        let mut barrier = std::mem::take(&mut self.barrier);
+        let due = barrier.take_due(at.now, confirmed_at, |id| self.is_end_kept(id));
+        self.barrier = barrier;
+        for Due { call, reply, end } in due {
             self.replies.push(Effect::Reply { call, reply });
+            if let Some(id) = end.filter(|id| !self.barrier.wants_end(id)) {
+                self.ends.unwant(&id);
+            }
         }
     }
 }
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod contact;
 mod duties;
+mod ends;
 mod loads;
 mod peers;
 mod sources;
@@ -23,6 +24,7 @@
 use crate::command::{Command, Reply};
 use crate::duty::holder::Holder;
 use crate::duty::moves::{Moves, ReplicaCall, Report};
+use crate::ends::{Ends, StoredEnds};
 use crate::event::ControllerEvent;
 use crate::values::ConfigurationValue;
 use crate::Millis;
@@ -62,6 +64,11 @@
     PeerDown {
         peer: SocketAddrV4,
     },
+    /// Another controller linked to this one, and speaks this version of the protocol.
+    PeerHello {
+        peer: SocketAddrV4,
+        protocol: u16,
+    },
     /// Another controller sent a message on a link that it dialled.
     PeerMessage {
         from: SocketAddrV4,
@@ -88,6 +95,11 @@
         token: WriteToken,
         result: Result<(), WriteFailed>,
     },
+    /// A write of ends came to its end.
+    EndsWritten {
+        token: WriteToken,
+        result: Result<(), WriteFailed>,
+    },
     /// A replica answered an order with this status, or not at all.
     Ordered {
         replica: String,
@@ -128,6 +140,11 @@
         token: WriteToken,
         record: Record,
     },
+    /// Write the entry of the store of ends, then hand in [`Input::EndsWritten`].
+    WriteEnds {
+        token: WriteToken,
+        record: Record,
+    },
     CallReplica(ReplicaCall),
 }
 
@@ -161,6 +178,7 @@
     pending: BTreeMap<RequestId, Pending>,
     /// Calls whose answers wait until a majority has heard what they told.
     barrier: Barrier,
+    ends: Ends,
     last_request: u64,
     next_upkeep: Millis,
     /// Replicas are judged from then on.
@@ -202,6 +220,7 @@
             agents: Agents::default(),
             pending: BTreeMap::new(),
             barrier: Barrier::default(),
+            ends: Ends::default(),
             last_request: 0,
             next_upkeep: now,
             judges_from: now,
@@ -213,9 +232,12 @@
         }
     }
 
-    /// The disk is open: from now on the register takes part.
-    pub fn attach(&mut self, register: RegisterNode) {
+    /// The disk is open: from now on the register takes part. What the disk holds of ended replicas counts.
+    pub fn attach(&mut self, at: Moment, register: RegisterNode, ends: StoredEnds) {
         self.register = Some(register);
+        for id in self.ends.open(at.wall_ms, ends) {
+            self.view.replicas.leave(at.now, &id);
+        }
     }
 
     /// Takes one input; what is to be done is pushed to `out`.
@@ -224,6 +246,7 @@
             Input::Call { call, command } => self.call(at, call, command, out),
             Input::PeerUp { peer } => self.peers.up(peer),
             Input::PeerDown { peer } => self.peers.down(peer),
+            Input::PeerHello { peer, protocol } => self.peers.hello(peer, protocol),
             Input::PeerMessage { from, message } => self.peer_message(at, from, message, out),
             Input::AgentUp { link, hello } => {
                 if hello.protocol < peer::TELLS_INTEREST {
@@ -240,6 +263,7 @@
             Input::DiskDone { token, result } => {
                 self.register(at, RegisterInput::DiskDone { token, result }, out);
             }
+            Input::EndsWritten { token, result } => self.ends.written(at.now, token, result.is_ok()),
             Input::Ordered { replica, status } => self.moves.ordered(at.now, &replica, status),
             Input::Reported { replica, report } => self.reported(at, &replica, report),
             Input::Prefixes { prefixes } => {
@@ -251,6 +275,7 @@
             Input::Terminate => self.terminate(at, out),
         }
         self.feed(at, out);
+        self.keep_ends(at.now, out);
         self.settle_barrier(at, out);
         out.append(&mut self.replies);
     }
@@ -267,6 +292,7 @@
             self.peers.deadline(&self.view),
             self.loads.deadline(),
             self.barrier.deadline(),
+            self.ends.deadline(),
         ];
         timers.into_iter().min().unwrap_or(self.next_upkeep)
     }
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     links: BTreeMap<SocketAddrV4, ReplicaFeed>,
+    /// The version of the protocol that each one spoke last.
+    protocols: BTreeMap<SocketAddrV4, u16>,
 }
 
 impl Peers {
@@ -49,6 +51,20 @@
     pub fn down(&mut self, peer: SocketAddrV4) {
         self.links.remove(&peer);
     }
+
+    pub fn hello(&mut self, peer: SocketAddrV4, protocol: u16) {
+        self.protocols.insert(peer, protocol);
+    }
+
+    /// The controllers to which links are up.
+    pub fn linked(&self) -> Vec<SocketAddrV4> {
+        self.links.keys().copied().collect()
+    }
+
+    /// Whether a controller is of a release that keeps no ends on disk.
+    pub fn keeps_no_ends(&self, peer: SocketAddrV4) -> bool {
+        self.protocols.get(&peer).is_some_and(|protocol| *protocol < peer::KEEPS_ENDS)
+    }
 }
 
 impl Machine {
@@ -82,6 +98,8 @@
                 self.view.replicas.peer_beats(at.now, &heard);
             }
             Message::Loads(news) => self.loads.peer_told(at.now, from, &news),
+            Message::KeepEnds(ends) => self.asked_to_keep(at, from, &ends),
+            Message::EndsKept(ends) => self.ends_kept(from, &ends),
             _ => {}
         }
     }
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -19,7 +19,7 @@
 
 use crate::command::Reply;
 use crate::control_api::{serve, Issued};
-use crate::disk::{Disk, Opened};
+use crate::disk::{Disk, DiskDone, Opened, Writer};
 use crate::error::ControllerError;
 use crate::event::ControllerEvent;
 use crate::kv_events::reader::{read, Reader};
@@ -74,6 +74,7 @@
     last_call: u64,
     /// Not there before it is opened.
     disk: Option<Disk>,
+    ends_disk: Option<Disk>,
     link_events: mpsc::Sender<LinkEvent>,
     replica_answers: mpsc::Sender<Input>,
 }
@@ -103,7 +104,7 @@
             Some(call) = issued.recv() => program.issued(call),
             Some(event) = link_news.recv() => program.link_event(event),
             opened = &mut opening, if !program.is_open() => program.opened(opened.unwrap_or_else(|_| Err(ControllerError::NotOpened))?),
-            Some(done) = disk_news.recv() => program.step(Input::DiskDone { token: done.token, result: done.result }),
+            Some(done) = disk_news.recv() => program.written(done),
             Some(answer) = replica_news.recv() => program.step(answer),
             told = control.recv() => match told {
                 Some(Control::Reload(settings)) => program.reload(*settings),
@@ -189,6 +190,7 @@
             calls: BTreeMap::new(),
             last_call: 0,
             disk: None,
+            ends_disk: None,
             link_events,
             replica_answers,
         }
@@ -200,22 +202,33 @@
 
     /// The disk is open: the register takes part from now on.
     fn opened(&mut self, opened: Opened) {
-        let Opened { disk, stored, was_damaged } = opened;
+        let Opened { register, ends, stored, stored_ends, was_damaged } = opened;
+        (self.disk, self.ends_disk) = (Some(register), Some(ends));
         let identity = Identity { address: self.me.peer };
         let first_start = self.settings.first_start && !was_damaged;
         let seeds = self.settings.seed_controllers();
         let register = RegisterNode::recover(stored, identity, &seeds, first_start, rand::random());
-        self.disk = Some(disk);
-        self.machine.attach(register);
+        self.machine.attach(self.moment(), register, stored_ends);
         self.step(Input::Tick);
     }
 
+    fn written(&mut self, DiskDone { writer, token, result }: DiskDone) {
+        self.step(match writer {
+            Writer::Register => Input::DiskDone { token, result },
+            Writer::Ends => Input::EndsWritten { token, result },
+        });
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { now: self.started.elapsed().as_millis() as u64, wall_ms: wall_ms() }
+    }
+
     fn next_wake(&self) -> Instant {
         self.started + Duration::from_millis(self.machine.deadline())
     }
 
     fn step(&mut self, input: Input) {
-        let at = Moment { now: self.started.elapsed().as_millis() as u64, wall_ms: wall_ms() };
+        let at = self.moment();
         let mut effects = std::mem::take(&mut self.effects);
         self.machine.step(at, input, &mut effects);
         for effect in effects.drain(..) {
@@ -243,6 +256,11 @@
                     disk.write(token, record);
                 }
             }
+            Effect::WriteEnds { token, record } => {
+                if let Some(disk) = &mut self.ends_disk {
+                    disk.write(token, record);
+                }
+            }
             Effect::CallReplica(replica_call) => {
                 let (answers, holder) = (self.replica_answers.clone(), self.settings.node.clone());
                 tokio::spawn(async move {
@@ -313,6 +331,7 @@
         match (hello.role, hello.address.socket()) {
             (Role::Controller, Some(address)) => {
                 self.links.insert(link, Link::Peer { address, _outbox: outbox });
+                self.step(Input::PeerHello { peer: address, protocol: hello.protocol });
             }
             (Role::Agent, _) => {
                 let _ = outbox.send(&[Message::Hello(self.hello())]);
--- a/crates/controller/src/values.rs
+++ b/crates/controller/src/values.rs
@@ -258,7 +258,11 @@
     }
 }
 
-fn read<T: for<'a> DekuContainerRead<'a>>(register: &'static str, bytes: &[u8]) -> Result<T, ValueError> {
+/// Reads a value that is all of `bytes`.
+pub(crate) fn read<T: for<'a> DekuContainerRead<'a>>(
+    register: &'static str,
+    bytes: &[u8],
+) -> Result<T, ValueError> {
     let unreadable = |why: String| ValueError::Unreadable(register, why);
     match T::from_bytes((bytes, 0)) {
         Ok((([], _), value)) => Ok(value),
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -12,7 +12,7 @@
 use controller::machine::{Effect, Input, Machine, Moment, Timing};
 use links::LinkId;
 use membership::{Member, Membership};
-use peer::Message;
+use peer::{Message, PROTOCOL};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use register::{Identity, RegisterNode};
@@ -34,6 +34,7 @@
 struct Host {
     machine: Option<Machine>,
     disk: Disk,
+    ends_disk: Disk,
     started: u64,
     /// Ticks in a row after each of which it was due again at once.
     restless_ticks: u32,
@@ -90,6 +91,8 @@
     arrived: BTreeMap<usize, usize>,
     /// Of each tenth of a second a machine runs so many ms, and stands still for the rest; machines begin at different times.
     quota_ms: u64,
+    /// The version of the protocol that controllers say they speak.
+    pub protocol: u16,
 }
 
 fn address(host: usize) -> SocketAddrV4 {
@@ -115,6 +118,7 @@
             replica_calls: Vec::new(),
             arrived: BTreeMap::new(),
             quota_ms: QUOTA_PERIOD_MS,
+            protocol: PROTOCOL,
         };
         for host in 0..size {
             cluster.hosts.push(Host::default());
@@ -149,7 +153,8 @@
         self.hosts[host].started = self.now;
         let mut machine = Machine::new(0, timing, me, membership);
         if !self.hosts[host].disk.hangs {
-            machine.attach(register);
+            let stored_ends = self.hosts[host].ends_disk.stored_ends();
+            machine.attach(self.moment(host), register, stored_ends);
         }
         self.hosts[host].machine = Some(machine);
     }
@@ -172,10 +177,17 @@
 
     pub fn wipe(&mut self, host: usize) {
         self.hosts[host].disk.wipe();
+        self.hosts[host].ends_disk.wipe();
     }
 
     pub fn hang_disk(&mut self, host: usize) {
         self.hosts[host].disk.hangs = true;
+        self.hosts[host].ends_disk.hangs = true;
+    }
+
+    /// The file of ends takes no more writes, as on a disk that is slow or full; the register's does.
+    pub fn hang_ends_disk(&mut self, host: usize) {
+        self.hosts[host].ends_disk.hangs = true;
     }
 
     /// Cuts a machine off from all other controllers.
@@ -212,6 +224,8 @@
                 let peer = address(to);
                 if reachable && self.up.insert((from, to)) {
                     self.step(from, Input::PeerUp { peer });
+                    let protocol = self.protocol;
+                    self.step(to, Input::PeerHello { peer: address(from), protocol });
                 } else if !reachable && self.up.remove(&(from, to)) {
                     self.step(from, Input::PeerDown { peer });
                 }
@@ -241,6 +255,9 @@
             for token in self.hosts[host].disk.end(self.now) {
                 self.step(host, Input::DiskDone { token, result: Ok(()) });
             }
+            for token in self.hosts[host].ends_disk.end(self.now) {
+                self.step(host, Input::EndsWritten { token, result: Ok(()) });
+            }
         }
     }
 
@@ -332,9 +349,13 @@
         );
     }
 
-    pub fn step(&mut self, host: usize, input: Input) {
+    fn moment(&self, host: usize) -> Moment {
         let wall_ms = (WALL_START_MS + self.now).saturating_add_signed(self.hosts[host].wall_error_ms);
-        let at = Moment { now: self.now - self.hosts[host].started, wall_ms };
+        Moment { now: self.now - self.hosts[host].started, wall_ms }
+    }
+
+    pub fn step(&mut self, host: usize, input: Input) {
+        let at = self.moment(host);
         let Some(machine) = self.hosts[host].machine.as_mut() else { return };
         let mut effects = Vec::new();
         machine.step(at, input, &mut effects);
@@ -355,6 +376,10 @@
                 let done_at = self.now + self.random.random_range(1..4);
                 self.hosts[host].disk.start(token, record, done_at);
             }
+            Effect::WriteEnds { token, record } => {
+                let done_at = self.now + self.random.random_range(1..4);
+                self.hosts[host].ends_disk.start(token, record, done_at);
+            }
             Effect::CallReplica(call) => self.replica_calls.push((self.now + 2, host, call)),
         }
     }
--- a/crates/controller/tests/support/disk.rs
+++ b/crates/controller/tests/support/disk.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use controller::ends::StoredEnds;
 use register::record::Entry;
 use register::{Record, StoredState, Value, WriteToken};
 
@@ -43,10 +44,19 @@
     }
 
     /// What a process that starts finds; writes that had not ended are not there.
-    pub fn stored(&mut self) -> Option<StoredState> {
+    fn found(&mut self) -> impl Iterator<Item = Entry> + '_ {
         self.writes.clear();
-        let entries = self.entries.iter().map(|(slot, bytes)| Entry { slot: *slot, bytes: bytes.clone() });
-        StoredState::from_entries(entries).expect("entries that were written can be read")
+        self.entries.iter().map(|(slot, bytes)| Entry { slot: *slot, bytes: bytes.clone() })
+    }
+
+    /// What the disk holds of the register.
+    pub fn stored(&mut self) -> Option<StoredState> {
+        StoredState::from_entries(self.found()).expect("entries that were written can be read")
+    }
+
+    /// What the disk holds of ended replicas.
+    pub fn stored_ends(&mut self) -> StoredEnds {
+        StoredEnds::from_entries(self.found()).expect("entries that were written can be read")
     }
 
     /// Bytes of all entries.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -12,10 +12,10 @@
 
 pub use frame::{encode, FrameError, FrameReader, LONGEST_FRAME};
 pub use message::{
-    Alive, Beat, Beats, Blob, Configuration, Fleet, Hello, Interest, Loads, Message, ModelVersion,
+    Alive, Beat, Beats, Blob, Configuration, Ends, Fleet, Hello, Interest, Loads, Message, ModelVersion,
     NamedVersion, PartChange, Prefixes, ReplicaLoad, ReplicaRecord, ReplicaState, Replicas, Role,
-    Subscription, Weights, MOST_CHANGES, MOST_RECORDS, NEVER, PROTOCOL, TELLS_HOME, TELLS_INTEREST,
-    UNREACHABLE,
+    Subscription, Weights, KEEPS_ENDS, MOST_CHANGES, MOST_RECORDS, NEVER, PROTOCOL, TELLS_HOME,
+    TELLS_INTEREST, UNREACHABLE,
 };
 pub use parts::{part_key, replica_key};
 pub use text::{Address, Text};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,13 +4,16 @@
 use deku::prelude::*;
 
 /// The version of the protocol that this program speaks.
-pub const PROTOCOL: u16 = 3;
+pub const PROTOCOL: u16 = 4;
 /// From this version on, agents tell which parts of prompts they want to hear of ([`Interest`]).
 pub const TELLS_INTEREST: u16 = 2;
 
 /// From this version on, agents tell which controller is their home ([`Subscription`]).
 pub const TELLS_HOME: u16 = 3;
 
+/// From this version on, controllers keep ends of replicas on disk for each other ([`Message::KeepEnds`]).
+pub const KEEPS_ENDS: u16 = 4;
+
 /// An age that means: not yet, or longer ago than can be said.
 pub const NEVER: u32 = u32::MAX;
 
@@ -391,6 +394,22 @@
     pub is_home: u8,
 }
 
+/// Replicas that have ended.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Ends {
+    #[deku(assert = "*count <= MOST_RECORDS", endian = "little", update = "self.ids.len()")]
+    count: u32,
+    /// Their ids.
+    #[deku(count = "count")]
+    pub ids: Vec<Text>,
+}
+
+impl From<Vec<Text>> for Ends {
+    fn from(ids: Vec<Text>) -> Ends {
+        Ends { count: ids.len() as u32, ids }
+    }
+}
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(id_type = "u8")]
@@ -437,6 +456,12 @@
     /// What the sender wants to hear.
     #[deku(id = "14")]
     Subscription(Subscription),
+    /// The receiver is to keep on disk that these replicas have ended, and to say when it does.
+    #[deku(id = "15")]
+    KeepEnds(Ends),
+    /// The sender's disk holds that these replicas have ended.
+    #[deku(id = "16")]
+    EndsKept(Ends),
     /// A message of a later version; to be skipped.
     #[deku(id_pat = "_")]
     Unknown {
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -36,6 +36,8 @@
         Message::Loads(Loads::new(true, vec![ReplicaLoad { replica: 5, tokens: 70_000, calls: 3 }])),
         Message::Interest(vec![1, u64::MAX].into()),
         Message::Subscription(Subscription { is_home: 1 }),
+        Message::KeepEnds(vec!["i-1".into(), "i-2".into()].into()),
+        Message::EndsKept(vec!["i-1".into()].into()),
     ]
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,5 +21,5 @@
 
 pub use error::StoreError;
 pub use medium::{FileMedium, Medium};
-pub use store::{move_away, Entry, Store, CACHE_BYTES, MAX_ENTRY_BYTES};
+pub use store::{move_away, Entry, Store, CACHE_BYTES, FILE_NAME, MAX_ENTRY_BYTES};
 pub use thread::{Batch, Done, QueueFull, StorageThread};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -26,8 +26,8 @@
 /// The format, under key 0.
 const ABOUT: TableDefinition<u8, u64> = TableDefinition::new("about");
 
-/// The name of the file.
-const FILE_NAME: &str = "state.redb";
+/// The name of the file, where a folder holds one store.
+pub const FILE_NAME: &str = "state.redb";
 
 /// What a slot holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,7 +56,12 @@
 impl Store {
     /// Opens the store in `directory`, or makes an empty one, and reads all entries.
     pub fn open(directory: &Path) -> Result<(Store, Vec<Entry>), StoreError> {
-        let medium = FileMedium::new(directory, FILE_NAME);
+        Store::open_named(directory, FILE_NAME)
+    }
+
+    /// Opens the store in that file of `directory`, or makes an empty one, and reads all entries.
+    pub fn open_named(directory: &Path, name: &str) -> Result<(Store, Vec<Entry>), StoreError> {
+        let medium = FileMedium::new(directory, name);
         let medium = medium.map_err(|cause| StoreError::of_io(directory, cause))?;
         Store::open_on(Box::new(medium))
     }
@@ -160,12 +165,15 @@
     }
 }
 
-/// Moves a damaged store in `directory` out of the way, so that an empty one can be made. One that was moved away
-/// earlier is replaced.
-pub fn move_away(directory: &Path) -> std::io::Result<()> {
-    let path = directory.join(FILE_NAME);
-    std::fs::rename(&path, directory.join(format!("{FILE_NAME}.damaged")))?;
-    std::fs::File::open(directory)?.sync_all()
+/// Moves a damaged store in that file of `directory` out of the way, so that an empty one can be made. One that was moved
+/// away earlier is replaced; where there is none, nothing is done.
+pub fn move_away(directory: &Path, name: &str) -> std::io::Result<()> {
+    let moved = std::fs::rename(directory.join(name), directory.join(format!("{name}.damaged")));
+    match moved {
+        Err(why) if why.kind() == std::io::ErrorKind::NotFound => Ok(()),
+        Err(why) => Err(why),
+        Ok(()) => std::fs::File::open(directory)?.sync_all(),
+    }
 }
 
 fn open_backend(backend: SharedBackend) -> Result<Database, redb::DatabaseError> {
