Peer, soak: records of replicas and orders have modules of their own

Ruled out: a generic counted list in place of the small ones: deku's contexts would make it harder to read than they are. Change: moves only, no logic.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,14 +8,15 @@
 mod frame;
 mod message;
 mod parts;
+mod replica;
 mod text;
 
 pub use frame::{encode, FrameError, FrameReader, LONGEST_FRAME};
 pub use message::{
-    Alive, Beat, Beats, Blob, Configuration, Ends, Fleet, Hello, Interest, Loads, Message, ModelVersion,
-    NamedVersion, PartChange, Prefixes, ReplicaLoad, ReplicaRecord, ReplicaState, Replicas, Role,
-    Subscription, Weights, KEEPS_ENDS, MOST_CHANGES, MOST_RECORDS, NEVER, PROTOCOL, TELLS_HOME,
-    TELLS_INTEREST, UNREACHABLE,
+    Alive, Blob, Configuration, Fleet, Hello, Interest, Loads, Message, NamedVersion, PartChange, Prefixes,
+    ReplicaLoad, Role, Subscription, Weights, KEEPS_ENDS, MOST_CHANGES, MOST_RECORDS, NEVER, PROTOCOL,
+    TELLS_HOME, TELLS_INTEREST, UNREACHABLE,
 };
 pub use parts::{part_key, replica_key};
+pub use replica::{Beat, Beats, Ends, ModelVersion, ReplicaRecord, ReplicaState, Replicas};
 pub use text::{Address, Text};
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod client;
 mod fleet;
 mod operator;
+mod orders;
 mod plan;
 mod record;
 mod replica;
