Catalogue: a replica lost for very long is forgotten, not ended for good

Callers would see: after a cut of two minutes between replicas and controllers those replicas stay out until they restart. Cause: silence of 100 heartbeats was told as an end, which is final for an id; the class of incident VERSION, a belief that nothing corrects. Evidence: the new test of the catalogue failed before: Gone where Lost is expected, and then for good. Why it works: controllers, agents forget a lost replica 100 heartbeats after they saw it lost, each by itself; its next heartbeat makes it known as any first one does, also to proxies, which keep 256 lost ones in mind. One that drained has said that it ends, and still counts as ended.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -10,7 +10,8 @@
 pub struct Limits {
     /// Silence after which a replica counts as lost.
     pub lost_after_ms: Millis,
-    /// Silence after which a replica that was draining or lost is taken for ended.
+    /// Silence after which a replica that was draining is taken for ended, as it said. One that is lost is forgotten so long
+    /// after: should it come back, it is known again with its next heartbeat.
     pub gone_after_ms: Millis,
     /// An id keeps its address while it was heard so lately: another one there is a late message of the address's former
     /// owner.
@@ -83,6 +84,8 @@
     changed: u64,
     /// Heard here since the peers were last told.
     untold: bool,
+    /// When it was first seen here that it is lost, while it is.
+    lost_since: Option<Millis>,
 }
 
 impl Entry {
@@ -105,6 +108,8 @@
     last_urgent_change: u64,
     /// A subscriber that has not got further than this must take a snapshot.
     forgotten: u64,
+    /// Lost replicas that were forgotten since the last call of [`Catalog::take_forgotten`].
+    forgotten_ids: Vec<String>,
 }
 
 impl Catalog {
@@ -117,6 +122,7 @@
             last_change: 0,
             last_urgent_change: 0,
             forgotten: 0,
+            forgotten_ids: Vec::new(),
         }
     }
 
@@ -253,7 +259,8 @@
                 news |= self.take(record) == Merged::News;
             }
         }
-        self.forget(now);
+        self.forget_lost(now);
+        self.forget_ended(now);
         news
     }
 
@@ -262,8 +269,7 @@
         let verdict = |entry: &Entry| {
             let silent = now.saturating_sub(entry.heard);
             match entry.record.state {
-                State::Gone => None,
-                _ if silent > self.limits.gone_after_ms => Some(State::Gone),
+                State::Draining if silent > self.limits.gone_after_ms => Some(State::Gone),
                 State::Ready if silent > self.limits.lost_after_ms => Some(State::Lost),
                 _ => None,
             }
@@ -272,8 +278,27 @@
         entries.filter_map(|(id, entry)| Some((id.clone(), verdict(entry)?))).collect()
     }
 
+    /// Drops replicas that have been lost for long. Whoever else knows them does the same.
+    fn forget_lost(&mut self, now: Millis) {
+        let mut void = Vec::new();
+        for (id, entry) in &mut self.entries {
+            if entry.record.state != State::Lost {
+                entry.lost_since = None;
+            } else if now.saturating_sub(*entry.lost_since.get_or_insert(now)) > self.limits.gone_after_ms {
+                void.push(id.clone());
+            }
+        }
+        void.iter().for_each(|id| self.remove(id));
+        self.forgotten_ids.extend(void);
+    }
+
+    /// The replicas that were forgotten as lost since the last call: whatever else is known of them may go.
+    pub fn take_forgotten(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.forgotten_ids)
+    }
+
     /// Drops ended ids that are too old or too many.
-    fn forget(&mut self, now: Millis) {
+    fn forget_ended(&mut self, now: Millis) {
         let mut ended: Vec<(Millis, String)> = self
             .entries
             .iter()
@@ -309,6 +334,7 @@
             heard_here,
             changed: 0,
             untold: heard_here.is_some(),
+            lost_since: None,
             record,
         };
         self.entries.insert(id.clone(), entry);
--- a/crates/catalog/tests/catalogue.rs
+++ b/crates/catalog/tests/catalogue.rs
@@ -168,6 +168,24 @@
     assert_eq!(state_of(&table, "a"), Some(State::Gone));
 }
 
+/// Guards against the class of incident VERSION (a belief that nothing corrects): a replica that was cut off from all
+/// controllers for 100 heartbeats counted as ended for good.
+#[rstest]
+fn a_replica_that_was_silent_for_very_long_is_known_again_with_its_next_heartbeat() {
+    let (mut here, mut there) = (catalogue(), catalogue());
+    here.heartbeat(0, record("a", 1, 5, State::Ready));
+    here.tick(300_000, true);
+    assert_eq!(state_of(&here, "a"), Some(State::Lost), "told before it is forgotten");
+    there.merge(300_000, here.get("a").cloned().expect("known"));
+    here.tick(421_000, true);
+    assert_eq!(state_of(&here, "a"), None);
+    assert_eq!(here.heartbeat(422_000, record("a", 1, 105, State::Ready)), Heard::News);
+    assert_eq!(there.merge(422_000, here.get("a").cloned().expect("known")), Merged::News);
+    for table in [&here, &there] {
+        assert_eq!(state_of(table, "a"), Some(State::Ready));
+    }
+}
+
 /// One that drains has said that it ends; another may live all the same, and only counts as lost.
 #[rstest]
 #[case::ready(State::Ready, State::Lost)]
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -13,12 +13,14 @@
 use prefix_index::{Part, PartKey, PrefixIndex, ReplicaNumber, Source};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use weights::{due_after, NamedWeights, Naming};
 
 /// Parts seen that are kept for whoever asks; nobody does while the agent is away.
 const MOST_SEEN: usize = 50_000;
 
+/// Most replicas that are lost and kept in mind.
+const MOST_LOST: usize = 256;
 /// What has not begun on an older version so long before its bound ends is taken back: the close has to reach the
 /// replica, ms.
 const BEGIN_MARGIN: Ms = 200.0;
@@ -55,6 +57,8 @@
     pub(crate) started: Ms,
     pub(crate) replicas: HashMap<ReplicaNumber, Replica>,
     numbers: HashMap<String, ReplicaNumber>,
+    /// Replicas in the order in which they were told lost; some may be back.
+    lost: VecDeque<ReplicaNumber>,
     next_number: u32,
     pub(crate) services: HashMap<String, Service>,
     budgets: HashMap<String, RetryBudget>,
@@ -79,6 +83,7 @@
             started,
             replicas: HashMap::new(),
             numbers: HashMap::new(),
+            lost: VecDeque::new(),
             next_number: 0,
             services: HashMap::new(),
             budgets: HashMap::new(),
@@ -165,12 +170,10 @@
             if record.state == ReplicaState::Gone {
                 return self.remove(number);
             }
-            if let Some(replica) = self.replicas.get_mut(&number) {
-                replica.update(record);
-            }
+            self.update_known(number, record);
             return;
         }
-        if record.state == ReplicaState::Gone {
+        if matches!(record.state, ReplicaState::Gone | ReplicaState::Lost) {
             return;
         }
         let number = ReplicaNumber(self.next_number);
@@ -184,12 +187,24 @@
         self.replicas.insert(number, replica);
     }
 
-    /// Forgets replicas that `keep` does not name.
-    pub fn retain_replicas(&mut self, keep: impl Fn(&str) -> bool) {
-        let void: Vec<ReplicaNumber> =
-            self.numbers.iter().filter(|(id, _)| !keep(id)).map(|(_, number)| *number).collect();
-        for number in void {
-            self.remove(number);
+    fn update_known(&mut self, number: ReplicaNumber, record: ReplicaRecord) {
+        let Some(replica) = self.replicas.get_mut(&number) else { return };
+        let was_lost = replica.is_lost();
+        replica.update(record);
+        if replica.is_lost() && !was_lost {
+            self.lost.retain(|known| *known != number);
+            self.lost.push_back(number);
+            self.forget_lost();
+        }
+    }
+
+    /// Lost replicas are kept for what is known of them, should they be back; of too many, those go that were lost first.
+    fn forget_lost(&mut self) {
+        while self.lost.len() > MOST_LOST {
+            let Some(first) = self.lost.pop_front() else { return };
+            if self.replicas.get(&first).is_some_and(Replica::is_lost) {
+                self.remove(first);
+            }
         }
     }
 
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -97,6 +97,10 @@
         self.record.state == ReplicaState::Ready
     }
 
+    pub fn is_lost(&self) -> bool {
+        self.record.state == ReplicaState::Lost
+    }
+
     /// Whether requests may go there as far as evidence tells.
     pub fn is_well(&self, now: Ms) -> bool {
         !self.health.is_avoided(now)
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -235,3 +235,27 @@
     let (mut call, _) = sent(&mut dispatcher, ask(true, 2), START);
     assert_eq!(dispatcher.twin(&mut call, START), None);
 }
+
+/// Replicas are lost for good now and then; what a proxy keeps in mind of them is bounded, and one that is back counts again.
+#[rstest]
+fn lost_replicas_are_kept_in_mind_up_to_a_bound() {
+    let mut dispatcher = dispatcher(1);
+    for number in 2..=255 {
+        dispatcher.update_replica(record(number, 1));
+        dispatcher.update_replica(later(number, 1, 2, ReplicaState::Lost));
+    }
+    dispatcher.update_replica(later(2, 1, 3, ReplicaState::Ready));
+    assert!(dispatcher.replica_number("i-3").is_some(), "as many as that are kept");
+    for number in 0..10 {
+        let mut another = record(3, 1);
+        another.id = format!("j-{number}").as_str().into();
+        dispatcher.update_replica(another.clone());
+        (another.beat, another.state) = (2, ReplicaState::Lost);
+        dispatcher.update_replica(another);
+    }
+    assert!(dispatcher.replica_number("i-3").is_none(), "the first that was lost goes first");
+    assert!(dispatcher.replica_number("j-9").is_some());
+    assert!(dispatcher.replica_number("i-2").is_some(), "it is back");
+    dispatcher.update_replica(later(3, 1, 9, ReplicaState::Ready));
+    assert!(dispatcher.replica_number("i-3").is_some(), "it is known again");
+}
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -143,10 +143,11 @@
         taken
     }
 
-    /// Drops what ended replicas kept.
+    /// Drops what ended replicas kept, and those that were lost for so long that they are forgotten.
     pub fn forget_prefixes_of_ended(&mut self) {
+        let forgotten = self.replicas.take_forgotten();
         let ended = |id: &str| self.replicas.get(id).is_some_and(|record| record.state == State::Gone);
-        self.prefixes.retain(|id| !ended(id));
+        self.prefixes.retain(|id| !ended(id) && !forgotten.iter().any(|gone| gone == id));
     }
 
     /// The versions of weights that are named, by this process's clock.
