Duty, catalogue: an unanswered question is asked again at once; a report keeps no replica lost

Cause: a question that got no answer within its second was asked again a second later, though it changes nothing at the replica; with half of all calls lost a move took that much longer. And what a report told of a lost replica was noted under the number of its next heartbeat, so that it stayed lost for one heartbeat more (found by reading; the new test forces it). Ruled out: a shorter wait after orders: their fate is open.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -219,8 +219,10 @@
     /// tells by itself what the replica holds. Older weights are no news: what was seen is older than it looks.
     pub fn note_models(&mut self, id: &str, models: &[ModelVersion]) -> bool {
         let Some(entry) = self.entries.get(id) else { return false };
-        let next_beat = entry.heard_beat + 1;
-        let mut noted = Record { beat: next_beat.max(entry.record.beat), ..entry.record.clone() };
+        let mut noted = entry.record.clone();
+        if noted.state == State::Ready {
+            noted.beat = noted.beat.max(entry.heard_beat + 1);
+        }
         noted.take_newer_weights(models);
         noted.models != entry.record.models && self.take(noted) == Merged::News
     }
--- a/crates/catalog/tests/catalogue.rs
+++ b/crates/catalog/tests/catalogue.rs
@@ -140,6 +140,18 @@
     assert_eq!(here.get("a").map(|record| record.models.clone()), Some(newer), "that heartbeat was late");
 }
 
+/// A report of a replica that counts as lost says nothing of its next heartbeat, which takes that back.
+#[rstest]
+fn weights_seen_at_a_lost_replica_do_not_keep_it_lost() {
+    let mut table = catalogue();
+    table.heartbeat(0, record("a", 1, 5, State::Ready));
+    table.tick(5_000, true);
+    assert!(table.note_models("a", &[ModelVersion { name: "m".to_string(), version: 2 }]));
+    assert_eq!(state_of(&table, "a"), Some(State::Lost));
+    table.heartbeat(5_100, record("a", 1, 6, State::Ready));
+    assert_eq!(state_of(&table, "a"), Some(State::Ready));
+}
+
 /// Guards against incident VERSION (12 of 48): what a replica held once hides what it holds now.
 #[rstest]
 fn a_later_heartbeat_that_tells_older_weights_is_believed() {
--- a/crates/controller/src/duty/moves.rs
+++ b/crates/controller/src/duty/moves.rs
@@ -290,7 +290,7 @@
         let one = self.moves.get_mut(replica).filter(|one| one.step == Step::Asking)?;
         one.is_silent = report.is_none();
         let Some(report) = report else {
-            one.step = Step::ToAsk { at: now + RETRY_MS };
+            one.step = Step::ToAsk { at: now + REPORT_EVERY_MS };
             return None;
         };
         self.answered = now;
