--- a/crates/controller/tests/ends.rs
+++ b/crates/controller/tests/ends.rs
@@ -72,6 +72,19 @@
     }
 }
 
+/// Others are asked again until they have answered: at first nobody may be reached.
+#[rstest]
+fn a_leave_is_acknowledged_by_a_controller_that_was_cut_off_when_it_came(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = started(seed, 3);
+    cluster.cut_off(0);
+    cluster.play(5);
+    let call = cluster.issue(0, "POST", "/nodes/a/leave", None, "");
+    cluster.play(200);
+    cluster.heal();
+    cluster.play(640);
+    assert_eq!(cluster.reply(call).map(|reply| reply.status), Some(200));
+}
+
 /// A leave does not keep the answer to a replica that drains waiting.
 #[rstest]
 fn a_leave_that_waits_for_disks_holds_no_other_answer_back() {
