--- a/crates/controller/tests/sockets.rs
+++ b/crates/controller/tests/sockets.rs
@@ -200,3 +200,33 @@
     assert_eq!(status("POST", "/nodes/i-1/leave", ""), Some(503));
     running.end();
 }
+
+/// The real files: a leave is found in them after all have ended, also where one of them was spoilt.
+#[rstest]
+fn an_acknowledged_leave_is_found_on_disk_beside_a_spoilt_file() {
+    let ports = Ports::find();
+    let folders: Vec<TempDir> = (0..3).map(|_| TempDir::new().expect("a folder")).collect();
+    let start = |first_start: bool| -> Vec<Running> {
+        let hosts = (1..=3).zip(&folders);
+        hosts.map(|(host, folder)| Running::start(host, &ports, folder.path(), first_start)).collect()
+    };
+    let beat = |count: u8| {
+        format!(
+            r#"{{"service":"s","address":"10.0.0.9:80","zone":"zone-1","state":"ready","call-count":{count}}}"#
+        )
+    };
+    let running = start(true);
+    call_until(200, || call(1, &ports, "POST", "/nodes/i-1/heartbeat", "", &beat(1)));
+    call_until(200, || call(2, &ports, "POST", "/nodes/i-1/leave", "", ""));
+    running.into_iter().for_each(Running::end);
+
+    std::fs::write(folders[0].path().join("ends.redb"), "no store").expect("a file");
+    let again = start(false);
+    call_until(200, || call(1, &ports, "POST", "/nodes/i-1/heartbeat", "", &beat(2)));
+    for host in 1..=3 {
+        let (_, shown) = call(host, &ports, "GET", "/fleet/status", "", "").expect("answered");
+        assert!(!shown.contains(r#""ready":1"#), "{shown}");
+    }
+    assert!(folders[0].path().join("ends.redb.damaged").exists(), "what was spoilt is kept for a look");
+    again.into_iter().for_each(Running::end);
+}
