Soak: a process that only the kernel still takes apart has not outlived its grace

Ruled out: a process that waits for something of its own (the stack is the kernel's exit), a fault of waiting (kills of another program took under 0.1 s, 4,570 of them at the same load). Change: the check looks whether the process is exiting, and a killed one counts as killed until it is gone. A process that runs on past its grace is a fault as before.

--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -122,7 +122,8 @@
             else {
                 continue;
             };
-            let killed = self.was_killed(Process::Proxy(edge), sent.saturating_sub(50), *ended + 50);
+            let killed = self.was_killed(Process::Proxy(edge), sent.saturating_sub(50), *ended + 50)
+                || self.is_being_killed(Process::Proxy(edge), sent);
             let crossed = request.arrived.is_empty() && *ended <= sent + LOST_SLACK_MS;
             let froze = self.freezes(sent, *ended).any(|(_, process, _)| process == Process::Proxy(edge));
             let crashed = request.arrived.iter().any(|(_, replica)| {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -334,16 +334,18 @@
         Some(expected)
     }
 
-    /// Kills what outlives its grace. That is a fault, unless the process was kept from ending by a freeze.
+    /// Kills what outlives its grace. That is a fault, unless the process was kept from ending by a freeze, or has ended
+    /// as far as it can and the kernel still takes it apart.
     fn enforce_grace(&self) {
         let now = self.shared.record.now();
         for process in self.processes() {
             let overdue = self.shared.running.borrow().get(&process).and_then(|one| {
-                let is_over = one.told_to_end.is_some_and(|at| now >= at + GRACE_MS);
-                (one.child.is_some() && is_over).then_some(one.froze_in_its_end)
+                let is_over = !one.killed && one.told_to_end.is_some_and(|at| now >= at + GRACE_MS);
+                let child = one.child.as_ref().filter(|_| is_over)?;
+                Some(one.froze_in_its_end || is_exiting(child.id()))
             });
-            let Some(froze) = overdue else { continue };
-            if !froze {
+            let Some(is_excused) = overdue else { continue };
+            if !is_excused {
                 let what = format!("{} outlived its grace", name(process));
                 self.shared.record.note(Seen::Unrecovered { what });
             }
@@ -363,6 +365,19 @@
     }
 }
 
+/// Whether a process runs no more code of its own: it has called for its end, and the kernel frees what it held. With many
+/// processes of one program file that can take seconds on a machine that is short of memory.
+fn is_exiting(id: u32) -> bool {
+    /// The flag of a task that is being taken apart (`PF_EXITING`).
+    const EXITING: u64 = 0x4;
+    /// The place of the flags among the fields that follow the name.
+    const FLAGS: usize = 6;
+    let Ok(stat) = fs::read_to_string(format!("/proc/{id}/stat")) else { return true };
+    let fields = stat.rsplit_once(')').map_or("", |(_, fields)| fields);
+    let flags = fields.split_whitespace().nth(FLAGS).and_then(|flags| flags.parse::<u64>().ok());
+    flags.is_some_and(|flags| flags & EXITING != 0)
+}
+
 impl Running {
     fn explains(&self, status: ExitStatus, now: Millis) -> bool {
         let before_main = now < self.started + BEFORE_MAIN_MS;
--- a/tests/soak/touch.rs
+++ b/tests/soak/touch.rs
@@ -13,6 +13,19 @@
         })
     }
 
+    /// Whether a process was killed and is not gone yet: its sockets take connections until the kernel closes them.
+    pub(crate) fn is_being_killed(&self, wanted: Process, at: Millis) -> bool {
+        let last =
+            self.events.iter().filter(|event| event.at <= at).rev().find_map(|event| match event.seen {
+                Seen::Process { process, what } if process == wanted => match what {
+                    Disturbance::Killed | Disturbance::Started | Disturbance::Ended { .. } => Some(what),
+                    _ => None,
+                },
+                _ => None,
+            });
+        last == Some(Disturbance::Killed)
+    }
+
     /// Whether an edge machine heard what is new when it got a request, and could act on it until `at`, as far as is
     /// known: none of its processes was killed or frozen and is not back for a while, nor came up lately, and the
     /// controllers were not frozen. An end by itself, or by SIGTERM, is no excuse.
