Controllers know the configuration as soon as a majority is linked after a common end

Cause: after a loss of power of all machines the five controllers ran from 0.06 to 0.40 s after it, and knew the configuration 0.4 to 0.6 s after the last start, so that proxies waited. A controller answers on the link that it dials itself; one that had started early dialled a machine that was not up yet again after up to 0.5 s (0.6 s if its attempt hung), its questions to the others were sent again after 200 ms only, and digests leave every 300 ms.

Ruled out by the log: the agents (30 to 50 ms from their home's decision), the replicas' heartbeats (88 of 89 were known by then).

Change: a controller that hears from another one dials it at once (Dialer::dial_now); when a link comes up, the register's calls under way that this member has not answered are sent to it again, and upkeep is due (Input::PeerLinked).

Tests: machines.rs fails on the sources before it, links: two dialers side by side.

--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -244,7 +244,10 @@
     pub fn step(&mut self, at: Moment, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::Call { call, command } => self.call(at, call, command, out),
-            Input::PeerUp { peer } => self.peers.up(peer),
+            Input::PeerUp { peer } => {
+                self.peers.up(peer);
+                self.register(at, RegisterInput::PeerLinked { address: peer }, out);
+            }
             Input::PeerDown { peer } => self.peers.down(peer),
             Input::PeerHello { peer, protocol } => self.peers.hello(peer, protocol),
             Input::PeerMessage { from, message } => self.peer_message(at, from, message, out),
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -331,6 +331,12 @@
         match (hello.role, hello.address.socket()) {
             (Role::Controller, Some(address)) => {
                 self.links.insert(link, Link::Peer { address, _outbox: outbox });
+                // Whoever could dial can be dialled; answers go out on the own link only.
+                if let Some(dialer) =
+                    self.dialers.get(&address).filter(|_| !self.outboxes.contains_key(&address))
+                {
+                    dialer.dial_now();
+                }
                 self.step(Input::PeerHello { peer: address, protocol: hello.protocol });
             }
             (Role::Agent, _) => {
--- a/crates/controller/tests/machines.rs
+++ b/crates/controller/tests/machines.rs
@@ -146,6 +146,28 @@
     assert_eq!(read(&mut cluster, 1), (200, body));
 }
 
+/// Whoever starts first does not wait for its next repeat when the last one that a majority needs is there.
+#[rstest]
+fn after_a_common_end_all_know_the_configuration_as_soon_as_a_majority_is_linked(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(140, 250, 390)] apart_ms: u64,
+) {
+    const SETTLES_MS: u64 = 60;
+    let mut cluster = started(seed);
+    assert_eq!(replace(&mut cluster, 0, "0", &configuration(3, 2)), Some(200));
+    (0..3).for_each(|host| cluster.stop(host));
+    cluster.play(500);
+    cluster.start(0, false);
+    cluster.play(apart_ms);
+    cluster.start(1, false);
+    cluster.play(SETTLES_MS);
+    assert_eq!((cluster.version_at(0), cluster.version_at(1)), (3, 3));
+    cluster.play(apart_ms);
+    cluster.start(2, false);
+    cluster.play(SETTLES_MS);
+    assert_eq!(cluster.version_at(2), 3);
+}
+
 #[rstest]
 fn a_machine_that_lost_its_disk_becomes_a_new_acceptor(#[values(1, 2, 3)] seed: u64) {
     let mut cluster = started(seed);
--- a/crates/links/tests/loopback.rs
+++ b/crates/links/tests/loopback.rs
@@ -128,3 +128,27 @@
         assert!(matches!(next(&mut far_events).await, LinkEvent::Down { .. }));
     });
 }
+
+/// Two peers end each link as it comes up; only one of them is heard from in between.
+#[rstest]
+fn a_peer_that_was_heard_from_is_dialled_at_once() {
+    const LINKS: usize = 40;
+    block_on(async {
+        let (heard, heard_address) = listen().await;
+        let (silent, silent_address) = listen().await;
+        let (events, mut news) = mpsc::channel(16);
+        let dialer = dial(heard_address, TIMING, 1, events.clone());
+        let _other = dial(silent_address, TIMING, 2, events);
+        let (mut of_heard, mut of_silent) = (0, 0);
+        while of_heard < LINKS {
+            tokio::select! {
+                accepted = heard.accept() => of_heard += usize::from(accepted.is_ok()),
+                accepted = silent.accept() => of_silent += usize::from(accepted.is_ok()),
+                event = news.recv() => if let Some(LinkEvent::Down { .. }) = event {
+                    dialer.dial_now();
+                },
+            }
+        }
+        assert!(of_silent < LINKS / 2, "{of_silent} links with the silent peer");
+    });
+}
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -64,6 +64,8 @@
     Tick,
     /// Digests are to leave now: their answers prove contact later than this.
     ProveContact,
+    /// Messages to this machine arrive from now on: what it has missed is sent again.
+    PeerLinked { address: SocketAddrV4 },
     /// Membership takes this machine as reachable.
     PeerReachable { address: SocketAddrV4 },
     /// Membership suspects this machine.
--- a/crates/register/src/proposal.rs
+++ b/crates/register/src/proposal.rs
@@ -267,13 +267,17 @@
     fn send_calls(&mut self, around: &mut Surroundings) {
         self.resend_at = around.now + RESEND_MILLIS;
         for member in &around.set.members {
-            let call = Call { to: member.id, key: self.key, ballot: self.ballot };
-            if let Some(message) = self.call_message(call) {
+            if let Some(message) = self.call_to(member.id) {
                 around.sends.push((member.address, message));
             }
         }
     }
 
+    /// The call of this phase to a member, unless it has answered.
+    pub fn call_to(&self, member: AcceptorId) -> Option<RegisterMessage> {
+        self.call_message(Call { to: member, key: self.key, ballot: self.ballot })
+    }
+
     fn call_message(&self, call: Call) -> Option<RegisterMessage> {
         let held = self.held.as_ref().map_or(Ballot::ZERO, |held| held.origin);
         match &self.phase {
--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -45,6 +45,7 @@
             Input::Read { request, key, deadline } => self.request(request, key, deadline, Work::Read, out),
             Input::Tick => self.upkeep(now, out),
             Input::ProveContact => self.send_digests(now, out),
+            Input::PeerLinked { address } => self.peer_linked(now, address, out),
             Input::PeerReachable { address } => self.peer_reachable(address),
             Input::PeerSuspected { address } => self.peer_suspected(now, address),
             Input::PeerLeft { address } => {
@@ -58,6 +59,23 @@
         }
     }
 
+    /// A machine that starts, or that was cut off, is not left to wait for the next digest and the next repeat.
+    fn peer_linked(&mut self, now: Millis, address: SocketAddrV4, out: &mut Vec<Effect>) {
+        let calls: Vec<_> = self.calls_to(address).collect();
+        for message in calls {
+            self.send(address, message, out);
+        }
+        self.upkeep_at = now;
+        self.upkeep(now, out);
+    }
+
+    /// The calls under way that this member has not answered.
+    fn calls_to(&self, address: SocketAddrV4) -> impl Iterator<Item = RegisterMessage> + '_ {
+        let member = self.set().and_then(|set| set.at(address)).map(|member| member.id);
+        let proposals = self.running.iter().map(|running| &running.proposal);
+        proposals.filter_map(move |proposal| proposal.call_to(member?))
+    }
+
     fn peer_reachable(&mut self, address: SocketAddrV4) {
         self.suspected_since.remove(&address);
         if self.reachable.len() < MAX_REACHABLE {
