Waiting counts by the time to the target, copies by what they push out; mechanisms have switches

Change: Ask.target from the route's target-ms; time up to half of what is left to it weighs 0.2, beyond it 1; fetched tokens weigh once the time of reading them (CostModel).

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -43,6 +43,8 @@
     pub tenant: Option<TenantName>,
     /// When it is given up.
     pub deadline: Ms,
+    /// By when its first piece earns it its full worth, if its route tells.
+    pub target: Option<Ms>,
 }
 
 /// Where and how to send a request.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -1,6 +1,9 @@
-//! The choice of a replica: the longest start kept, then the fewest calls out, unless reading the start again
-//! elsewhere costs less than waiting.
+//! The choice of a replica: the longest start kept, then the fewest calls out, unless another replica costs less.
+//!
+//! Time counts by what it does to the answer: inside a part of the request's time to its target it costs little, so that
+//! work that is done already is not done again, or copied, for an answer that comes in time anyway.
 
+use crate::mechanisms::{Mechanism, Mechanisms};
 use evidence::Ms;
 use prefix_index::ReplicaNumber;
 use rand::rngs::SmallRng;
@@ -11,7 +14,18 @@
 
 /// What reading weighs besides its time where some replica or store keeps the tokens already: it takes the time of the
 /// requests behind it, and work that was done is done again.
-pub(crate) const AGAIN_WEIGHT: f64 = 4.0;
+pub(crate) const REREAD_WEIGHT: f64 = 4.0;
+
+/// What fetching weighs besides its time, in parts of the time to read the tokens: they take the place of others, which
+/// then are read again.
+const COPY_WEIGHT: f64 = 1.0;
+
+/// The part of the time left to a request's target that it may spend until its first piece at little cost: the rest
+/// covers what is not known of the replica.
+const SLACK_PART: f64 = 0.5;
+
+/// What time inside the slack weighs: less waiting is better where all else is alike.
+const SLACK_WEIGHT: f64 = 0.2;
 
 /// Prompt tokens that a replica reads in a ms.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
@@ -39,23 +53,50 @@
     pub reading: Ms,
     /// The part of `reading` for tokens that are known to be kept somewhere else, ms.
     pub again: Ms,
+    /// How long reading would take what is fetched instead, ms.
+    pub copied: Ms,
+    /// What the other proxies' requests for the same start save if this one meets them there, ms.
+    pub at_home: Ms,
 }
 
-impl Candidate {
-    /// What sending the request there costs, in ms of waiting.
-    fn cost(&self) -> Ms {
-        self.wait + self.reading + AGAIN_WEIGHT * self.again
+/// What the candidates for one request cost.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CostModel {
+    /// Time to the first piece that weighs little, ms.
+    slack: Ms,
+    reread_weight: f64,
+    copy_weight: f64,
+}
+
+impl CostModel {
+    /// For a request that has so much time left to its target, ms; `None` where its route has no target.
+    pub fn new(left: Option<Ms>, mechanisms: Mechanisms) -> CostModel {
+        let weight = |mechanism, weight| if mechanisms.has(mechanism) { weight } else { 0.0 };
+        CostModel {
+            slack: weight(Mechanism::TargetSlack, SLACK_PART) * left.unwrap_or(0.0).max(0.0),
+            reread_weight: weight(Mechanism::RereadWeight, REREAD_WEIGHT),
+            copy_weight: weight(Mechanism::CopyWeight, COPY_WEIGHT),
+        }
+    }
+
+    /// What sending the request to a candidate costs, in ms of waiting beyond the slack.
+    fn cost(&self, candidate: &Candidate) -> Ms {
+        let time = candidate.wait + candidate.reading;
+        let beyond = (time - self.slack).max(0.0);
+        let waiting = SLACK_WEIGHT * time.min(self.slack) + beyond;
+        waiting + self.reread_weight * candidate.again + self.copy_weight * candidate.copied
+            - candidate.at_home
     }
 }
 
 /// Picks one of `candidates`; `None` if there are none. Among those that keep the longest start, the one with the
 /// fewest calls out, ties at random; if some other replica is cheaper by a margin, the cheapest.
-pub fn pick(candidates: &[Candidate], random: &mut SmallRng) -> Option<Candidate> {
+pub fn pick(candidates: &[Candidate], costs: &CostModel, random: &mut SmallRng) -> Option<Candidate> {
     let longest = candidates.iter().map(|candidate| candidate.kept).max()?;
     let keeping = candidates.iter().filter(|candidate| candidate.kept == longest);
     let first = least_by(keeping, |candidate| f64::from(candidate.out), random)?;
-    let cheapest = least_by(candidates.iter(), |candidate| candidate.cost(), random)?;
-    let saved = first.cost() - cheapest.cost();
+    let cheapest = least_by(candidates.iter(), |candidate| costs.cost(candidate), random)?;
+    let saved = costs.cost(&first) - costs.cost(&cheapest);
     Some(if saved > SWITCH_MARGIN { cheapest } else { first })
 }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,6 +3,7 @@
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::call::{Ask, Call};
 use crate::fleet_load::FleetLoad;
+use crate::mechanisms::Mechanisms;
 use crate::moves::{Engines, Store, Stores};
 use crate::replica::Replica;
 use crate::salt::Salts;
@@ -71,6 +72,7 @@
     /// Shared parts of prompts that were sent since they were asked about last.
     pub(crate) seen_parts: Vec<PartKey>,
     pub(crate) random: SmallRng,
+    pub(crate) mechanisms: Mechanisms,
     twin_part: f64,
 }
 
@@ -95,6 +97,7 @@
             fleet_load: FleetLoad::default(),
             seen_parts: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
+            mechanisms: Mechanisms::default(),
             twin_part: 0.0,
         }
     }
@@ -128,6 +131,11 @@
         self.services.values_mut().for_each(|service| service.twins = Twins::new(part));
     }
 
+    /// Which mechanisms are on.
+    pub fn set_mechanisms(&mut self, mechanisms: Mechanisms) {
+        self.mechanisms = mechanisms;
+    }
+
     /// The tenants that share with nobody have changed; see [`crate::isolation_digest`].
     pub fn set_isolation(&mut self, digest: u64) {
         self.salts = Salts { isolation: digest };
--- a/crates/dispatch/src/moves.rs
+++ b/crates/dispatch/src/moves.rs
@@ -4,7 +4,7 @@
 //! its link's. A store is asked also where nobody knows whether it has the blocks, since a miss costs about a
 //! millisecond.
 
-use crate::choose::AGAIN_WEIGHT;
+use crate::choose::REREAD_WEIGHT;
 use evidence::Ms;
 use prefix_index::{Part, ReplicaNumber};
 use std::collections::HashMap;
@@ -84,7 +84,7 @@
         let mbps = holder.link_mbps.unwrap_or(engine.link_mbps);
         let takes = engine.moving(gained, mbps, holder.zone == zone);
         // Tokens read again cost more than their time: a move that takes longer than reading still pays.
-        let saved = (1.0 + AGAIN_WEIGHT) * f64::from(gained) / rate - takes;
+        let saved = (1.0 + REREAD_WEIGHT) * f64::from(gained) / rate - takes;
         (saved > 0.0).then_some((saved, Move { from: holder.address, tokens: holder.tokens, takes }))
     };
     let moves = holders.filter_map(worth);
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -1,9 +1,10 @@
 //! Where a request is sent.
 
 use crate::call::{Ask, Call, Cause, Final, Out, Target, COME_BACK, LEAST_TIME};
-use crate::choose::{pick, Candidate};
+use crate::choose::{pick, Candidate, CostModel};
 use crate::dispatcher::{Dispatcher, FIRST_PROXIES};
 use crate::home::{self, HOME_SAVES};
+use crate::mechanisms::Mechanism;
 use crate::moves::Move;
 use crate::moving::Known;
 use crate::replica::Replica;
@@ -37,7 +38,8 @@
         }
         let (candidates, known) = self.candidates(call, now)?;
         let tokens = prompt_tokens(call.ask.prompt.as_deref());
-        let Some(chosen) = pick(&candidates, &mut self.random) else {
+        let costs = CostModel::new(call.ask.target.map(|target| target - now), self.mechanisms);
+        let Some(chosen) = pick(&candidates, &costs, &mut self.random) else {
             return Err(call.give_up(Cause::NoReplica, COME_BACK));
         };
         let place = candidates.iter().position(|candidate| candidate.replica == chosen.replica);
@@ -49,7 +51,8 @@
         call.sends += 1;
         call.tried.push(chosen.replica);
         let had = fetched.map_or(kept, |fetched| fetched.tokens);
-        let delay = self.replicas.get(&chosen.replica).map_or(0.0, |replica| replica.health.delay(now));
+        let delay =
+            self.replicas.get(&chosen.replica).map_or(0.0, |replica| self.observed_delay(replica, now));
         let unread = f64::from(tokens.saturating_sub(had));
         let work = Work { unread, wait: chosen.wait - delay };
         Ok(self.sent(call, chosen.replica, work, fetched, now))
@@ -71,6 +74,9 @@
     }
 
     fn twins_allowed(&mut self, call: &Call, now: Ms) -> bool {
+        if !self.mechanisms.has(Mechanism::Twins) {
+            return false;
+        }
         let limits = self.budget_limits();
         let (left, all) = self.budget(&call.ask.service.clone()).left(now, &limits);
         let service = self.services.get_mut(&*call.ask.service);
@@ -144,10 +150,10 @@
                 .give_up(if call.tried.is_empty() { Cause::NoReplica } else { Cause::NoTries }, COME_BACK));
         }
         // Evidence never rules out all replicas; being full does, for its short time.
-        let well: Vec<&Replica> = open.iter().filter(|replica| replica.is_well(now)).copied().collect();
+        let well: Vec<&Replica> = open.iter().filter(|replica| self.is_well(replica, now)).copied().collect();
         let well = if well.is_empty() { open } else { well };
         let not_full: Vec<&Replica> =
-            well.iter().filter(|replica| !replica.health.is_full(now)).copied().collect();
+            well.iter().filter(|replica| !self.is_full(replica, now)).copied().collect();
         if not_full.is_empty() {
             let until = well.iter().map(|replica| replica.health.full_until()).fold(f64::INFINITY, f64::min);
             return Err(call.give_up(Cause::AllFull, (until - now).max(COME_BACK)));
@@ -159,6 +165,22 @@
         Ok((candidates, known))
     }
 
+    fn is_well(&self, replica: &Replica, now: Ms) -> bool {
+        replica.is_well(now) || !self.mechanisms.has(Mechanism::Avoidance)
+    }
+
+    fn is_full(&self, replica: &Replica, now: Ms) -> bool {
+        replica.health.is_full(now) && self.mechanisms.has(Mechanism::FullMarks)
+    }
+
+    fn observed_delay(&self, replica: &Replica, now: Ms) -> Ms {
+        if self.mechanisms.has(Mechanism::ObservedDelay) {
+            replica.health.delay(now)
+        } else {
+            0.0
+        }
+    }
+
     /// The replicas that have the weights which a call must run on; all, if none is known to.
     fn with_weights<'a>(&self, replicas: Vec<&'a Replica>, call: &Call, now: Ms) -> Vec<&'a Replica> {
         let Some(model) = call.ask.model.as_deref() else { return replicas };
@@ -194,7 +216,9 @@
             known.holders.push((version, found));
         }
         known.expected.clone_from(&known.kept);
-        self.expect_at_home(model, prompt, numbers, &mut known.expected);
+        if self.mechanisms.has(Mechanism::Homes) {
+            self.expect_at_home(model, prompt, numbers, &mut known.expected);
+        }
         known
     }
 
@@ -226,7 +250,7 @@
         let out: u32 = numbers.iter().map(|number| self.replicas[number].out).sum();
         let mean = f64::from(self.proxies.saturating_sub(1)) * f64::from(out) / numbers.len().max(1) as f64;
         let mean = if self.proxies == FIRST_PROXIES { 0.0 } else { mean };
-        let is_told = self.fleet_load.is_known(now);
+        let is_told = self.fleet_load.is_known(now) && self.mechanisms.has(Mechanism::FleetLoad);
         let candidate = |(at, number): (usize, &ReplicaNumber)| {
             let kept = known.expected[at];
             let replica = &self.replicas[number];
@@ -235,20 +259,22 @@
             let calls = if is_told { f64::from(others.calls) } else { mean };
             let queued = (f64::from(replica.out) + calls - slots).max(0.0);
             let unread = replica.pending_tokens + f64::from(others.tokens);
-            let wait =
-                unread / speed.rate().0 + queued / slots * speed.duration() + replica.health.delay(now);
+            let wait = unread / speed.rate().0
+                + queued / slots * speed.duration()
+                + self.observed_delay(replica, now);
             let really_kept = known.kept[at];
             let fetched = self.best_move(call, *number, really_kept, known, now);
             let (had, moving) = fetched.map_or((really_kept, 0.0), |fetched| (fetched.tokens, fetched.takes));
             let rate = speed.rate();
-            let at_home = HOME_SAVES * rate.reading(kept.saturating_sub(had));
             Candidate {
                 replica: *number,
                 out: replica.out,
                 kept,
                 wait: wait + moving,
-                reading: rate.reading(tokens.saturating_sub(had)) - at_home,
+                reading: rate.reading(tokens.saturating_sub(had)),
                 again: rate.reading(self.longest_kept(call, *number, known, now).saturating_sub(had)),
+                copied: rate.reading(had.saturating_sub(really_kept)),
+                at_home: HOME_SAVES * rate.reading(kept.saturating_sub(had)),
             }
         };
         numbers.iter().enumerate().map(candidate).collect()
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use dispatch::{
-    home, isolation_digest, pick, Candidate, Outcome, ReadRate, ReplicaNumber, Salts, HOME_SAVES,
+    home, isolation_digest, pick, Candidate, CostModel, Mechanisms, Outcome, ReadRate, ReplicaNumber, Salts,
+    HOME_SAVES,
 };
 use peer::{part_key, PartChange, Prefixes};
 use rand::rngs::SmallRng;
@@ -16,20 +17,23 @@
 fn candidate(replica: u32, out: u32, kept: u32, wait: f64) -> Candidate {
     // A prompt of 1,000 tokens, of which 10 are read in a ms; what it does not keep, another replica does.
     let reading = ReadRate(10.0).reading(1_000 - kept);
-    Candidate { replica: ReplicaNumber(replica), out, kept, wait, reading, again: reading }
+    let replica = ReplicaNumber(replica);
+    Candidate { replica, out, kept, wait, reading, again: reading, copied: 0.0, at_home: 0.0 }
 }
 
 /// A replica that may be taken to keep so many tokens of a prompt that nobody is known to keep.
 fn unread(replica: u32, expected: u32, wait: f64) -> Candidate {
     let rate = ReadRate(10.0);
-    let reading = rate.reading(1_000) - HOME_SAVES * rate.reading(expected);
-    Candidate { replica: ReplicaNumber(replica), out: 0, kept: expected, wait, reading, again: 0.0 }
+    let (reading, at_home) = (rate.reading(1_000), HOME_SAVES * rate.reading(expected));
+    let replica = ReplicaNumber(replica);
+    Candidate { replica, out: 0, kept: expected, wait, reading, again: 0.0, copied: 0.0, at_home }
 }
 
 /// The replicas picked over many draws.
-fn picked(candidates: &[Candidate]) -> Vec<u32> {
+fn picked(candidates: &[Candidate], left: Option<f64>) -> Vec<u32> {
     let mut random = SmallRng::seed_from_u64(3);
-    let draws = (0..200).filter_map(|_| pick(candidates, &mut random));
+    let costs = CostModel::new(left, Mechanisms::default());
+    let draws = (0..200).filter_map(|_| pick(candidates, &costs, &mut random));
     let mut numbers: Vec<u32> = draws.map(|candidate| candidate.replica.0).collect();
     numbers.sort_unstable();
     numbers.dedup();
@@ -46,7 +50,28 @@
 #[case::waiting_less_than_a_first_reading(&[unread(1, 900, 220.0), unread(2, 0, 0.0)], &[1])]
 #[case::nobody(&[], &[])]
 fn picks(#[case] candidates: &[Candidate], #[case] expected: &[u32]) {
-    assert_eq!(picked(candidates), expected);
+    assert_eq!(picked(candidates, None), expected);
+}
+
+/// A replica that would fetch what it lacks in so many ms.
+fn fetching(replica: u32, moving: f64) -> Candidate {
+    let copied = ReadRate(10.0).reading(900);
+    Candidate { again: 0.0, reading: 10.0, copied, ..candidate(replica, 0, 100, moving) }
+}
+
+/// Half of the time to the target may be spent on waiting where the start is kept; beyond it, waiting costs.
+#[rstest]
+#[case::time_is_left(&[candidate(1, 0, 1_000, 380.0), fetching(2, 5.0)], Some(800.0), &[1])]
+#[case::too_late_by_more_than_the_copy(&[candidate(1, 0, 1_000, 520.0), fetching(2, 5.0)], Some(800.0), &[2])]
+#[case::no_target(&[candidate(1, 0, 1_000, 380.0), fetching(2, 5.0)], None, &[2])]
+#[case::target_has_passed(&[candidate(1, 0, 1_000, 380.0), fetching(2, 5.0)], Some(-100.0), &[2])]
+#[case::all_else_alike(&[candidate(1, 0, 0, 300.0), candidate(2, 0, 0, 100.0)], Some(4_000.0), &[2])]
+fn waiting_costs_by_what_is_left_to_the_target(
+    #[case] candidates: &[Candidate],
+    #[case] left: Option<f64>,
+    #[case] expected: &[u32],
+) {
+    assert_eq!(picked(candidates, left), expected);
 }
 
 #[test]
--- a/crates/dispatch/tests/moves.rs
+++ b/crates/dispatch/tests/moves.rs
@@ -63,6 +63,45 @@
     assert_eq!((&*target.id, target.fetch, target.save), ("i-2", None, None));
 }
 
+/// A first send of a prompt of a tenant that shares with nobody.
+fn isolated_send(dispatcher: &mut Dispatcher, parts: &str) -> Target {
+    let (mut call, target) = sent(dispatcher, of_tenant(prompt(parts), "t1", true), START);
+    dispatcher.ended(&mut call, target.replica, Outcome::Answered, START);
+    target
+}
+
+#[test]
+fn a_store_takes_what_one_tenant_asks_for_once_it_is_asked_for_again() {
+    let mut dispatcher = with_store(3);
+    let first = isolated_send(&mut dispatcher, "aa:5000,b1:10");
+    assert_eq!((first.fetch, first.save), (Some(store()), None));
+    // It may have been dropped since: nobody is known to keep it, but somebody did.
+    let salt = Salts::default().salt(1, Some("t1"));
+    let dropped = PartChange { part: part_key("m", &salt, "aa"), tokens: 0 };
+    take(&mut dispatcher, &Prefixes::new(&first.id, 7, false, vec![dropped]));
+    let second = isolated_send(&mut dispatcher, "aa:5000,b2:10");
+    assert_eq!((second.fetch, second.save), (Some(store()), Some(store())));
+}
+
+#[test]
+fn what_was_never_read_was_not_asked_for_before() {
+    let mut dispatcher = with_store(3);
+    let ask = || of_tenant(prompt("aa:5000,b1:10"), "t1", true);
+    let (mut call, target) = sent(&mut dispatcher, ask(), START);
+    dispatcher.ended(&mut call, target.replica, FULL, START);
+    assert_eq!(dispatcher.send(&mut call, START).expect("another").save, None);
+}
+
+#[test]
+fn what_another_proxy_asked_for_is_known_from_what_replicas_tell() {
+    let mut dispatcher = with_store(3);
+    let salt = Salts::default().salt(1, Some("t1"));
+    let change = |tokens| PartChange { part: part_key("m", &salt, "aa"), tokens };
+    take(&mut dispatcher, &Prefixes::new("i-2", 7, false, vec![change(5_000)]));
+    take(&mut dispatcher, &Prefixes::new("i-2", 7, false, vec![change(0)]));
+    assert_eq!(isolated_send(&mut dispatcher, "aa:5000,b1:10").save, Some(store()));
+}
+
 #[test]
 fn a_store_that_is_down_is_left_alone_until_it_is_heard_again() {
     let mut dispatcher = with_store(3);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -45,6 +45,7 @@
         prompt: None,
         tenant: None,
         deadline: START + 5_000.0,
+        target: None,
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -27,6 +27,7 @@
 mod upstream;
 mod view;
 
+pub use dispatch::{Mechanism, Mechanisms};
 pub use error::ProxyError;
 pub use event::ProxyEvent;
 pub use lifecycle::{Lifecycle, Phase};
--- a/crates/proxy/src/plan.rs
+++ b/crates/proxy/src/plan.rs
@@ -79,6 +79,7 @@
                 is_isolated: customer.isolated,
             }),
             deadline: now + time_left(head, route),
+            target: (route.target_ms > 0.0).then_some(now + route.target_ms),
         };
         Ok(Plan {
             ask,
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -5,6 +5,7 @@
 use crate::lifecycle::Phase;
 use crate::shared::Shared;
 use crate::{client, link, readiness};
+use dispatch::Mechanisms;
 use process::{Control, Event};
 use settings::ProcessSettings;
 use std::hash::{BuildHasher, Hasher};
@@ -46,13 +47,19 @@
     pub twin_part: f64,
     /// How long after the start clients' connections wait to be accepted while the view of the fleet is not complete.
     pub start_patience: Duration,
+    /// The mechanisms of the decisions that are on.
+    pub mechanisms: Mechanisms,
 }
 
 impl Default for Tuning {
-    /// No twins until a run has shown what they are worth. When a whole fleet starts anew, its configuration is there
+    /// When a whole fleet starts anew, its configuration is there
     /// after about a second; who is refused before that comes back too early.
     fn default() -> Tuning {
-        Tuning { twin_part: dispatch::MOST_TWINS, start_patience: Duration::from_millis(1_500) }
+        Tuning {
+            twin_part: dispatch::MOST_TWINS,
+            start_patience: Duration::from_millis(1_500),
+            mechanisms: Mechanisms::default(),
+        }
     }
 }
 
@@ -60,13 +67,14 @@
 ///
 /// # Errors
 /// Tells why it can't run.
-pub fn run(settings: ProcessSettings) -> Result<(), ProxyError> {
+pub fn run(settings: ProcessSettings, mechanisms: Mechanisms) -> Result<(), ProxyError> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(ProxyError::Runtime)?;
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async move {
         let sockets = listen(&settings)?;
-        serve(settings, sockets, Tuning::default(), process::signals()).await;
+        let tuning = Tuning { mechanisms, ..Tuning::default() };
+        serve(settings, sockets, tuning, process::signals()).await;
         Ok(())
     })
 }
@@ -99,6 +107,7 @@
     let most_clients = settings.caps.open_files.saturating_sub(RESERVED_FILES) / 2;
     let shared = Rc::new(Shared::new(settings, seed));
     shared.view.borrow_mut().dispatcher.set_twin_part(tuning.twin_part);
+    shared.view.borrow_mut().dispatcher.set_mechanisms(tuning.mechanisms);
     let Sockets { front, ready, agent } = sockets;
     let addresses = (front.local_addr().ok(), ready.local_addr().ok());
     ProxyEvent::Listening.info(format_args!("front {:?}, ready {:?}", addresses.0, addresses.1));
--- a/src/cli/fleet/mod.rs
+++ b/src/cli/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub use error::FleetError;
 
 use bpaf::Bpaf;
+use proxy::{Mechanism, Mechanisms};
 use settings::ProcessSettings;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,7 +23,7 @@
 pub enum FleetCommand {
     /// Take requests from clients and send each to a replica
     #[bpaf(command("proxy"))]
-    Proxy(#[bpaf(external(settings_file))] SettingsFile),
+    Proxy(#[bpaf(external(proxy_options))] ProxyOptions),
     /// Keep the links to the controllers and feed the proxy of this machine
     #[bpaf(command("agent"))]
     Agent(#[bpaf(external(settings_file))] SettingsFile),
@@ -48,6 +49,17 @@
     pub settings: Option<PathBuf>,
 }
 
+/// How a proxy runs.
+#[derive(Debug, Clone, Bpaf)]
+pub struct ProxyOptions {
+    /// Which settings it reads.
+    #[bpaf(external(settings_file))]
+    pub settings: SettingsFile,
+    /// A mechanism of the decisions to do without, to measure what it is worth; see docs/decisions.md
+    #[bpaf(argument("MECHANISM"))]
+    pub without: Vec<Mechanism>,
+}
+
 /// What is checked.
 #[derive(Debug, Clone, Bpaf)]
 pub enum Checked {
@@ -110,7 +122,10 @@
 
 fn carry_out(command: &FleetCommand) -> Result<(), FleetError> {
     match command {
-        FleetCommand::Proxy(file) => program(load(file)?, proxy::run),
+        FleetCommand::Proxy(options) => {
+            let mechanisms = Mechanisms::without(&options.without);
+            program(load(&options.settings)?, |settings| proxy::run(settings, mechanisms))
+        }
         FleetCommand::Agent(file) => program(load(file)?, agent::run),
         FleetCommand::Controller(file) => program(load(file)?, controller::run),
         FleetCommand::Check(Checked::Settings { file }) => check::settings(file),
