A store takes a start of one tenant alone when it is asked for a second time

Change: what only one tenant may use is saved when it was kept by somebody before; the index keeps in mind that a part was kept (PrefixIndex::was_kept), which all proxies hear from the replicas' events. Parts open to all tenants that share are saved as before.

--- a/crates/dispatch/src/moving.rs
+++ b/crates/dispatch/src/moving.rs
@@ -3,6 +3,7 @@
 use crate::call::Call;
 use crate::choose::ReadRate;
 use crate::dispatcher::Dispatcher;
+use crate::mechanisms::Mechanism;
 use crate::moves::{best, Holder, Move, FEWEST_TOKENS};
 use evidence::Ms;
 use prefix_index::{Kept, Part, ReplicaNumber, Source};
@@ -47,6 +48,9 @@
         known: &Known,
         now: Ms,
     ) -> Option<Move> {
+        if !self.mechanisms.has(Mechanism::Moves) {
+            return None;
+        }
         let engine = self.engines.get(&*call.ask.service)?;
         let version = self.version_to_expect(number, call.ask.model.as_deref()?, now);
         let replica = self.replicas.get(&number)?;
@@ -82,6 +86,9 @@
             return none;
         };
         let Some((number, store)) = self.stores.home(first) else { return none };
+        if !self.mechanisms.has(Mechanism::Stores) {
+            return none;
+        }
         let wanted = shared.iter().fold(0_u32, |sum, part| sum.saturating_add(part.tokens));
         if wanted < FEWEST_TOKENS {
             return none;
@@ -91,11 +98,22 @@
         if found.iter().any(|kept| kept.replica == number && kept.tokens >= wanted) {
             return none;
         }
+        // Nobody is known to have it: the store may, from another proxy's request.
+        let fetch = fetch.or(found.is_empty().then_some(store));
+        if !self.is_worth_saving(call, shared) {
+            return Errands { fetch, save: None };
+        }
         for part in shared {
             self.index.keep(number, part.key, part.tokens, Source::Sent(now));
         }
-        // Nobody is known to have it: the store may, from another proxy's request.
-        let blind = found.is_empty().then_some(store);
-        Errands { fetch: fetch.or(blind), save: Some(store) }
+        Errands { fetch, save: Some(store) }
+    }
+
+    /// Whether a start is likely to be asked for again: it is open to all tenants that share, or it was asked for before.
+    /// What one tenant asks for once would push out of the store what many ask for.
+    fn is_worth_saving(&self, call: &Call, shared: &[Part]) -> bool {
+        let is_isolated = call.ask.tenant.as_ref().is_some_and(|tenant| tenant.is_isolated);
+        let was_kept = || shared.last().is_some_and(|last| self.index.was_kept(last.key));
+        !is_isolated || was_kept() || !self.mechanisms.has(Mechanism::StoreAdmission)
     }
 }
--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -102,7 +102,7 @@
         self.turn_if_full();
     }
 
-    /// A replica no longer keeps a part.
+    /// A replica no longer keeps a part. That it did stays known, see [`PrefixIndex::was_kept`].
     pub fn drop_part(&mut self, replica: ReplicaNumber, part: PartKey) {
         self.remove(replica, part, |_| true);
     }
@@ -110,15 +110,24 @@
     /// What was sent at this time did not get there.
     pub fn take_back(&mut self, replica: ReplicaNumber, part: PartKey, at: Ms) {
         self.remove(replica, part, |holder| holder.source == Source::Sent(at));
+        for generation in [&mut self.young, &mut self.old] {
+            if generation.get(&part).is_some_and(Vec::is_empty) {
+                generation.remove(&part);
+            }
+        }
+    }
+
+    /// Whether a part is known to be kept by somebody, or to have been.
+    pub fn was_kept(&self, part: PartKey) -> bool {
+        self.young.contains_key(&part) || self.old.contains_key(&part)
     }
 
     /// All that was known of a replica is void: it is gone, or events of it were lost.
     pub fn forget(&mut self, replica: ReplicaNumber) {
         for generation in [&mut self.young, &mut self.old] {
-            generation.retain(|_, holders| {
+            for holders in generation.values_mut() {
                 holders.retain(|holder| holder.replica != replica);
-                !holders.is_empty()
-            });
+            }
         }
         self.young_bytes = bytes(&self.young);
         self.epochs.remove(&replica);
@@ -172,9 +181,6 @@
         for generation in [&mut self.young, &mut self.old] {
             let Some(holders) = generation.get_mut(&part) else { continue };
             holders.retain(|holder| holder.replica != replica || !is_void(holder));
-            if holders.is_empty() {
-                generation.remove(&part);
-            }
         }
     }
 
