Requests are urgent by their tenant's rank and then by their route's

Change: Priority is the place of the pair (tenant's rank, route's rank) among those that the configuration names; more than ten are told in order, some with their neighbours' number.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,6 +25,7 @@
 mod run;
 mod shared;
 mod upstream;
+mod urgency;
 mod view;
 
 pub use dispatch::{Mechanism, Mechanisms};
@@ -34,4 +35,5 @@
 pub use outgoing::request_bytes;
 pub use plan::{Plan, Refusal};
 pub use run::{run, serve, Sockets, Tuning};
+pub use urgency::Urgency;
 pub use view::{View, ViewAnswer};
--- a/crates/proxy/src/plan.rs
+++ b/crates/proxy/src/plan.rs
@@ -8,8 +8,6 @@
 use rand::Rng;
 use std::rc::Rc;
 
-/// The most urgent and the least urgent rank that replicas know.
-const PRIORITIES: std::ops::RangeInclusive<u64> = 0..=9;
 /// The authentication scheme of keys.
 const SCHEME: &str = "bearer ";
 
@@ -67,7 +65,6 @@
             return Err(Refusal::NoAttemptId);
         }
         let text = |name| head.lines.get(name).map(str::to_string);
-        let priority = customer.and_then(|customer| customer.priority).or(route.priority);
         let is_stream = route.known_kind() == RouteKind::Streaming;
         let ask = Ask {
             service: service(route, random),
@@ -83,7 +80,9 @@
         };
         Ok(Plan {
             ask,
-            priority: priority.map(|priority| priority.0.clamp(*PRIORITIES.start(), *PRIORITIES.end())),
+            priority: in_force
+                .urgency
+                .priority(customer.and_then(|customer| customer.priority), route.priority),
             attempt_id: text("attempt-id").ok_or(Refusal::NoAttemptId)?,
             is_stream,
         })
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,5 +1,6 @@
 //! The proxy's view of the fleet, built from its agent's messages. No I/O.
 
+use crate::urgency::Urgency;
 use configuration::{Configuration, ConfigurationError, KeyTable, Router, Service};
 use dispatch::{isolation_digest, Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Store};
 use feed::{namings_from_wire, Asked};
@@ -33,6 +34,8 @@
     pub router: Router,
     /// Tenants by key.
     pub keys: KeyTable,
+    /// How urgent requests are.
+    pub urgency: Urgency,
 }
 
 /// The view.
@@ -142,7 +145,8 @@
             _ => Configuration::read(body)?,
         };
         let (router, keys) = (Router::new(&configuration), KeyTable::new(&configuration));
-        Ok(InForce { configuration, router, keys })
+        let urgency = Urgency::new(&configuration);
+        Ok(InForce { configuration, router, keys, urgency })
     }
 
     fn take_prefixes(&mut self, prefixes: &peer::Prefixes) {
