Proxies count why answers are late, and what becomes of prompt tokens

Operators could not tell from a running fleet why its answers are late. Each late answer is counted under the longest part of its time (own prompt, first reading, reading again, move, queue) or under the setback of a send before (turned away, weights, replica failed), each request that was given up under its cause, and each prompt token of a send by its use. GET /metrics beside /readiness tells the numbers. No decision changes.

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -1,5 +1,6 @@
 //! One client's request on its way: what was sent, what is proven, what may still be sent.
 
+use crate::figures::{LateReason, Work};
 use evidence::Ms;
 use prefix_index::{PartKey, ReplicaNumber};
 use std::net::SocketAddrV4;
@@ -101,6 +102,20 @@
     }
 }
 
+impl Outcome {
+    /// What a later answer of the same request is late for.
+    fn setback(self) -> Option<LateReason> {
+        match self {
+            Outcome::Full { .. } => Some(LateReason::TurnedAway),
+            Outcome::OtherVersion | Outcome::Outdated => Some(LateReason::Weights),
+            Outcome::Unreached | Outcome::Elsewhere | Outcome::Broken | Outcome::Failed => {
+                Some(LateReason::ReplicaFailed)
+            }
+            Outcome::Expired | Outcome::Answered | Outcome::Abandoned => None,
+        }
+    }
+}
+
 /// What follows the end of a send.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Next {
@@ -115,7 +130,9 @@
 }
 
 /// Why a request was given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumCount, strum::EnumIter, strum::IntoStaticStr,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Cause {
     /// The service has no replica that is ready.
@@ -152,10 +169,8 @@
 pub(crate) struct Out {
     pub replica: ReplicaNumber,
     pub at: Ms,
-    /// Prompt tokens that the replica did not keep.
-    pub unread: f64,
-    /// How long it was expected to wait for the calls before it, ms.
-    pub wait: Ms,
+    /// What the replica has to do before its first piece.
+    pub work: Work,
     /// Counted among the tokens that the replica has yet to read.
     pub is_pending: bool,
     pub parts: Vec<PartKey>,
@@ -178,6 +193,10 @@
     /// When a replica that was full wants it back, ms from its answer.
     pub(crate) retry_after: Option<Ms>,
     pub(crate) out: Vec<Out>,
+    /// Why a send before the last one brought no answer.
+    pub(crate) setback: Option<LateReason>,
+    /// A first piece has come.
+    pub(crate) has_begun: bool,
 }
 
 impl Call {
@@ -190,6 +209,8 @@
             is_in_doubt: false,
             retry_after: None,
             out: Vec::new(),
+            setback: None,
+            has_begun: false,
         }
     }
 
@@ -219,6 +240,7 @@
             _ => {}
         }
         self.is_in_doubt |= !outcome.is_proof();
+        self.setback = outcome.setback().or(self.setback);
     }
 
     /// Whether what has happened so far forbids another send.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::call::{Ask, Call};
+use crate::figures::Figures;
 use crate::fleet_load::FleetLoad;
 use crate::mechanisms::Mechanisms;
 use crate::moves::{Engines, Store, Stores};
@@ -73,6 +74,7 @@
     pub(crate) seen_parts: Vec<PartKey>,
     pub(crate) random: SmallRng,
     pub(crate) mechanisms: Mechanisms,
+    pub(crate) figures: Figures,
     twin_part: f64,
 }
 
@@ -98,6 +100,7 @@
             seen_parts: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
             mechanisms: Mechanisms::default(),
+            figures: Figures::default(),
             twin_part: 0.0,
         }
     }
@@ -131,6 +134,11 @@
         self.services.values_mut().for_each(|service| service.twins = Twins::new(part));
     }
 
+    /// What became of this proxy's requests.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
     /// Which mechanisms are on.
     pub fn set_mechanisms(&mut self, mechanisms: Mechanisms) {
         self.mechanisms = mechanisms;
--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -2,6 +2,7 @@
 
 use crate::call::{Call, Cause, Next, Out, Outcome, COME_BACK, LEAST_TIME};
 use crate::dispatcher::Dispatcher;
+use crate::figures::Work;
 use evidence::Ms;
 use prefix_index::ReplicaNumber;
 
@@ -15,7 +16,9 @@
             return;
         };
         out.is_pending = false;
-        let (after, unread, wait) = (now - out.at, out.unread, out.wait);
+        let (after, work) = (now - out.at, out.work);
+        self.count_first_piece(call, &work, after, now);
+        let unread = work.unread();
         if let Some(replica) = self.replicas.get_mut(&replica) {
             replica.pending_tokens = (replica.pending_tokens - unread).max(0.0);
         }
@@ -24,11 +27,28 @@
             let reading = unread / service.speed.rate().0;
             if let Some(replica) = self.replicas.get_mut(&replica) {
                 // What other calls explain is counted with them.
-                replica.health.delayed((after - reading - wait).max(0.0), now);
+                replica.health.delayed((after - reading - work.wait).max(0.0), now);
             }
         }
     }
 
+    fn count_first_piece(&mut self, call: &mut Call, work: &Work, after: Ms, now: Ms) {
+        if std::mem::replace(&mut call.has_begun, true) {
+            return;
+        }
+        if call.ask.target.is_none_or(|target| now <= target) {
+            return self.figures.count_in_time();
+        }
+        let rate = self.read_rate(&call.ask.service).0;
+        let reason = call.setback.unwrap_or_else(|| work.longest_part(after, rate));
+        self.figures.count_late(reason);
+    }
+
+    /// The client is told that a request is given up.
+    pub fn given_up(&mut self, cause: Cause) {
+        self.figures.count_given_up(cause);
+    }
+
     /// A send has ended; tells what follows.
     pub fn ended(&mut self, call: &mut Call, number: ReplicaNumber, outcome: Outcome, now: Ms) -> Next {
         let expected = self.release(call, number, outcome, now).and_then(|out| out.version);
@@ -75,7 +95,7 @@
         if let Some(replica) = self.replicas.get_mut(&number) {
             replica.out = replica.out.saturating_sub(1);
             if out.is_pending {
-                replica.pending_tokens = (replica.pending_tokens - out.unread).max(0.0);
+                replica.pending_tokens = (replica.pending_tokens - out.work.unread()).max(0.0);
             }
         }
         if matches!(outcome, Outcome::Answered) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod choose;
 mod dispatcher;
+mod figures;
 mod fleet_load;
 mod health;
 mod home;
@@ -29,6 +30,7 @@
 pub use choose::{pick, Candidate, CostModel, ReadRate};
 pub use dispatcher::{Bounds, Dispatcher};
 pub use evidence::Ms;
+pub use figures::{Figures, LateReason, TokenUse};
 pub use health::Health;
 pub use home::{home, HOME_SAVES};
 pub use mechanisms::{Mechanism, Mechanisms};
--- a/crates/dispatch/src/moving.rs
+++ b/crates/dispatch/src/moving.rs
@@ -16,8 +16,18 @@
     pub kept: Vec<u32>,
     /// The same, with what is expected at the prompt's home.
     pub expected: Vec<u32>,
-    /// Who keeps a start of it, by the version under which it is asked for.
-    pub holders: Vec<(u64, Vec<Kept>)>,
+    /// The same start under each version for which it may be asked.
+    pub by_version: Vec<KnownVersion>,
+}
+
+/// What is known of a prompt's start under one version.
+#[derive(Debug)]
+pub(crate) struct KnownVersion {
+    pub version: u64,
+    /// Who keeps a start of it.
+    pub holders: Vec<Kept>,
+    /// Somebody keeps the last shared part, or did.
+    pub was_read: bool,
 }
 
 impl Known {
@@ -26,8 +36,17 @@
         self.holders(version).iter().map(|kept| kept.tokens).max().unwrap_or_default()
     }
 
+    /// Whether somebody has read the start under a version.
+    pub fn was_read(&self, version: u64) -> bool {
+        self.under(version).is_some_and(|known| known.was_read)
+    }
+
     fn holders(&self, version: u64) -> &[Kept] {
-        self.holders.iter().find(|(known, _)| *known == version).map_or(&[], |(_, holders)| holders)
+        self.under(version).map_or(&[], |known| &known.holders)
+    }
+
+    fn under(&self, version: u64) -> Option<&KnownVersion> {
+        self.by_version.iter().find(|known| known.version == version)
     }
 }
 
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -3,10 +3,11 @@
 use crate::call::{Ask, Call, Cause, Final, Out, Target, COME_BACK, LEAST_TIME};
 use crate::choose::{pick, Candidate, CostModel};
 use crate::dispatcher::{Dispatcher, FIRST_PROXIES};
+use crate::figures::Work;
 use crate::home::{self, HOME_SAVES};
 use crate::mechanisms::Mechanism;
 use crate::moves::Move;
-use crate::moving::Known;
+use crate::moving::{Known, KnownVersion};
 use crate::replica::Replica;
 use evidence::Ms;
 use load::Load;
@@ -15,15 +16,6 @@
 /// The part of the retry budget that must be left for twins to be sent.
 const LEAST_BUDGET: f64 = 0.5;
 
-/// What a replica has to do for a request.
-#[derive(Debug, Clone, Copy)]
-struct Work {
-    /// Prompt tokens that it has to read.
-    unread: f64,
-    /// How long the calls before it take, as far as they are known, ms.
-    wait: Ms,
-}
-
 impl Dispatcher {
     /// Where to send a request next.
     ///
@@ -37,7 +29,6 @@
             return Err(call.give_up(Cause::NoBudget, COME_BACK));
         }
         let (candidates, known) = self.candidates(call, now)?;
-        let tokens = prompt_tokens(call.ask.prompt.as_deref());
         let costs = CostModel::new(call.ask.target.map(|target| target - now), self.mechanisms);
         let Some(chosen) = pick(&candidates, &costs, &mut self.random) else {
             return Err(call.give_up(Cause::NoReplica, COME_BACK));
@@ -50,14 +41,40 @@
         }
         call.sends += 1;
         call.tried.push(chosen.replica);
-        let had = fetched.map_or(kept, |fetched| fetched.tokens);
         let delay =
             self.replicas.get(&chosen.replica).map_or(0.0, |replica| self.observed_delay(replica, now));
-        let unread = f64::from(tokens.saturating_sub(had));
-        let work = Work { unread, wait: chosen.wait - delay };
+        let work = self.work(call, &chosen, kept, fetched, &known, now);
+        let work = Work { wait: chosen.wait - delay, ..work };
+        self.figures.count_send(&work);
         Ok(self.sent(call, chosen.replica, work, fetched, now))
     }
 
+    /// What a replica has to do for a call that is sent there.
+    fn work(
+        &self,
+        call: &Call,
+        chosen: &Candidate,
+        kept: u32,
+        fetched: Option<Move>,
+        known: &Known,
+        now: Ms,
+    ) -> Work {
+        let parts = parts_of(call.ask.prompt.as_deref());
+        let tokens = sum(&parts);
+        let shared = parts.split_last().map_or(0, |(_, shared)| sum(shared));
+        let had = fetched.map_or(kept, |fetched| fetched.tokens);
+        let model = call.ask.model.as_deref().unwrap_or_default();
+        Work {
+            own: tokens.saturating_sub(had.max(shared)),
+            kept,
+            fetched: had.saturating_sub(kept),
+            start: shared.saturating_sub(had),
+            was_read: known.was_read(self.version_to_expect(chosen.replica, model, now)),
+            wait: chosen.wait,
+            moving: fetched.map_or(0.0, |fetched| fetched.takes),
+        }
+    }
+
     /// Where to send a twin of a request that has just been sent for the first time, if it gets one.
     pub fn twin(&mut self, call: &mut Call, now: Ms) -> Option<Target> {
         let [first] = call.out.as_slice() else { return None };
@@ -113,8 +130,8 @@
             self.index.keep(number, part.key, part.tokens, Source::Sent(now));
         }
         let parts = parts.iter().map(|part| part.key).collect();
-        let Work { unread, wait } = work;
-        call.out.push(Out { replica: number, at: now, unread, wait, is_pending: true, parts, version });
+        let unread = work.unread();
+        call.out.push(Out { replica: number, at: now, work, is_pending: true, parts, version });
         let replica = self.replicas.get_mut(&number).expect("a candidate is known");
         replica.out += 1;
         replica.pending_tokens += unread;
@@ -213,7 +230,9 @@
                 let place = found.binary_search_by_key(number, |kept| kept.replica);
                 known.kept[at] = place.map_or(0, |place| found[place].tokens);
             }
-            known.holders.push((version, found));
+            let last_shared = parts.split_last().and_then(|(_, shared)| shared.last());
+            let was_read = last_shared.is_some_and(|last| self.index.was_kept(last.key));
+            known.by_version.push(KnownVersion { version, holders: found, was_read });
         }
         known.expected.clone_from(&known.kept);
         if self.mechanisms.has(Mechanism::Homes) {
@@ -245,7 +264,7 @@
     /// The replicas with what waiting at each would cost.
     fn costed(&self, call: &Call, numbers: &[ReplicaNumber], known: &Known, now: Ms) -> Vec<Candidate> {
         let service = &*call.ask.service;
-        let tokens = prompt_tokens(call.ask.prompt.as_deref());
+        let tokens = sum(&parts_of(call.ask.prompt.as_deref()));
         let speed = self.services.get(service).map(|service| service.speed).unwrap_or_default();
         let out: u32 = numbers.iter().map(|number| self.replicas[number].out).sum();
         let mean = f64::from(self.proxies.saturating_sub(1)) * f64::from(out) / numbers.len().max(1) as f64;
@@ -285,8 +304,10 @@
     ask.tenant.as_ref().filter(|tenant| tenant.is_isolated).map(|tenant| &*tenant.name)
 }
 
-/// All tokens of a prompt.
-fn prompt_tokens(prompt: Option<&str>) -> u32 {
-    let parts = prompt.and_then(|prompt| Part::read_prompt(prompt, "", "").ok()).unwrap_or_default();
+fn parts_of(prompt: Option<&str>) -> Vec<Part> {
+    prompt.and_then(|prompt| Part::read_prompt(prompt, "", "").ok()).unwrap_or_default()
+}
+
+fn sum(parts: &[Part]) -> u32 {
     parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -107,6 +107,7 @@
     /// Tells the client that the request is given up.
     async fn give_up(&mut self, last: Final) -> Result<(), ClientGone> {
         let (status, cause, sends) = (last.status, last.cause, self.call.sends());
+        self.shared.view.borrow_mut().dispatcher.given_up(cause);
         let what = format_args!("attempt {} with {status}: {cause}, {sends} sends", self.plan.attempt_id);
         self.shared.event_limit.warn(self.shared.now(), ProxyEvent::GivenUp, what);
         if self.passage.has_begun() {
--- a/crates/proxy/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -1,6 +1,7 @@
-//! Tells the platform whether clients are to be sent here.
+//! Tells the platform whether clients are to be sent here, and operators what became of requests.
 
 use crate::connection::Connection;
+use crate::metrics;
 use crate::shared::Shared;
 use http::Response;
 use std::rc::Rc;
@@ -8,8 +9,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
-/// The path that is asked.
-const PATH: &str = "/readiness";
+/// Where the platform asks.
+const READINESS: &str = "/readiness";
+/// Where operators ask.
+const METRICS: &str = "/metrics";
 /// Longest rest of a connection.
 const IDLE: Duration = Duration::from_secs(15);
 
@@ -20,12 +23,7 @@
         match http::request(&asker.input) {
             Ok(Some((request, length))) => {
                 asker.used(length);
-                let status = match (request.path == PATH, shared.is_ready()) {
-                    (false, _) => 404,
-                    (true, true) => 200,
-                    (true, false) => 503,
-                };
-                let bytes = Response::new(status, "").bytes(request.close);
+                let bytes = answer(&shared, &request.path).bytes(request.close);
                 if asker.write(&bytes).await.is_err() || request.close {
                     return;
                 }
@@ -40,3 +38,12 @@
         }
     }
 }
+
+fn answer(shared: &Shared, path: &str) -> Response {
+    match path {
+        READINESS if shared.is_ready() => Response::new(200, ""),
+        READINESS => Response::new(503, ""),
+        METRICS => Response::new(200, metrics::text(shared.view.borrow().dispatcher.figures())),
+        _ => Response::new(404, ""),
+    }
+}
