--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -1,7 +1,7 @@
 //! The choice of a replica: the longest start kept, then the fewest calls out, unless another replica costs less.
 //!
 //! Time counts by what it does to the answer: inside a part of the request's time to its target it costs little, so that
-//! work that is done already is not done again, or copied, for an answer that comes in time anyway.
+//! work that is done already is not done again for an answer that comes in time anyway.
 
 use crate::mechanisms::{Mechanism, Mechanisms};
 use evidence::Ms;
@@ -16,10 +16,6 @@
 /// requests behind it, and work that was done is done again.
 pub(crate) const REREAD_WEIGHT: f64 = 4.0;
 
-/// What fetching weighs besides its time, in parts of the time to read the tokens: they take the place of others, which
-/// then are read again.
-const COPY_WEIGHT: f64 = 1.0;
-
 /// The part of the time left to a request's target that it may spend until its first piece at little cost: the rest
 /// covers what is not known of the replica.
 const SLACK_PART: f64 = 0.5;
@@ -53,8 +49,6 @@
     pub reading: Ms,
     /// The part of `reading` for tokens that are known to be kept somewhere else, ms.
     pub again: Ms,
-    /// How long reading would take what is fetched instead, ms.
-    pub copied: Ms,
     /// What the other proxies' requests for the same start save if this one meets them there, ms.
     pub at_home: Ms,
 }
@@ -65,7 +59,6 @@
     /// Time to the first piece that weighs little, ms.
     slack: Ms,
     reread_weight: f64,
-    copy_weight: f64,
 }
 
 impl CostModel {
@@ -75,7 +68,6 @@
         CostModel {
             slack: weight(Mechanism::TargetSlack, SLACK_PART) * left.unwrap_or(0.0).max(0.0),
             reread_weight: weight(Mechanism::RereadWeight, REREAD_WEIGHT),
-            copy_weight: weight(Mechanism::CopyWeight, COPY_WEIGHT),
         }
     }
 
@@ -84,8 +76,7 @@
         let time = candidate.wait + candidate.reading;
         let beyond = (time - self.slack).max(0.0);
         let waiting = SLACK_WEIGHT * time.min(self.slack) + beyond;
-        waiting + self.reread_weight * candidate.again + self.copy_weight * candidate.copied
-            - candidate.at_home
+        waiting + self.reread_weight * candidate.again - candidate.at_home
     }
 }
 
--- a/crates/dispatch/src/mechanisms.rs
+++ b/crates/dispatch/src/mechanisms.rs
@@ -1,9 +1,9 @@
 //! Mechanisms of the decisions that a measurement may switch off one by one, to tell what each is worth.
 
-use strum::{EnumIter, EnumString, IntoStaticStr};
+use strum::{EnumString, VariantNames};
 
 /// A mechanism of the decisions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, EnumString, IntoStaticStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString, VariantNames)]
 #[strum(serialize_all = "kebab-case")]
 #[repr(u8)]
 pub enum Mechanism {
@@ -19,8 +19,6 @@
     StoreAdmission,
     /// Reading again what somebody keeps weighs more than its time.
     RereadWeight,
-    /// Fetching what somebody keeps weighs more than its time.
-    CopyWeight,
     /// Waiting that leaves enough time to the route's target costs little.
     TargetSlack,
     /// What other proxies have out counts.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -292,7 +292,6 @@
                 wait: wait + moving,
                 reading: rate.reading(tokens.saturating_sub(had)),
                 again: rate.reading(self.longest_kept(call, *number, known, now).saturating_sub(had)),
-                copied: rate.reading(had.saturating_sub(really_kept)),
                 at_home: HOME_SAVES * rate.reading(kept.saturating_sub(had)),
             }
         };
--- a/src/cli/fleet/mod.rs
+++ b/src/cli/fleet/mod.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use strum::VariantNames;
 
 /// Names of the sub-commands, to tell them from those of the coordinator.
 pub const COMMANDS: [&str; 6] = ["proxy", "agent", "controller", "check", "configuration", "status"];
@@ -56,10 +57,14 @@
     #[bpaf(external(settings_file))]
     pub settings: SettingsFile,
     /// A mechanism of the decisions to do without, to measure what it is worth; see docs/decisions.md
-    #[bpaf(argument("MECHANISM"))]
+    #[bpaf(argument::<String>("MECHANISM"), parse(mechanism), many)]
     pub without: Vec<Mechanism>,
 }
 
+fn mechanism(name: String) -> Result<Mechanism, String> {
+    name.parse().map_err(|_| format!("no mechanism '{name}'; there are {}", Mechanism::VARIANTS.join(", ")))
+}
+
 /// What is checked.
 #[derive(Debug, Clone, Bpaf)]
 pub enum Checked {
