A link that comes up sends the calls under way again, and no digests

Upkeep at each link that came up sent digests to all, and each newer digest fetches the value once more.

Change: PeerLinked sends the calls that this member has not answered, and nothing else; digests leave as before.

--- a/crates/register/src/step.rs
+++ b/crates/register/src/step.rs
@@ -45,7 +45,7 @@
             Input::Read { request, key, deadline } => self.request(request, key, deadline, Work::Read, out),
             Input::Tick => self.upkeep(now, out),
             Input::ProveContact => self.send_digests(now, out),
-            Input::PeerLinked { address } => self.peer_linked(now, address, out),
+            Input::PeerLinked { address } => self.peer_linked(address, out),
             Input::PeerReachable { address } => self.peer_reachable(address),
             Input::PeerSuspected { address } => self.peer_suspected(now, address),
             Input::PeerLeft { address } => {
@@ -59,14 +59,12 @@
         }
     }
 
-    /// A machine that starts, or that was cut off, is not left to wait for the next digest and the next repeat.
-    fn peer_linked(&mut self, now: Millis, address: SocketAddrV4, out: &mut Vec<Effect>) {
+    /// A proposal does not wait for its next repeat to reach a machine that starts, or that was cut off.
+    fn peer_linked(&mut self, address: SocketAddrV4, out: &mut Vec<Effect>) {
         let calls: Vec<_> = self.calls_to(address).collect();
         for message in calls {
             self.send(address, message, out);
         }
-        self.upkeep_at = now;
-        self.upkeep(now, out);
     }
 
     /// The calls under way that this member has not answered.
