Agent: its end is a state machine of its own; tests of the proxy that has not linked

Cause: the agent takes "no link of a proxy" for "no proxy". A proxy that was frozen while its agent restarted has a view and no link.

--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -14,9 +14,11 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
+use crate::ending::Ending;
 use crate::error::AgentError;
 use crate::event::AgentEvent;
 use crate::machine::{Effect, Input, Machine, Place};
+use crate::Millis;
 
 /// Events that may wait for the machine.
 const QUEUE: usize = 256;
@@ -44,6 +46,7 @@
     started: Instant,
     machine: Machine,
     links: BTreeMap<LinkId, Link>,
+    ending: Ending,
     controllers: BTreeMap<SocketAddrV4, (LinkId, Outbox)>,
     dialers: BTreeMap<SocketAddrV4, Dialer>,
     link_events: mpsc::Sender<LinkEvent>,
@@ -64,21 +67,17 @@
     AgentEvent::Started.info(format_args!("agent of {} serves {address}", settings.node));
     let mut program = Program::new(settings, link_events);
     program.step(Input::Tick);
-    let mut ends_by: Option<Instant> = None;
     loop {
-        let wake = ends_by.map_or(program.next_wake(), |ends_by| ends_by.min(program.next_wake()));
+        let wake = tokio::time::Instant::from_std(program.next_wake());
         tokio::select! {
             Some(event) = link_news.recv() => program.link_event(event),
-            told = control.recv(), if ends_by.is_none() => match told {
+            told = control.recv(), if !program.ending.is_ending() => match told {
                 Some(Control::Reload(settings)) => program.reload(*settings),
-                Some(Control::Terminate) | None => {
-                    AgentEvent::Ending.info(format_args!("agent ends after its proxy"));
-                    ends_by = Some(Instant::now() + program.settings.bounds.grace().saturating_sub(END_MARGIN));
-                }
+                Some(Control::Terminate) | None => program.end_after_proxy(),
             },
-            () = sleep_until(tokio::time::Instant::from_std(wake)) => program.step(Input::Tick),
+            () = sleep_until(wake) => program.step(Input::Tick),
         }
-        if ends_by.is_some_and(|ends_by| !program.has_proxy() || Instant::now() >= ends_by) {
+        if program.ending.is_over(program.now()) {
             AgentEvent::Ended.info(format_args!("agent has ended"));
             return Ok(());
         }
@@ -110,23 +109,31 @@
             incarnation: rand::random(),
             started: Instant::now(),
             links: BTreeMap::new(),
+            ending: Ending::default(),
             controllers: BTreeMap::new(),
             dialers: BTreeMap::new(),
             link_events,
         }
     }
 
-    /// Whether a proxy is linked.
-    fn has_proxy(&self) -> bool {
-        self.links.values().any(|link| matches!(link, Link::Proxy(_)))
+    fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
     }
 
     fn next_wake(&self) -> Instant {
-        self.started + Duration::from_millis(self.machine.deadline())
+        let due = self.machine.deadline();
+        let due = self.ending.deadline().map_or(due, |ends_by| ends_by.min(due));
+        self.started + Duration::from_millis(due)
+    }
+
+    fn end_after_proxy(&mut self) {
+        AgentEvent::Ending.info(format_args!("agent ends after its proxy"));
+        let patience = self.settings.bounds.grace().saturating_sub(END_MARGIN);
+        self.ending.told_to_end(self.now(), patience.as_millis() as Millis);
     }
 
     fn step(&mut self, input: Input) {
-        let now = self.started.elapsed().as_millis() as u64;
+        let now = self.now();
         let mut effects = Vec::new();
         self.machine.step(now, input, &mut effects);
         for effect in effects {
@@ -185,6 +192,7 @@
                 if let Some(Link::Unknown(outbox)) = self.links.remove(&link) {
                     self.links.insert(link, Link::Proxy(outbox));
                     AgentEvent::ProxyLinked.info(format_args!("the proxy is linked"));
+                    self.ending.proxy_linked(link);
                     self.step(Input::ProxyUp { link, hello });
                 }
             }
@@ -207,6 +215,7 @@
             }
             Some(Link::Proxy(_)) => {
                 AgentEvent::ProxyLost.info(format_args!("link to the proxy: {why}"));
+                self.ending.proxy_lost(link, why.is_by_peer());
                 self.step(Input::ProxyDown { link });
             }
             _ => {}
@@ -215,7 +224,7 @@
 
     /// Dials the controllers that are known now, and no others.
     fn keep_dialers(&mut self) {
-        let now = self.started.elapsed().as_millis() as u64;
+        let now = self.now();
         let wanted = self.machine.wanted_controllers(now);
         let unwanted: Vec<SocketAddrV4> =
             self.dialers.keys().copied().filter(|address| !wanted.contains(address)).collect();
--- a/crates/agent/tests/ending.rs
+++ b/crates/agent/tests/ending.rs
@@ -1,7 +1,9 @@
-//! How an agent ends, over sockets.
+//! How an agent ends: whom it waits for, and over sockets.
 
+use agent::ending::Ending;
 use agent::program::run;
 use agent::AgentError;
+use links::{LinkError, LinkId};
 use peer::{
     encode, Address, FrameReader, Hello, Message, ReplicaRecord, ReplicaState, Replicas, Role, PROTOCOL,
 };
@@ -19,6 +21,73 @@
 /// Longer than the grace of a test's agent.
 const LONG: Duration = Duration::from_secs(20);
 
+/// Milliseconds from SIGTERM to the agent's own end.
+const PATIENCE: u64 = 3_700;
+
+/// A proxy that was frozen while its agent restarted has an old configuration and no link. It serves once it thaws, and
+/// is told what is new only by an agent that is still there.
+#[test]
+fn an_agent_waits_for_a_proxy_that_has_not_linked_in_its_life() {
+    let mut ending = Ending::default();
+    ending.told_to_end(1_000, PATIENCE);
+    assert!(!ending.is_over(1_000), "the proxy may be frozen");
+    ending.proxy_linked(LinkId(1));
+    assert!(!ending.is_over(2_000));
+    ending.proxy_lost(LinkId(1), LinkError::Closed.is_by_peer());
+    assert!(ending.is_over(2_001), "the proxy has ended");
+}
+
+/// A link that broke without the proxy's doing says nothing of its end.
+#[test]
+fn an_agent_waits_for_a_proxy_whose_link_broke() {
+    let timed_out = LinkError::Socket(std::io::ErrorKind::TimedOut.into());
+    for why in [timed_out, LinkError::Silent, LinkError::Dropped] {
+        let mut ending = Ending::default();
+        ending.proxy_linked(LinkId(1));
+        ending.proxy_lost(LinkId(1), why.is_by_peer());
+        ending.told_to_end(1_000, PATIENCE);
+        assert!(!ending.is_over(1_000), "{why}");
+    }
+}
+
+/// A proxy that has ended, in order or by a kill, holds nobody up.
+#[test]
+fn an_agent_whose_proxy_has_ended_ends_at_once() {
+    let reset = LinkError::Socket(std::io::ErrorKind::ConnectionReset.into());
+    for why in [LinkError::Closed, reset] {
+        let mut ending = Ending::default();
+        ending.proxy_linked(LinkId(1));
+        ending.proxy_lost(LinkId(1), why.is_by_peer());
+        assert!(!ending.is_over(900), "nobody told it to end");
+        ending.told_to_end(1_000, PATIENCE);
+        assert!(ending.is_over(1_000), "{why}");
+    }
+}
+
+/// A new process of the proxy may link before the end of the former one's link is seen.
+#[test]
+fn an_agent_waits_for_the_newer_of_two_proxies() {
+    let mut ending = Ending::default();
+    ending.proxy_linked(LinkId(1));
+    ending.proxy_linked(LinkId(2));
+    ending.told_to_end(1_000, PATIENCE);
+    ending.proxy_lost(LinkId(1), true);
+    assert!(!ending.is_over(1_500));
+    ending.proxy_lost(LinkId(2), true);
+    assert!(ending.is_over(1_501));
+}
+
+/// Whoever may be waited for, the agent goes before the platform kills it, and a second SIGTERM moves nothing.
+#[test]
+fn an_agent_ends_within_its_grace_whoever_is_missing() {
+    let mut ending = Ending::default();
+    ending.told_to_end(1_000, PATIENCE);
+    ending.told_to_end(2_000, PATIENCE);
+    assert_eq!(ending.deadline(), Some(1_000 + PATIENCE));
+    assert!(!ending.is_over(999 + PATIENCE));
+    assert!(ending.is_over(1_000 + PATIENCE));
+}
+
 /// A controller's listener, and a free port above its own for the agent.
 async fn ports() -> (TcpListener, u16) {
     let listen = || async { TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port") };
@@ -154,3 +223,27 @@
         drop(machine.proxy);
     });
 }
+
+/// The same over sockets: told to end before its proxy has linked, it tells the proxy all that it knows.
+#[test]
+fn an_agent_that_is_told_to_end_before_its_proxy_links_serves_it() {
+    play(async {
+        let (listener, agent_port) = ports().await;
+        let settings = settings(listener.local_addr().expect("bound").port(), agent_port, 30);
+        let at = settings.agent_address();
+        let (tell, control) = mpsc::channel(4);
+        let agent = tokio::spawn(run(settings, control));
+        let (mut controller, _) = listener.accept().await.expect("the agent's link");
+        send(&mut controller, hello(Role::Controller)).await;
+        tell.send(Control::Terminate).await.expect("the agent listens");
+        while tell.capacity() < tell.max_capacity() {
+            tokio::task::yield_now().await;
+        }
+        send(&mut controller, Message::Replicas(Replicas::from(vec![replica()]))).await;
+        let mut proxy = timeout(LONG, dial(at)).await.expect("the agent is still there");
+        send(&mut proxy, hello(Role::Proxy)).await;
+        assert_eq!(replicas(&mut proxy).await.records.len(), 1);
+        drop(proxy);
+        InService::ended(agent).await;
+    });
+}
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -61,6 +61,20 @@
     }
 }
 
+impl LinkError {
+    /// Whether the peer's process closed the connection, as a process that ends does.
+    pub fn is_by_peer(&self) -> bool {
+        use std::io::ErrorKind;
+        match self {
+            LinkError::Closed => true,
+            LinkError::Socket(why) => {
+                matches!(why.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe)
+            }
+            LinkError::Frame(_) | LinkError::Silent | LinkError::Dropped => false,
+        }
+    }
+}
+
 quick_error! {
     /// A batch was not taken.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
