An agent that is told to end waits for its proxy until it knows that it has ended

A proxy keeps its view without a link; it may be frozen, or its link may have broken. Ruled out: asking whether the proxy's port is taken (a proxy that finishes has closed it); a fixed wait (a freeze may last longer). Change: the agent goes when the proxy has closed its last link, as a process that ends does, or at the end of its grace. A link that timed out, or a proxy that has not linked in this life of the agent, is no end. Cost: an agent alone on its machine ends with its grace, not at once.

--- a/crates/agent/src/ending.rs
+++ b/crates/agent/src/ending.rs
@@ -62,6 +62,7 @@
 
     /// Whether the agent is to go now.
     pub fn is_over(&self, now: Millis) -> bool {
-        self.ends_by.is_some_and(|ends_by| self.links.is_empty() || now >= ends_by)
+        let is_unneeded = self.links.is_empty() && self.unlinked == Unlinked::Ended;
+        self.ends_by.is_some_and(|ends_by| is_unneeded || now >= ends_by)
     }
 }
