Register: a loss at each step of hand-over, repair and replacement, sets of 3, 5 and 7

Now each message and each end of a write of one schedule is a step: the last message delivered or lost, then one or two disks lost, alone or while all others lose power, and for a hand-over also the member itself. Where all losses are borne the value is read back and the set decides again; beyond that nothing wrong is shown. World::run_one plays one message or end of a write, and may lose the message. Ruled out: all orders of a replacement (four machines with digests).

--- a/crates/register/tests/simulated/main.rs
+++ b/crates/register/tests/simulated/main.rs
@@ -5,6 +5,7 @@
 
 mod contact;
 mod crew;
+mod every_step;
 mod faults;
 mod history;
 mod in_time;
--- a/crates/register/tests/simulated/second_loss.rs
+++ b/crates/register/tests/simulated/second_loss.rs
@@ -16,9 +16,9 @@
 /// Longest time until a lost machine is noticed by the others.
 const NOTICED_MILLIS: Millis = 1_200;
 /// A machine that is told to end is gone after this, whatever it does.
-const GRACE_MILLIS: Millis = 8_000;
+pub const GRACE_MILLIS: Millis = 8_000;
 /// A change is given up after so long.
-const CHANGE_MILLIS: Millis = 2_000;
+pub const CHANGE_MILLIS: Millis = 2_000;
 
 /// How the member goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,20 +33,20 @@
 }
 
 /// Runs without anybody being noticed as gone.
-fn run_unnoticed(crew: &mut Crew, millis: Millis) {
+pub fn run_unnoticed(crew: &mut Crew, millis: Millis) {
     let end = crew.world.now() + millis;
     while crew.world.run_until(end).is_some() {}
 }
 
 /// Changes the configuration register until a machine confirms it.
-fn change(crew: &mut Crew, at: MachineIndex, operation: usize, expected: ValueId, new: ValueId) -> Seen {
+pub fn change(crew: &mut Crew, at: MachineIndex, operation: usize, expected: ValueId, new: ValueId) -> Seen {
     let deadline = crew.world.now() + CHANGE_MILLIS;
     let key = RegisterKey::Configuration;
     crew.world.request(at, Request::Change { operation, key, deadline, expected, new });
     answer(crew, operation)
 }
 
-fn answer(crew: &mut Crew, operation: usize) -> Seen {
+pub fn answer(crew: &mut Crew, operation: usize) -> Seen {
     let until = crew.world.now() + 2 * CHANGE_MILLIS;
     while let Some(reported) = crew.world.run_until(until) {
         match reported.report {
@@ -140,7 +140,7 @@
     }
 }
 
-fn read_back(crew: &mut Crew, expected: ValueId, what: &str) {
+pub fn read_back(crew: &mut Crew, expected: ValueId, what: &str) {
     run_for(crew, CATCH_UP_MILLIS);
     for (number, machine) in crew.present().into_iter().enumerate() {
         let deadline = crew.world.now() + CHANGE_MILLIS;
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -17,7 +17,7 @@
 pub use disk::{Disk, DiskTrouble};
 pub use links::Links;
 pub use machine::{Action, Boot, Entries, Event, Machine};
-pub use world::{MachineIndex, Reported, World};
+pub use world::{Fate, MachineIndex, Reported, Step, World};
 
 /// Milliseconds of simulated time.
 pub type Millis = u64;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -41,6 +41,24 @@
     backlog: VecDeque<Event<M>>,
 }
 
+/// What becomes of a message at its step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is delivered.
+    Delivered,
+    /// It is lost.
+    Lost,
+}
+
+/// What happened at one step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// A message reached its machine, or was lost.
+    Message,
+    /// A write came to its end.
+    WriteEnd,
+}
+
 enum Due<M: Machine> {
     Message { from: SocketAddrV4, to: MachineIndex, message: M::Message },
     WriteEnd { machine: MachineIndex, life: u64, token: u64 },
@@ -222,6 +240,45 @@
         }
     }
 
+    /// Lets time pass until one message or one end of a write has come, or until `until`: `None` then. Reports stay for
+    /// [`World::run_until`].
+    pub fn run_one(&mut self, until: Millis, fate: Fate) -> Option<Step> {
+        loop {
+            self.wake_due();
+            if let Some(due) = self.due.pop_due(self.now) {
+                return Some(self.take_one(due, fate));
+            }
+            if self.now >= until {
+                return None;
+            }
+            self.now = self.next_moment().min(until).max(self.now + 1);
+        }
+    }
+
+    fn take_one(&mut self, due: Due<M>, fate: Fate) -> Step {
+        match due {
+            Due::Message { .. } if fate == Fate::Lost => Step::Message,
+            due @ Due::Message { .. } => {
+                self.take(due);
+                Step::Message
+            }
+            due @ Due::WriteEnd { .. } => {
+                self.take(due);
+                Step::WriteEnd
+            }
+        }
+    }
+
+    /// Wakes all machines that want to wake now.
+    fn wake_due(&mut self) {
+        let mut wakes = 0;
+        while let Some(machine) = self.machine_to_wake() {
+            wakes += 1;
+            assert!(wakes < MAX_WAKES, "machine {machine} wants to wake at {} without end", self.now);
+            self.step(machine, Event::Wake);
+        }
+    }
+
     fn next_moment(&self) -> Millis {
         let wakes =
             self.places.iter().filter(|place| !place.is_frozen).filter_map(|place| place.process.as_ref());
