Controller: a thousand changes, missed whole, by half and by one, twice over a restart

Five controllers, 2,002 changes: one misses a thousand, one five hundred, one the last; then all restart and it is played again. Nobody holds or reads an old version.

--- a/crates/controller/tests/many_changes.rs
+++ b/crates/controller/tests/many_changes.rs
@@ -144,6 +144,90 @@
     assert_eq!(all, 1);
 }
 
+/// Routes of the configurations of the longest day, which is about their number.
+const FEW_ROUTES: usize = 12;
+/// Changes of one round of the longest day.
+const THOUSAND: u64 = 1_000;
+/// Orders that a value remembers, and the bytes of each.
+const REMEMBERED_BYTES: usize = 512 * 40;
+/// Copies of the newest value that may come to one of five: from each of the four others, and one for a read that began
+/// meanwhile.
+const MOST_COPIES_OF_FIVE: usize = 5;
+/// Copies by which the cost of a return may differ, whatever was missed: reads that begin at different moments.
+const COPIES_APART: usize = 2;
+
+/// A change of the longest day, at one of the first two controllers.
+fn small_change(cluster: &mut Cluster, version: u64) {
+    let based_on = (version - 1).to_string();
+    let text = configuration(version, FEW_ROUTES);
+    let host = (version % 2) as usize;
+    let status =
+        cluster.call(host, "POST", "/config/replace", Some(&based_on), &text).map(|reply| reply.status);
+    assert_eq!(status, Some(200), "version {version}");
+}
+
+/// Brings a controller back, which shows the newest version or none from its first moment on; the bytes that came to it.
+fn bytes_to_return(cluster: &mut Cluster, host: usize, newest: u64) -> usize {
+    let before = cluster.bytes_to(host);
+    cluster.start(host, false);
+    let back = cluster.now;
+    while cluster.version_at(host) != newest {
+        assert_eq!(cluster.version_at(host), 0, "controller {host} holds an old version");
+        assert!(cluster.now < back + CAUGHT_UP_MS, "controller {host} is not caught up");
+        cluster.play(1);
+    }
+    let bytes = cluster.bytes_to(host) - before;
+    let reply = read(cluster, host).filter(|reply| reply.status == 200);
+    let is_newest = |reply: Reply| reply.body == configuration(newest, FEW_ROUTES).as_bytes();
+    assert!(reply.is_none_or(is_newest), "controller {host} answers with an old version");
+    bytes
+}
+
+/// One controller misses all changes of a round, one half of them, one the last: it costs each of them the newest value,
+/// and disks hold no more after a thousand changes than after those that a value remembers. Then all restart, and
+/// another thousand follow.
+#[test]
+fn a_thousand_changes_cost_whoever_missed_them_the_newest_value() {
+    let mut cluster = Cluster::new(6, 5);
+    cluster.play(1_500);
+    let mut version = 0;
+    let mut on_disk = Vec::new();
+    for round in 0..2 {
+        let missed_all = 4;
+        let missed_half = 3;
+        let missed_one = 2;
+        cluster.stop(missed_all);
+        (0..THOUSAND / 2).for_each(|_| {
+            version += 1;
+            small_change(&mut cluster, version);
+        });
+        cluster.stop(missed_half);
+        (0..THOUSAND / 2).for_each(|_| {
+            version += 1;
+            small_change(&mut cluster, version);
+        });
+        let value = configuration(version, FEW_ROUTES).len() + REMEMBERED_BYTES;
+        let all = bytes_to_return(&mut cluster, missed_all, version);
+        let half = bytes_to_return(&mut cluster, missed_half, version);
+        cluster.stop(missed_one);
+        version += 1;
+        small_change(&mut cluster, version);
+        let one = bytes_to_return(&mut cluster, missed_one, version);
+        println!("round {round}: {all} bytes to whoever missed all, {half} half, {one} the last; {value} the value");
+        let (least, most) = (all.min(half).min(one), all.max(half).max(one));
+        assert!(most < MOST_COPIES_OF_FIVE * value, "{all}, {half}, {one} bytes");
+        assert!(most - least < COPIES_APART * value, "{all}, {half}, {one} bytes: not flat");
+        cluster.play(CAUGHT_UP_MS);
+        on_disk.push((0..5).map(|host| cluster.bytes_on_disk(host)).max().unwrap_or_default());
+        cluster.restart_all(500, &[]);
+        let held = (0..5).find(|host| ![0, version].contains(&cluster.version_at(*host)));
+        assert_eq!(held, None, "a controller that restarts holds an old version");
+        cluster.play(CAUGHT_UP_MS);
+    }
+    println!("{on_disk:?} bytes on disk after a thousand and two thousand changes");
+    assert!(on_disk[1] <= on_disk[0] + 1_000, "disks grow: {on_disk:?}");
+}
+
 #[rstest]
 fn disks_do_not_grow_with_the_number_of_changes() {
     let mut cluster = started(5);
--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -46,6 +46,10 @@
      ['kind = "garble", how = "extra", share = 0.6, x = 0.05, for_s = 8, at = 3', 'kind = "garble", how = "unframed", share = 0.5, x = 0.04, for_s = 8, at = 8',
       'kind = "garble", how = "early", share = 0.6, x = 0.05, for_s = 8, at = 16', 'kind = "answer_lost", how = "reset", share = 0.5, x = 0.05, for_s = 10, at = 6',
       'kind = "reset_conns", share = 0.5, x = 0.5, at = 10', 'kind = "reset_conns", share = 0.5, x = 0.5, at = 20', 'kind = "give_up", share = 0.2, x = 150, for_s = 8, at = 22'], None),
+    # The day "cut-off" with two replicas that leave, as they do where they are lured: what is left between the two is the lure.
+    ("cut-off-leave", ['kind = "version_bump", count = 0, at = 14', 'kind = "config_race", count = 6, gap_s = 4.0, at = 4',
+                       'kind = "scale_in", share = 0.12, at = 8', 'kind = "scale_in", share = 0.12, at = 14.8'],
+     ['kind = "core_cut", count = 1, for_s = 20, how = "leader race", at = 6', 'kind = "ack_lost", x = 0.7, for_s = 25, at = 3'], None),
 ]
 
 # Versions of weights named one on top of the other, before the move to the one before is done: name, times, plan, faults, closing.
