Contact: a draining is confirmed by a digest behind its record, not by one of the same moment

Cause: the barrier compared times. A regular digest that left in the very millisecond of the call, before the record, counted as proof that a majority had heard it: 200 for a draining that nobody else knew, where nothing after the digest arrived (a one-way cut, an end without a word). Change: digests have numbers; an answer waits for one that left behind its record, and whoever sends that digest shows RecordsSent, which only the function that sends the records can make: the order on a link is by type, no more by construction of step. Found by reading.

--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -6,6 +6,7 @@
 use links::LinkId;
 use peer::{Hello, Message, NEVER};
 
+use crate::machine::peers::RecordsSent;
 use crate::machine::{Effect, Machine, Moment};
 use crate::Millis;
 
@@ -183,8 +184,13 @@
     }
 
     /// Sends every agent and controller what it has not heard yet.
-    pub(crate) fn feed(&mut self, at: Moment, out: &mut Vec<Effect>) {
-        self.feed_peers(at.now, out);
+    pub(crate) fn feed(&mut self, at: Moment, out: &mut Vec<Effect>) -> RecordsSent {
+        let records_sent = self.feed_peers(at.now, out);
+        self.feed_agents(at, out);
+        records_sent
+    }
+
+    fn feed_agents(&mut self, at: Moment, out: &mut Vec<Effect>) {
         let due = self.agents.deadline(&self.view).min(self.loads.agents_deadline());
         if at.now < due {
             return;
--- a/crates/controller/src/machine/contact.rs
+++ b/crates/controller/src/machine/contact.rs
@@ -12,10 +12,11 @@
 
 use std::collections::VecDeque;
 
-use register::Input as RegisterInput;
+use register::{DigestNumber, Input as RegisterInput, RegisterNode};
 
 use crate::command::Reply;
 use crate::machine::calls::CALL_MS;
+use crate::machine::peers::RecordsSent;
 use crate::machine::{CallId, Effect, Machine, Moment};
 use crate::Millis;
 
@@ -30,6 +31,8 @@
 struct Waiting {
     call: CallId,
     since: Millis,
+    /// The newest digest that left before what the call told. `None` until a digest has left behind that.
+    told_after: Option<DigestNumber>,
     reply: Reply,
     /// The replica whose end a majority has to keep first, if it is one.
     end: Option<String>,
@@ -46,13 +49,14 @@
 impl Barrier {
     /// Holds an answer until a majority has heard what the call told.
     pub fn hold(&mut self, now: Millis, call: CallId, reply: Reply) {
-        self.waiting.push_back(Waiting { call, since: now, reply, end: None });
+        self.waiting.push_back(Waiting { call, since: now, told_after: None, reply, end: None });
         self.wants_digest = true;
     }
 
     /// Holds the acknowledgement of a replica's end until a majority has heard of it and keeps it.
     pub fn hold_end(&mut self, now: Millis, call: CallId, id: String) {
-        self.waiting.push_back(Waiting { call, since: now, reply: Reply::empty(200), end: Some(id) });
+        let reply = Reply::empty(200);
+        self.waiting.push_back(Waiting { call, since: now, told_after: None, reply, end: Some(id) });
         self.wants_digest = true;
     }
 
@@ -66,18 +70,26 @@
         self.waiting.is_empty()
     }
 
-    /// The answers that are due: those that `confirmed_at` proves, with an end that is kept, and those that have waited too
+    /// A digest leaves now behind all that was told so far; `last` is the one before it.
+    fn digest_leaves(&mut self, last: DigestNumber) {
+        self.wants_digest = false;
+        for waiting in &mut self.waiting {
+            waiting.told_after.get_or_insert(last);
+        }
+    }
+
+    /// The answers that are due: those that `confirmed` proves, with an end that is kept, and those that have waited too
     /// long.
     fn take_due(
         &mut self,
         now: Millis,
-        confirmed_at: Option<Millis>,
+        confirmed: Option<DigestNumber>,
         is_end_kept: impl Fn(&str) -> bool,
     ) -> Vec<Due> {
         let mut due = Vec::new();
         let mut left = VecDeque::new();
         for waiting in self.waiting.drain(..) {
-            let is_heard = confirmed_at.is_some_and(|at| at >= waiting.since);
+            let is_heard = waiting.told_after.is_some_and(|last| confirmed > Some(last));
             let is_proved = is_heard && waiting.end.as_deref().is_none_or(&is_end_kept);
             if !is_proved && now < waiting.since + CALL_MS {
                 left.push_back(waiting);
@@ -109,6 +121,12 @@
 }
 
 impl Machine {
+    fn prove_contact(&mut self, at: Moment, out: &mut Vec<Effect>) {
+        let Some(last) = self.register.as_ref().map(RegisterNode::last_digest) else { return };
+        self.barrier.digest_leaves(last);
+        self.register(at, RegisterInput::ProveContact, out);
+    }
+
     /// Age of the newest proof that this machine is on the majority's side.
     pub(crate) fn majority_age(&self, now: Millis) -> Millis {
         self.confirmed_at(now).map_or(Millis::MAX, |at| now.saturating_sub(at))
@@ -123,17 +141,17 @@
         self.register.as_ref().and_then(|register| register.confirmed_at(now))
     }
 
-    /// Sends digests behind the records that were just fed, and answers what is proved or has waited too long.
-    pub(crate) fn settle_barrier(&mut self, at: Moment, out: &mut Vec<Effect>) {
-        if std::mem::take(&mut self.barrier.wants_digest) {
-            self.register(at, RegisterInput::ProveContact, out);
+    /// Sends digests behind the records that were just sent, and answers what is proved or has waited too long.
+    pub(crate) fn settle_barrier(&mut self, at: Moment, records_sent: &RecordsSent, out: &mut Vec<Effect>) {
+        if self.barrier.wants_digest && records_sent.is_complete(&self.view) {
+            self.prove_contact(at, out);
         }
         if self.barrier.is_empty() {
             return;
         }
-        let confirmed_at = self.confirmed_at(at.now);
+        let confirmed = self.register.as_ref().and_then(|register| register.confirmed_digest(at.now));
         let mut barrier = std::mem::take(&mut self.barrier);
-        let due = barrier.take_due(at.now, confirmed_at, |id| self.is_end_kept(id));
+        let due = barrier.take_due(at.now, confirmed, |id| self.is_end_kept(id));
         self.barrier = barrier;
         for Due { call, reply, end } in due {
             self.replies.push(Effect::Reply { call, reply });
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -277,9 +277,9 @@
             Input::Tick => self.tick(at, out),
             Input::Terminate => self.terminate(at, out),
         }
-        self.feed(at, out);
+        let records_sent = self.feed(at, out);
         self.keep_ends(at.now, out);
-        self.settle_barrier(at, out);
+        self.settle_barrier(at, &records_sent, out);
         out.append(&mut self.replies);
     }
 
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -67,6 +67,20 @@
     }
 }
 
+/// Every controller to which a link is up has been sent all records of replicas that drain or have ended, up to a change.
+/// Only [`Machine::feed_peers`] makes one; whoever sends a digest as proof that records were heard has to show it.
+#[derive(Debug)]
+pub(crate) struct RecordsSent {
+    change: u64,
+}
+
+impl RecordsSent {
+    /// Whether nothing has changed since.
+    pub fn is_complete(&self, view: &View) -> bool {
+        self.change == view.replicas.last_change()
+    }
+}
+
 impl Machine {
     pub(crate) fn peer_message(
         &mut self,
@@ -135,7 +149,7 @@
     }
 
     /// Tells the other controllers what is new of replicas and of their load.
-    pub(crate) fn feed_peers(&mut self, now: Millis, out: &mut Vec<Effect>) {
+    pub(crate) fn feed_peers(&mut self, now: Millis, out: &mut Vec<Effect>) -> RecordsSent {
         if let Some(message) = self.loads.for_peers(now, &self.moves) {
             for to in self.peers.links.keys() {
                 out.push(Effect::SendPeer { to: *to, message: message.clone() });
@@ -146,6 +160,7 @@
                 out.push(Effect::SendPeer { to: *to, message });
             }
         }
+        RecordsSent { change: self.view.replicas.last_change() }
     }
 
     /// Tells the register which members are out of reach, which have left, and which are back.
--- a/crates/controller/tests/contact.rs
+++ b/crates/controller/tests/contact.rs
@@ -82,6 +82,27 @@
     assert_eq!(cluster.state_at(0, "a"), Some(State::Draining), "it is not forgotten here");
 }
 
+/// The regular digest leaves in the very millisecond of the call, before the record, and nothing after it arrives: its echo
+/// proves contact, but not that the record was heard.
+#[rstest]
+fn a_digest_of_the_same_moment_confirms_nothing_that_was_told_after_it(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    #[values(3, 5)] size: usize,
+) {
+    let mut cluster = started(seed, size);
+    cluster.heartbeat(0, "a", 1, "ready", 1);
+    cluster.play(100);
+    while !cluster.has_just_sent_digests(0) {
+        cluster.play(1);
+    }
+    cluster.mute(0);
+    let drains = cluster.issue_heartbeat(0, "a", 1, "draining", 2);
+    let leaves = cluster.issue(0, "POST", "/nodes/b/leave", None, "");
+    cluster.play(ACKNOWLEDGED_WITHIN_MS);
+    assert_eq!(status(cluster.reply(drains)), Some(503));
+    assert_eq!(status(cluster.reply(leaves)), Some(503));
+}
+
 /// A confirmed end is known to a majority at the moment of its answer: the controller that gave it may be lost then.
 #[rstest]
 #[case::draining("draining", State::Draining)]
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -15,7 +15,7 @@
 use peer::{Message, KEEPS_ENDS, PROTOCOL};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use register::{Identity, RegisterNode};
+use register::{Identity, RegisterMessage, RegisterNode};
 
 use super::disk::Disk;
 use super::replicas::Replicas;
@@ -43,6 +43,7 @@
 }
 
 struct Flight {
+    sent: u64,
     arrives: u64,
     from: usize,
     to: usize,
@@ -77,6 +78,8 @@
     random: SmallRng,
     hosts: Vec<Host>,
     cut: BTreeSet<(usize, usize)>,
+    /// Machines whose messages are lost from now on; what is on its way arrives.
+    muted: BTreeSet<usize>,
     up: BTreeSet<(usize, usize)>,
     flights: Vec<Flight>,
     last_arrival: BTreeMap<(usize, usize), u64>,
@@ -107,6 +110,7 @@
             random: SmallRng::seed_from_u64(seed),
             hosts: Vec::new(),
             cut: BTreeSet::new(),
+            muted: BTreeSet::new(),
             up: BTreeSet::new(),
             flights: Vec::new(),
             last_arrival: BTreeMap::new(),
@@ -198,6 +202,24 @@
         }
     }
 
+    /// Loses all that a machine sends from now on to other controllers; what is on its way arrives, and so do answers.
+    pub fn mute(&mut self, host: usize) {
+        self.muted.insert(host);
+    }
+
+    /// Whether a machine has sent a digest to each of the others in this millisecond.
+    pub fn has_just_sent_digests(&self, host: usize) -> bool {
+        let is_digest = |flight: &&Flight| {
+            let Message::Register(blob) = &flight.message else { return false };
+            let decoded = register::message::decode(&blob.bytes);
+            let is_digest = matches!(decoded, Ok((RegisterMessage::Digest { .. }, _)));
+            is_digest && flight.from == host && flight.sent == self.now
+        };
+        let receivers: BTreeSet<usize> =
+            self.flights.iter().filter(is_digest).map(|flight| flight.to).collect();
+        receivers.len() + 1 == self.hosts.len()
+    }
+
     pub fn heal(&mut self) {
         self.cut.clear();
     }
@@ -394,7 +416,9 @@
         let last = self.last_arrival.entry((from, to)).or_default();
         let arrives = (*last).max(self.now + self.random.random_range(1..4));
         *last = arrives;
-        self.flights.push(Flight { arrives, from, to, message });
+        if !self.muted.contains(&from) {
+            self.flights.push(Flight { sent: self.now, arrives, from, to, message });
+        }
     }
 
     fn tell(&mut self, link: LinkId, messages: Vec<Message>) {
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod value;
 
 pub use ballot::Ballot;
+pub use contact::DigestNumber;
 pub use error::{DecodeError, RecordError};
 pub use key::RegisterKey;
 pub use message::RegisterMessage;
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -7,7 +7,7 @@
 use strum::{EnumCount, IntoEnumIterator};
 
 use crate::acceptor::{Acceptor, Basis};
-use crate::contact::Contact;
+use crate::contact::{Contact, DigestNumber, Sent};
 use crate::durability::Durability;
 use crate::key::RegisterKey;
 use crate::learner::Learner;
@@ -209,8 +209,23 @@
     /// The newest time such that digests sent then or later were answered by a majority of the acceptors:
     /// until then at least, this machine was on the majority's side.
     pub fn confirmed_at(&self, now: Millis) -> Option<Millis> {
+        self.confirmed(now).map(|sent| sent.at)
+    }
+
+    /// The newest digest such that it, or a later one, was answered by a majority of the acceptors. What was told on the
+    /// same links before it, that majority has heard.
+    pub fn confirmed_digest(&self, now: Millis) -> Option<DigestNumber> {
+        self.confirmed(now).map(|sent| sent.number)
+    }
+
+    /// The newest digest that has left.
+    pub fn last_digest(&self) -> DigestNumber {
+        self.contact.last_number()
+    }
+
+    fn confirmed(&self, now: Millis) -> Option<Sent> {
         let own = self.is_active().then(|| self.acceptor.id());
-        self.contact.confirmed_at(now, self.set()?, own)
+        self.contact.confirmed(now, self.set()?, own)
     }
 
     /// When the next [`Input::Tick`] is due.
