Controller: SIGHUP gives the membership and the register new seeds

Cause: settings read anew reached neither; a controller whose known members are all gone asked the seeds of its start for ever. Change: Input::Seeds; Membership::set_seeds and RegisterNode::set_seeds. Seeds of before are dropped unless they are members. Tests: new_seeds_are_tried_from_then_on (a member that found nobody finds all), new_seeds_are_dialled.

--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -114,6 +114,10 @@
     Prefixes {
         prefixes: peer::Prefixes,
     },
+    /// The settings name other seeds.
+    Seeds {
+        seeds: Vec<SocketAddrV4>,
+    },
     /// Time went by.
     Tick,
     /// The process is to end.
@@ -274,6 +278,7 @@
                 let is_new = beat.is_some_and(|beat| beat <= NEW_FOR_BEATS);
                 self.view.prefixes.take_of(&prefixes, is_new);
             }
+            Input::Seeds { seeds } => self.set_seeds(&seeds),
             Input::Tick => self.tick(at, out),
             Input::Terminate => self.terminate(at, out),
         }
@@ -344,6 +349,14 @@
         }
     }
 
+    /// Machines to ask for the others, where all that are known may be gone.
+    fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.membership.set_seeds(seeds);
+        if let Some(register) = &mut self.register {
+            register.set_seeds(seeds);
+        }
+    }
+
     /// Runs the register and takes its effects.
     fn register(&mut self, at: Moment, input: RegisterInput, out: &mut Vec<Effect>) {
         let Some(register) = &mut self.register else { return };
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -410,6 +410,7 @@
     fn reload(&mut self, settings: ProcessSettings) {
         ControllerEvent::SettingsRead.info(format_args!("settings were read anew"));
         self.settings = settings;
+        self.step(Input::Seeds { seeds: self.settings.seed_controllers() });
     }
 }
 
--- a/crates/controller/tests/machines.rs
+++ b/crates/controller/tests/machines.rs
@@ -4,6 +4,7 @@
 
 use catalog::State;
 use controller::command::Reply;
+use controller::machine::Input;
 use rstest::rstest;
 use support::{configuration, Cluster};
 
@@ -193,3 +194,15 @@
     cluster.play(500);
     assert_eq!(replace(&mut cluster, replacement, "3", &configuration(4, 3)), Some(200));
 }
+
+/// On SIGHUP the settings name other seeds; a controller dials them at once.
+#[test]
+fn new_seeds_are_dialled() {
+    let mut cluster = started(6);
+    let seed = "10.9.0.1:7640".parse().expect("an address");
+    cluster.step(0, Input::Seeds { seeds: vec![seed] });
+    assert!(cluster.wanted_peers(0).contains(&seed));
+    assert_eq!(cluster.wanted_peers(0).len(), 3, "members stay, whatever the settings name");
+    cluster.step(0, Input::Seeds { seeds: Vec::new() });
+    assert!(!cluster.wanted_peers(0).contains(&seed), "it never was a member");
+}
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -430,6 +430,11 @@
         self.seen.push(Seen::Told { agent: place, batch: agent.batches.len() - 1 });
     }
 
+    /// The controllers to which a controller wants links.
+    pub fn wanted_peers(&self, host: usize) -> BTreeSet<SocketAddrV4> {
+        self.hosts[host].machine.as_ref().map(Machine::wanted_peers).unwrap_or_default()
+    }
+
     /// Whose events a controller reads.
     pub fn readers(&self, host: usize) -> Vec<String> {
         let local = self.now - self.hosts[host].started;
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -71,10 +71,9 @@
         timing: Timing,
         seed: u64,
     ) -> Membership {
-        let others = seeds.iter().copied().filter(|seed| *seed != me.peer);
         Membership {
             timing,
-            seeds: others.collect(),
+            seeds: others_than(me.peer, seeds),
             me: Update { member: me, incarnation, status: Status::Alive },
             table: Table::default(),
             gossip: Gossip::default(),
@@ -90,6 +89,11 @@
         }
     }
 
+    /// The settings name other seeds: they are tried from now on, and those of before only if they are members.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.seeds = others_than(self.me.member.peer, seeds);
+    }
+
     /// This member as the others should know it.
     pub fn me(&self) -> &Update {
         &self.me
@@ -389,3 +393,7 @@
         self.next_number
     }
 }
+
+fn others_than(me: SocketAddrV4, seeds: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+    seeds.iter().copied().filter(|seed| *seed != me).collect()
+}
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -278,3 +278,20 @@
         assert_eq!(send.message.updates()[0].member.peer, address(1));
     }
 }
+
+/// The settings of a machine name seeds that are gone; new settings name others, and it finds the fleet by them.
+#[rstest]
+fn new_seeds_are_tried_from_then_on(#[values(1, 2, 3)] seed: u64) {
+    let mut fleet = Fleet::new(seed);
+    for number in 1..=3 {
+        fleet.start(number, &[1, 2, 3]);
+    }
+    fleet.start(8, &[5, 6, 7]);
+    fleet.play(3_000);
+    assert!(fleet.alive_at(8).is_empty(), "its seeds are gone");
+    let newcomer = fleet.members.get_mut(&address(8)).expect("runs");
+    newcomer.set_seeds(&[address(2), address(8)]);
+    assert_eq!(newcomer.addresses(), vec![address(2)], "neither itself nor seeds of before");
+    fleet.play(3_000);
+    assert!(fleet.all_know_each_other());
+}
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -206,6 +206,11 @@
         self.acceptor.is_installed()
     }
 
+    /// The settings name other machines to ask for the present set.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        self.seeds = seeds.to_vec();
+    }
+
     /// The newest time such that digests sent then or later were answered by a majority of the acceptors:
     /// until then at least, this machine was on the majority's side.
     pub fn confirmed_at(&self, now: Millis) -> Option<Millis> {
