A controller that was cut off judges nobody's silence before it heard the others; agents leave a cut-off home after 1.5 s

Its first link may be to one that heard them at second hand. Change: after a time without contact it judges nothing for three heartbeats, as after its own stand-still. Cause 2: a home without contact was left after 2.5 s.

--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -97,7 +97,7 @@
 const REMEMBER_MS: Millis = 30_000;
 /// A controller whose newest proof of contact with a majority is older is no home while there is another one: its view
 /// of the fleet may be old.
-const HOME_CONTACT_MS: Millis = 2_500;
+const HOME_CONTACT_MS: Millis = 1_500;
 /// An agent that has just found controllers waits so long for one of its own zone, before it makes another its home.
 const HOME_SETTLES_MS: Millis = 300;
 /// Time between clean-ups.
--- a/crates/agent/tests/merging.rs
+++ b/crates/agent/tests/merging.rs
@@ -306,10 +306,10 @@
     }
     assert_eq!(bench.machine.home_controller(bench.now), Some(controller(2)));
     // The home is cut off: it says so, or nothing at all, while the other one goes on.
-    bench.now = 2_300;
+    bench.now = 1_300;
     assert_eq!(subscriptions(&bench.tell(1, alive(100))), []);
-    bench.now = 2_600;
-    let effects = bench.tell(2, alive(2_700));
+    bench.now = 1_600;
+    let effects = bench.tell(2, alive(1_700));
     assert_eq!(subscriptions(&effects), [(controller(2), false), (controller(1), true)]);
     // It is back in contact, and the home of its zone again.
     bench.now = 3_000;
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -197,7 +197,8 @@
 const UPKEEP_EVERY_MS: Millis = 100;
 /// A controller whose own upkeep is late by more has been frozen or overloaded: heartbeats may wait unread here.
 const LATE_MS: Millis = 500;
-/// It judges no silence for so many heartbeats then.
+/// It judges no silence for so many heartbeats then, nor after it was without contact: others may have heard replicas
+/// meanwhile, and it hears of that from one after the other.
 const JUDGES_AFTER_BEATS: Millis = 3;
 /// A replica with no more heartbeats behind it has not been read by any other controller.
 const NEW_FOR_BEATS: u64 = 3;
@@ -334,11 +335,12 @@
             self.send_beats(out);
         }
         if at.now >= self.next_upkeep {
-            if at.now > self.next_upkeep + LATE_MS {
+            let is_late = at.now > self.next_upkeep + LATE_MS;
+            if is_late || !self.has_contact(at.now) {
                 self.judges_from = at.now + JUDGES_AFTER_BEATS * self.timing.beat_every_ms;
             }
             self.next_upkeep = at.now + UPKEEP_EVERY_MS;
-            let may_judge = at.now >= self.judges_from && self.has_contact(at.now);
+            let may_judge = at.now >= self.judges_from;
             self.view.replicas.tick(at.now, may_judge);
             self.compare_membership(at, out);
             self.update_fleet(at.now);
--- a/crates/controller/tests/replicas.rs
+++ b/crates/controller/tests/replicas.rs
@@ -194,3 +194,31 @@
     cluster.play(200);
     assert_eq!(cluster.state_at(0, "went"), Some(State::Ready), "it was only silent");
 }
+
+/// A controller that was cut off has not heard replicas for twenty seconds when it is back. Its first link is to one that
+/// heard them at second hand only; it waits for the word of the one that hears them before it judges.
+#[rstest]
+fn a_controller_that_is_back_takes_nobody_for_lost_whom_the_others_hear(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut cluster = Cluster::new(seed, 3);
+    cluster.play(2_000);
+    let ids: Vec<String> = (1..=6).map(|number| format!("r{number}")).collect();
+    for (number, id) in (1..).zip(&ids) {
+        cluster.replicas.add(id, number, 1, cluster.now + u64::from(number) * 137);
+    }
+    cluster.play(5_000);
+    cluster.cut_off(0);
+    cluster.replicas.cut.extend(ids.iter().map(|id| (0, id.clone())));
+    cluster.play(20_000);
+    cluster.heal_between(0, 2);
+    for after in 0..6_000 {
+        if after == 600 {
+            cluster.heal();
+        }
+        cluster.play(1);
+        for id in &ids {
+            assert_eq!(cluster.state_at(0, id), Some(State::Ready), "{id} at {} ms", cluster.now);
+        }
+    }
+}
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -220,6 +220,12 @@
         receivers.len() + 1 == self.hosts.len()
     }
 
+    /// Joins two machines that were cut off from each other.
+    pub fn heal_between(&mut self, one: usize, other: usize) {
+        self.cut.remove(&(one, other));
+        self.cut.remove(&(other, one));
+    }
+
     pub fn heal(&mut self) {
         self.cut.clear();
     }
