Soak: cut links and bad disks between real processes

What was not played: cut links between processes, slow disks, lost power that forgets what was not synced. Seeds from 100,000 on play them: a relay before each controller, in the address that the processes are told (cut, one way, delayed, slow reader, reset; for all diallers or those of one kind), and a disk under its store that keeps unsynced writes in memory, delays and fails syncs and refuses writes. Both are chosen by a test build, the soak's own executable, through controller::Surroundings; no setting names them. Ruled out: an overlay under all processes (preloading); a second program in the release build. SOAK_KEEP keeps a run's folder.

--- a/crates/controller/src/disk.rs
+++ b/crates/controller/src/disk.rs
@@ -15,6 +15,7 @@
 use crate::ends::StoredEnds;
 use crate::error::ControllerError;
 use crate::event::ControllerEvent;
+use crate::surroundings::OpenMedium;
 
 /// Time between attempts to open a disk that is full or refuses.
 const OPEN_AGAIN: Duration = Duration::from_millis(200);
@@ -68,17 +69,22 @@
 impl Disk {
     /// Opens the folder on a thread of its own, since a disk may hang. Waits while it is full or refuses. The ends
     /// of writes go to `done`.
-    pub fn open(folder: Option<PathBuf>, done: mpsc::UnboundedSender<DiskDone>) -> Opening {
+    pub fn open(
+        folder: Option<PathBuf>,
+        open_medium: OpenMedium,
+        done: mpsc::UnboundedSender<DiskDone>,
+    ) -> Opening {
         let (opened, opening) = oneshot::channel();
         std::thread::spawn(move || {
             // Nobody waits for it once the process ends.
-            let _ = opened.send(Disk::open_now(folder.as_deref(), done));
+            let _ = opened.send(Disk::open_now(folder.as_deref(), open_medium, done));
         });
         opening
     }
 
     fn open_now(
         folder: Option<&Path>,
+        open_medium: OpenMedium,
         done: mpsc::UnboundedSender<DiskDone>,
     ) -> Result<Opened, ControllerError> {
         let Some(folder) = folder else {
@@ -92,7 +98,7 @@
             });
         };
         let (Contents { register: (register, stored), ends: (ends, stored_ends) }, was_damaged) =
-            open_stores(folder)?;
+            open_stores(folder, open_medium)?;
         let fault = |why: std::io::Error| ControllerError::Disk(folder.to_path_buf(), why.to_string());
         Ok(Opened {
             register: Disk::start(Writer::Register, register, &done).map_err(fault)?,
@@ -137,10 +143,10 @@
 
 /// Opens the files and reads them. Where one is damaged both are moved away: the machine is then a new acceptor, as after the
 /// loss of its disk.
-fn open_stores(folder: &Path) -> Result<(Contents, bool), ControllerError> {
+fn open_stores(folder: &Path, open_medium: OpenMedium) -> Result<(Contents, bool), ControllerError> {
     let mut was_damaged = false;
     loop {
-        match read_stores(folder) {
+        match read_stores(folder, open_medium) {
             Ok(contents) => return Ok((contents, was_damaged)),
             // A former process of this machine may still be ending.
             Err(Unreadable::Store(why)) if why.may_pass() || matches!(why, StoreError::InUse { .. }) => {
@@ -179,11 +185,20 @@
     }
 }
 
-fn read_stores(folder: &Path) -> Result<Contents, Unreadable> {
+fn open_store(
+    folder: &Path,
+    name: &str,
+    open_medium: OpenMedium,
+) -> Result<(Store, Vec<store::Entry>), StoreError> {
+    let medium = open_medium(folder, name).map_err(|cause| StoreError::of_io(folder, cause))?;
+    Store::open_on(medium)
+}
+
+fn read_stores(folder: &Path, open_medium: OpenMedium) -> Result<Contents, Unreadable> {
     let content = |why: &dyn std::fmt::Display| Unreadable::Content(why.to_string());
-    let (register, found) = Store::open_named(folder, REGISTER_FILE)?;
+    let (register, found) = open_store(folder, REGISTER_FILE, open_medium)?;
     let stored = StoredState::from_entries(found.into_iter().map(entry)).map_err(|why| content(&why))?;
-    let (ends, found) = Store::open_named(folder, ENDS_FILE)?;
+    let (ends, found) = open_store(folder, ENDS_FILE, open_medium)?;
     let stored_ends = StoredEnds::from_entries(found.into_iter().map(entry)).map_err(|why| content(&why))?;
     Ok(Contents { register: (register, stored), ends: (ends, stored_ends) })
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,9 +17,11 @@
 pub mod machine;
 pub mod program;
 mod replica_calls;
+pub mod surroundings;
 pub mod values;
 
 pub use error::ControllerError;
+pub use surroundings::Surroundings;
 
 use settings::ProcessSettings;
 
@@ -31,8 +33,16 @@
 /// # Errors
 /// Tells what it lacks.
 pub fn run(settings: ProcessSettings) -> Result<(), ControllerError> {
+    run_on(Surroundings::default(), settings)
+}
+
+/// Runs a controller on other sockets and files until SIGTERM.
+///
+/// # Errors
+/// Tells what it lacks.
+pub fn run_on(surroundings: Surroundings, settings: ProcessSettings) -> Result<(), ControllerError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build();
     runtime
         .map_err(ControllerError::Runtime)?
-        .block_on(async { program::run(settings, process::signals()).await })
+        .block_on(async { program::run(surroundings, settings, process::signals()).await })
 }
--- a/crates/controller/src/program.rs
+++ b/crates/controller/src/program.rs
@@ -25,6 +25,7 @@
 use crate::kv_events::reader::{read, Reader};
 use crate::machine::{CallId, Effect, Input, Machine, Moment, Timing};
 use crate::replica_calls::call;
+use crate::surroundings::Surroundings;
 
 /// Time between looks at which replicas are at home here.
 const READERS_EVERY_MS: u64 = 200;
@@ -81,17 +82,18 @@
 
 /// Runs a controller until it is told to end.
 pub async fn run(
+    surroundings: Surroundings,
     settings: ProcessSettings,
     mut control: mpsc::Receiver<Control>,
 ) -> Result<(), ControllerError> {
     let me = member(&settings)?;
     let control_listener = listen(me.control).await?;
-    let peer_listener = listen(me.peer).await?;
+    let peer_listener = listen((surroundings.bound_at)(me.peer)).await?;
     let (issue, mut issued) = mpsc::channel(QUEUE);
     let (link_events, mut link_news) = mpsc::channel(QUEUE);
     let (replica_answers, mut replica_news) = mpsc::channel(QUEUE);
     let (disk_done, mut disk_news) = mpsc::unbounded_channel();
-    let mut opening = Disk::open(settings.data_dir.clone(), disk_done);
+    let mut opening = Disk::open(settings.data_dir.clone(), surroundings.open_medium, disk_done);
     let api = tokio::spawn(serve(control_listener, issue));
     let inner = tokio::spawn(accept_links(peer_listener, link_events.clone()));
     ControllerEvent::Started
--- a/crates/controller/tests/sockets.rs
+++ b/crates/controller/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use controller::Surroundings;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::Path;
@@ -57,7 +58,9 @@
         let thread = std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-            runtime.block_on(controller::program::run(settings, control)).expect("runs until told to end");
+            runtime
+                .block_on(controller::program::run(Surroundings::default(), settings, control))
+                .expect("runs until told to end");
         });
         Running { tell, thread }
     }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -42,7 +42,8 @@
 const QUOTA_EXCEEDED: i32 = 122;
 
 impl StoreError {
-    pub(crate) fn of_io(path: &Path, cause: io::Error) -> StoreError {
+    /// The system's error for a file or folder.
+    pub fn of_io(path: &Path, cause: io::Error) -> StoreError {
         let path = path.to_owned();
         let is_quota = cause.raw_os_error() == Some(QUOTA_EXCEEDED);
         match cause.kind() {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,7 +1,9 @@
 //! The fleet's processes: settings files, starts, signals, and restarts after each end, as a platform does them.
 
-use crate::plan::Size;
+use crate::plan::{troubled_controller, Size};
 use crate::record::{Disturbance, Millis, Process, Record, Seen};
+use crate::relay::{Dialers, Relay, Trouble};
+use crate::test_build;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
@@ -88,11 +90,19 @@
     running: RefCell<BTreeMap<Process, Running>>,
     /// Processes are started again when they end.
     restarts: Cell<bool>,
+    faults: Option<Faults>,
+}
+
+/// What makes the links and the disk of one controller fail.
+struct Faults {
+    seed: u64,
+    controller: usize,
+    relays: Vec<Rc<Relay>>,
 }
 
 impl Fleet {
     /// All processes, started. `folder` takes settings, disks and logs.
-    pub fn start(program: &Path, folder: &Path, size: Size, record: Record) -> Fleet {
+    pub fn start(program: &Path, folder: &Path, size: Size, record: Record, seed: u64) -> Fleet {
         let agent_ports = (0..size.edges).map(|_| free_port()).collect();
         let shared = Shared {
             program: program.to_path_buf(),
@@ -103,8 +113,16 @@
             record,
             running: RefCell::default(),
             restarts: Cell::new(true),
+            faults: None,
         };
-        let fleet = Fleet { shared: Rc::new(shared) };
+        let mut fleet = Fleet { shared: Rc::new(shared) };
+        let relays = (0..size.controllers).map(|number| fleet.inner(number));
+        let faults = troubled_controller(seed, size).map(|controller| Faults {
+            seed,
+            controller,
+            relays: relays.map(Relay::start).collect(),
+        });
+        Rc::get_mut(&mut fleet.shared).expect("nobody else has it yet").faults = faults;
         for process in fleet.processes() {
             fleet.launch(process, true);
         }
@@ -138,6 +156,20 @@
         SocketAddrV4::new(self.ip(3, place), REPLICA_PORT)
     }
 
+    /// Where a controller's peers and agents reach it.
+    fn inner(&self, controller: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(1, controller), INNER_PORT)
+    }
+
+    /// Puts links of the controller that is in trouble into that trouble, for so long.
+    pub async fn disturb(self, trouble: Trouble, dialers: Dialers, time: Millis) {
+        let Some(faults) = &self.shared.faults else { return };
+        let process = Process::Controller(faults.controller);
+        self.shared.record.note(Seen::Process { process, what: Disturbance::LinksTroubled });
+        faults.relays[faults.controller].clone().disturb(trouble, dialers, time).await;
+        self.shared.record.note(Seen::Process { process, what: Disturbance::LinksWhole });
+    }
+
     fn ip(&self, class: u8, number: usize) -> Ipv4Addr {
         Ipv4Addr::new(127, self.shared.subnet, class, number as u8 + 1)
     }
@@ -150,13 +182,8 @@
         let settings = folder.join("settings.yaml");
         fs::write(&settings, self.settings(process, &folder, first_start)).expect("room for settings");
         let log = File::options().create(true).append(true).open(folder.join("log")).expect("room for a log");
-        let role = match process {
-            Process::Controller(_) => "controller",
-            Process::Agent(_) => "agent",
-            Process::Proxy(_) => "proxy",
-        };
-        let mut command = Command::new(&shared.program);
-        command.arg(role).env("STEPPICK_CONFIG", &settings).stdout(Stdio::null()).stderr(log);
+        let mut command = self.command(process);
+        command.env("STEPPICK_CONFIG", &settings).stdout(Stdio::null()).stderr(log);
         let child = command.spawn().expect("the program starts");
         let mut running = shared.running.borrow_mut();
         let starts = running.get(&process).map_or(1, |before| before.starts + 1);
@@ -174,6 +201,21 @@
         shared.record.note(Seen::Process { process, what: Disturbance::Started });
     }
 
+    /// The program, or its test build where links and disks fail.
+    fn command(&self, process: Process) -> Command {
+        let role = match (process, &self.shared.faults) {
+            (Process::Controller(number), Some(faults)) => {
+                return test_build::command(number, faults.seed, faults.controller)
+            }
+            (Process::Controller(_), None) => "controller",
+            (Process::Agent(_), _) => "agent",
+            (Process::Proxy(_), _) => "proxy",
+        };
+        let mut command = Command::new(&self.shared.program);
+        command.arg(role);
+        command
+    }
+
     fn settings(&self, process: Process, folder: &Path, first_start: bool) -> String {
         let (ip, listen, ports, disk, zone) = match process {
             Process::Controller(number) => {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -2,24 +2,27 @@
 //! operators, and signals, restarts and changes drawn from a seed, in series and on top of each other.
 //!
 //! CI plays a few seeds. `SOAK_SEEDS=1..51` plays others, `SOAK_AT_ONCE` so many at a time, `SOAK_EDGES` and
-//! `SOAK_CONTROLLERS` set the size of the fleet. The folder of a run that fails stays, with a log for each process and
+//! `SOAK_CONTROLLERS` set the size of the fleet. The folder of a run that fails, or of any with `SOAK_KEEP`, stays, with a log for each process and
 //! `events.txt`.
 
 mod call;
 mod check;
 mod client;
+mod disk;
 mod fleet;
 mod operator;
 mod orders;
 mod plan;
 mod record;
+mod relay;
 mod replica;
+mod test_build;
 mod touch;
 
 use client::Clients;
 use fleet::{Fleet, SERVICES, VERSION_MS};
 use operator::Operators;
-use plan::{draw_plan, Action, Size};
+use plan::{draw_plan, Action, Size, FIRST_WITH_FAULTS};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use record::{Millis, Process, Record, Seen};
@@ -33,8 +36,9 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
 
-/// Seeds that CI plays.
+/// Seeds that CI plays, and those with cut links and bad disks.
 const CI_SEEDS: Range<u64> = 1..9;
+const CI_FAULT_SEEDS: Range<u64> = FIRST_WITH_FAULTS + 1..FIRST_WITH_FAULTS + 9;
 /// Runs at a time in CI.
 const CI_AT_ONCE: u64 = 2;
 /// After the last action all is well again within this: replaced members, moved weights, processes that were told to end.
@@ -46,11 +50,12 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
-fn seeds() -> Range<u64> {
+/// The seeds that are told, as far as they lie in `all`, or those of CI.
+fn seeds(all: Range<u64>, of_ci: Range<u64>) -> Range<u64> {
     let told = std::env::var("SOAK_SEEDS").ok();
     let range = told.as_deref().and_then(|text| text.split_once(".."));
     let range = range.and_then(|(first, end)| Some(first.parse().ok()?..end.parse().ok()?));
-    range.unwrap_or(CI_SEEDS)
+    range.map_or(of_ci, |told: Range<u64>| told.start.max(all.start)..told.end.min(all.end))
 }
 
 fn size(seed: u64) -> Size {
@@ -61,7 +66,18 @@
 
 #[test]
 fn a_fleet_keeps_its_promises_through_signals_restarts_and_changes() {
-    let (seeds, at_once) = (seeds(), from_environment("SOAK_AT_ONCE").unwrap_or(CI_AT_ONCE));
+    play_all(seeds(0..FIRST_WITH_FAULTS, CI_SEEDS));
+}
+
+/// One controller's links are cut, delayed or reset and its disk is slow, fails or refuses, on top of all that; and each
+/// controller's disk forgets what was not synced.
+#[test]
+fn a_fleet_keeps_its_promises_through_cut_links_and_bad_disks() {
+    play_all(seeds(FIRST_WITH_FAULTS..u64::MAX, CI_FAULT_SEEDS));
+}
+
+fn play_all(seeds: Range<u64>) {
+    let at_once = from_environment("SOAK_AT_ONCE").unwrap_or(CI_AT_ONCE);
     let next = AtomicU64::new(seeds.start);
     let mut faults: Vec<String> = Vec::new();
     std::thread::scope(|scope| {
@@ -91,7 +107,7 @@
     let folder = std::env::temp_dir().join(format!("steppick-soak-{}-{seed}", std::process::id()));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let (faults, events) = LocalSet::new().block_on(&runtime, run(seed, &folder));
-    if faults.is_empty() {
+    if faults.is_empty() && std::env::var_os("SOAK_KEEP").is_none() {
         let _ = std::fs::remove_dir_all(&folder);
     } else {
         let text: Vec<String> = events.iter().map(|event| format!("{} {:?}", event.at, event.seen)).collect();
@@ -116,7 +132,7 @@
     let size = size(seed);
     let record = Record::new();
     let program = PathBuf::from(env!("CARGO_BIN_EXE_steppick"));
-    let fleet = Fleet::start(&program, folder, size, record.clone());
+    let fleet = Fleet::start(&program, folder, size, record.clone(), seed);
     let supervision = spawn_local(fleet.clone().supervise());
     let clients = Clients {
         fleet: fleet.clone(),
@@ -216,6 +232,9 @@
                 }
             }
             Action::PowerOff => fleet.kill_all(),
+            Action::Disturb(trouble, dialers, time) => {
+                drop(spawn_local(fleet.clone().disturb(trouble, dialers, time)));
+            }
             Action::ManyChanges => drop(spawn_local(self.operators.clone().many_changes())),
         }
     }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::SERVICES;
 use crate::record::{Millis, Process};
+use crate::relay::{Dialers, Trouble};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -71,6 +72,21 @@
     PowerOff,
     /// Many changes of the configuration in a row.
     ManyChanges,
+    /// Links to the controller that is in trouble are, for so long.
+    Disturb(Trouble, Dialers, Millis),
+}
+
+/// Seeds from here on are played with cut links and bad disks.
+pub const FIRST_WITH_FAULTS: u64 = 100_000;
+/// Troubles of links last between these.
+const SHORTEST_TROUBLE: Millis = 100;
+const LONGEST_TROUBLE: Millis = 2_500;
+/// Time between two of them.
+const BETWEEN_TROUBLES: Millis = 300;
+
+/// The controller whose links and disk are in trouble in a run, if there is one.
+pub fn troubled_controller(seed: u64, size: Size) -> Option<usize> {
+    (seed >= FIRST_WITH_FAULTS).then(|| seed as usize % size.controllers)
 }
 
 /// The actions of a run with their times, the first one first.
@@ -78,11 +94,13 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let mut actions = Vec::new();
     // A lost disk is borne if nothing else of the controllers is lost around it.
-    let wipes = seed % 4 == 3;
+    let has_faults = seed >= FIRST_WITH_FAULTS;
+    let wipes = seed % 4 == 3 && !has_faults;
+    let spares_controllers = wipes || has_faults;
     while actions.len() < 14 + 2 * size.edges.min(8) {
         let at = FIRST + random.random_range(0..SPAN);
         for _ in 0..random.random_range(1..5) {
-            let action = draw(&mut random, size, wipes);
+            let action = draw(&mut random, size, spares_controllers);
             actions.push((at + random.random_range(0..BURST), action));
             // While a machine ends, replicas come to their end, too.
             if matches!(action, Action::TerminateEdge(_)) && random.random_bool(0.7) {
@@ -109,7 +127,10 @@
         actions.extend(draw_cuts(seed, size));
     }
     if seed % FREEZES_EVERY == 0 {
-        actions.extend(draw_freezes(seed, size, wipes));
+        actions.extend(draw_freezes(seed, size, spares_controllers));
+    }
+    if has_faults {
+        actions.extend(draw_link_troubles(seed));
     }
     actions.sort_by_key(|(at, _)| *at);
     actions
@@ -131,6 +152,22 @@
     cuts
 }
 
+/// Troubles of the links of one controller, one after the other.
+fn draw_link_troubles(seed: u64) -> Vec<(Millis, Action)> {
+    use Trouble::{Cut, CutFrom, CutTo, Delayed, Reset, Slow};
+    let mut random = SmallRng::seed_from_u64(seed ^ 0x1142);
+    let mut troubles = Vec::new();
+    let mut at = FIRST;
+    while at < FIRST + SPAN {
+        let trouble = [Cut, Cut, CutTo, CutFrom, Delayed, Slow, Reset][random.random_range(0..7)];
+        let dialers = [Dialers::All, Dialers::All, Dialers::Controllers, Dialers::Agents];
+        let time = random.random_range(SHORTEST_TROUBLE..LONGEST_TROUBLE);
+        troubles.push((at, Action::Disturb(trouble, dialers[random.random_range(0..4)], time)));
+        at += time + BETWEEN_TROUBLES;
+    }
+    troubles
+}
+
 /// Freezes on top of the other actions; all are over when those are.
 fn draw_freezes(seed: u64, size: Size, spares_controllers: bool) -> Vec<(Millis, Action)> {
     let mut random = SmallRng::seed_from_u64(seed ^ 0xf4ee2e);
@@ -152,7 +189,7 @@
     freezes
 }
 
-fn draw(random: &mut SmallRng, size: Size, wipes: bool) -> Action {
+fn draw(random: &mut SmallRng, size: Size, spares_controllers: bool) -> Action {
     let edge = random.random_range(0..size.edges);
     let controller = Process::Controller(random.random_range(0..size.controllers));
     let replica = random.random_range(0..size.replicas * SERVICES);
@@ -164,9 +201,9 @@
         4 => Action::Kill(process),
         5..=6 => Action::Reload(process),
         7 => Action::Reload(controller),
-        8..=9 if !wipes => Action::Terminate(controller),
-        10 if !wipes => Action::Kill(controller),
-        11 if !wipes && random.random_range(0..3) == 0 => Action::KillControllers,
+        8..=9 if !spares_controllers => Action::Terminate(controller),
+        10 if !spares_controllers => Action::Kill(controller),
+        11 if !spares_controllers && random.random_range(0..3) == 0 => Action::KillControllers,
         8..=14 => Action::Configure,
         15 => Action::Race,
         16 => Action::Repeat,
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -26,12 +26,28 @@
     Frozen,
     /// It goes on.
     Thawed,
+    /// Its links to other processes are in trouble.
+    LinksTroubled,
+    /// They are whole again.
+    LinksWhole,
     /// It ended; `expected` if the signals that it was sent explain how.
     Ended {
         expected: bool,
     },
 }
 
+impl Disturbance {
+    /// Whether nothing is heard of the process from now on, though it is there.
+    pub fn stops(self) -> bool {
+        matches!(self, Disturbance::Frozen | Disturbance::LinksTroubled)
+    }
+
+    /// Whether that is over.
+    pub fn goes_on(self) -> bool {
+        matches!(self, Disturbance::Thawed | Disturbance::LinksWhole)
+    }
+}
+
 /// How a client's request ended for the client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Ending {
--- a/tests/soak/touch.rs
+++ b/tests/soak/touch.rs
@@ -60,15 +60,15 @@
         })
     }
 
-    /// Freezes and thaws within a span.
+    /// Freezes and thaws within a span, and troubles of links: a process that nothing reaches stands still for the others.
     pub(crate) fn freezes(
         &self,
         from: Millis,
         to: Millis,
     ) -> impl Iterator<Item = (Millis, Process, Disturbance)> + '_ {
         self.events.iter().filter_map(move |event| match event.seen {
-            Seen::Process { process, what: what @ (Disturbance::Frozen | Disturbance::Thawed) }
-                if (from..=to).contains(&event.at) =>
+            Seen::Process { process, what }
+                if (what.stops() || what.goes_on()) && (from..=to).contains(&event.at) =>
             {
                 Some((event.at, process, what))
             }
@@ -85,8 +85,8 @@
         for event in self.events.iter().filter(|event| event.at <= from) {
             let Seen::Process { process, what } = event.seen else { continue };
             let goes = match what {
-                Disturbance::Started | Disturbance::Thawed => true,
-                Disturbance::Killed | Disturbance::Frozen => false,
+                Disturbance::Started | Disturbance::Thawed | Disturbance::LinksWhole => true,
+                Disturbance::Killed | Disturbance::Frozen | Disturbance::LinksTroubled => false,
                 Disturbance::Ended { .. } | Disturbance::Terminated | Disturbance::Reloaded => continue,
             };
             if is_controller(&process) {
@@ -127,6 +127,6 @@
     /// Whether a controller was thawed so lately that its orders don't count.
     pub(crate) fn has_just_thawed(&self, holder: &str, at: Millis) -> bool {
         self.freezes(at.saturating_sub(THAW_MS), at)
-            .any(|(_, process, what)| what == Disturbance::Thawed && name(process) == holder)
+            .any(|(_, process, what)| what.goes_on() && name(process) == holder)
     }
 }
