--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,6 +1,7 @@
 //! The agent beside each proxy: keeps a link to every controller, merges what they tell, and feeds its proxy
 //! over loopback. What it knows never goes back within its life, whichever controllers come and go.
 
+mod controllers;
 pub mod ending;
 mod error;
 pub mod event;
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -7,8 +7,9 @@
 use catalog::Limits;
 use feed::{record_to_wire, ConfigurationTaken, Subscriber, View, Wanted};
 use links::LinkId;
-use peer::{replica_key, Alive, Fleet, Hello, Interest, Message, Replicas, Subscription, NEVER};
+use peer::{Alive, Fleet, Hello, Interest, Message, Replicas, Subscription, NEVER};
 
+use crate::controllers::{Controllers, MOST_CONTROLLERS};
 use crate::event::AgentEvent;
 use crate::home_review::HomeReview;
 use crate::Millis;
@@ -63,27 +64,6 @@
     pub zone: String,
 }
 
-/// What a controller said of itself and of the fleet.
-#[derive(Debug, Default)]
-struct Controller {
-    up: bool,
-    zone: String,
-    /// When it was up last.
-    seen: Millis,
-    fleet: Option<(BTreeSet<SocketAddrV4>, u32)>,
-    /// When it was in step with the majority, by its own word.
-    majority_at: Option<Millis>,
-    /// Whether it said anything of that yet.
-    told_contact: bool,
-}
-
-impl Controller {
-    /// Whether what it tells was the majority's a moment ago.
-    fn has_contact(&self, now: Millis) -> bool {
-        self.majority_at.is_some_and(|at| now.saturating_sub(at) < HOME_CONTACT_MS)
-    }
-}
-
 #[derive(Debug)]
 struct Proxy {
     subscriber: Subscriber,
@@ -91,15 +71,6 @@
     busy: bool,
 }
 
-/// Controllers that are linked at most.
-const MOST_CONTROLLERS: usize = 9;
-/// What a controller said counts for so long after its link went down.
-const REMEMBER_MS: Millis = 30_000;
-/// A controller whose newest proof of contact with a majority is older is no home while there is another one: its view
-/// of the fleet may be old.
-const HOME_CONTACT_MS: Millis = 1_500;
-/// An agent that has just found controllers waits so long for one of its own zone, before it makes another its home.
-const HOME_SETTLES_MS: Millis = 300;
 /// Time between clean-ups.
 const UPKEEP_EVERY_MS: Millis = 5_000;
 
@@ -111,14 +82,12 @@
     view: View,
     /// Parts of prompts that the proxy wants to hear of.
     wanted: Wanted,
-    controllers: BTreeMap<SocketAddrV4, Controller>,
+    controllers: Controllers,
     proxies: BTreeMap<LinkId, Proxy>,
     /// The controller that was told that it is the home.
     subscribed: Option<SocketAddrV4>,
     /// What that one has told of.
     review: HomeReview,
-    /// Since when some controller is linked.
-    linked_since: Option<Millis>,
     next_upkeep: Millis,
 }
 
@@ -132,10 +101,9 @@
             view: View::new(limits),
             review,
             wanted: Wanted::default(),
-            controllers: BTreeMap::new(),
+            controllers: Controllers::default(),
             proxies: BTreeMap::new(),
             subscribed: None,
-            linked_since: None,
             next_upkeep: now + UPKEEP_EVERY_MS,
         }
     }
@@ -144,9 +112,7 @@
     pub fn step(&mut self, now: Millis, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::ControllerUp { controller } => {
-                self.linked_since.get_or_insert(now);
-                let entry = self.controllers.entry(controller).or_default();
-                (entry.up, entry.seen) = (true, now);
+                self.controllers.up(now, controller);
                 let parts: Vec<u64> = self.wanted.all().collect();
                 if !parts.is_empty() {
                     let message = Message::Interest(Interest::from(parts));
@@ -154,9 +120,7 @@
                 }
             }
             Input::ControllerDown { controller } => {
-                if let Some(entry) = self.controllers.get_mut(&controller) {
-                    (entry.up, entry.seen) = (false, now);
-                }
+                self.controllers.down(now, controller);
                 if self.subscribed.take_if(|home| *home == controller).is_some() {
                     self.review.stop();
                 }
@@ -200,10 +164,7 @@
     pub fn deadline(&self) -> Millis {
         let idle = self.proxies.values().filter(|proxy| !proxy.busy);
         let feeds = idle.map(|proxy| proxy.subscriber.deadline(&self.view));
-        // While nobody is linked there is nobody to choose, and the time for it has long gone by.
-        let chooses = self.subscribed.is_none() && self.controllers.values().any(|one| one.up);
-        let settles = self.linked_since.filter(|_| chooses);
-        let settles = settles.map(|since| since + HOME_SETTLES_MS);
+        let settles = self.controllers.settles_at().filter(|_| self.subscribed.is_none());
         feeds
             .chain(settles)
             .chain(self.review.due())
@@ -216,10 +177,8 @@
     /// is in contact with a majority: all that are linked may be cut off.
     pub fn wanted_controllers(&self, now: Millis) -> BTreeSet<SocketAddrV4> {
         let told = self.view.controllers().iter().copied();
-        let knows_fleet =
-            |one: &Controller| one.up && one.fleet.is_some() && (one.has_contact(now) || !one.told_contact);
-        let linked = self.controllers.values().any(knows_fleet);
-        let seeds = self.seeds.iter().copied().filter(|_| !linked);
+        let is_known = self.controllers.know_fleet(now);
+        let seeds = self.seeds.iter().copied().filter(|_| !is_known);
         told.chain(seeds).take(MOST_CONTROLLERS).collect()
     }
 
@@ -242,7 +201,7 @@
         self.view.replicas.tick(now, false);
         self.view.forget_prefixes_of_ended();
         self.wanted.forget_old(now);
-        self.controllers.retain(|_, one| one.up || now.saturating_sub(one.seen) < REMEMBER_MS);
+        self.controllers.forget_old(now);
         self.update_fleet();
     }
 
@@ -258,27 +217,18 @@
             Message::Replicas(replicas) => self.replicas(now, from, &replicas, out),
             Message::Weights(weights) => self.weights(now, from, &weights),
             Message::Fleet(fleet) => self.fleet(from, &fleet),
-            Message::Alive(alive) => self.alive(now, from, alive),
+            Message::Alive(alive) => self.controllers.alive(now, from, alive),
             Message::Prefixes(prefixes) => self.view.prefixes.take(&prefixes),
-            Message::Hello(hello) => {
-                if let Some(controller) = self.controllers.get_mut(&from) {
-                    controller.zone = hello.zone.as_str().to_string();
-                }
-            }
+            Message::Hello(hello) => self.controllers.introduced(from, hello.zone.as_str()),
             Message::Loads(loads) if self.home_controller(now) == Some(from) => self.pass_loads(&loads, out),
             _ => {}
         }
     }
 
     /// The controller that hears what this machine's proxy has out, and tells it what all have and which replicas are
-    /// ready: one in contact with a majority where there is one, then one of this zone; agents spread over several.
+    /// ready.
     pub fn home_controller(&self, now: Millis) -> Option<SocketAddrV4> {
-        let up = self.controllers.iter().filter(|(_, one)| one.up);
-        let weight = |(address, one): &(&SocketAddrV4, &Controller)| {
-            let spread = replica_key(&format!("{} {address}", self.place.machine));
-            (one.has_contact(now), one.zone == self.place.zone, spread, **address)
-        };
-        up.max_by_key(weight).map(|(address, _)| *address)
+        self.controllers.home(now, &self.place)
     }
 
     /// Tells the home that it is, and the former one that it is no more.
@@ -287,10 +237,8 @@
         if home == self.subscribed {
             return;
         }
-        let is_near =
-            home.and_then(|home| self.controllers.get(&home)).is_some_and(|one| one.zone == self.place.zone);
-        let has_settled = self.linked_since.is_some_and(|since| now >= since + HOME_SETTLES_MS);
-        if !is_near && !has_settled {
+        let is_near = home.is_some_and(|home| self.controllers.is_in_zone(home, &self.place.zone));
+        if !is_near && !self.controllers.has_settled(now) {
             return;
         }
         let say = |to, is_home| Effect::SendController {
@@ -309,7 +257,7 @@
     /// Reports replicas to the home that it has not told of, as it may know nothing of them.
     fn report_untold(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let Some(to) = self.subscribed else { return };
-        let has_contact = self.controllers.get(&to).is_some_and(|home| home.has_contact(now));
+        let has_contact = self.controllers.has_contact(now, to);
         let untold = self.review.report(now, has_contact, &self.view.replicas);
         if untold.is_empty() {
             return;
@@ -324,9 +272,9 @@
         for part in &interest.parts {
             self.wanted.ask(now, *part);
         }
-        for (to, _) in self.controllers.iter().filter(|(_, one)| one.up) {
+        for to in self.controllers.linked() {
             let message = Message::Interest(interest.clone());
-            out.push(Effect::SendController { to: *to, message });
+            out.push(Effect::SendController { to, message });
         }
     }
 
@@ -372,9 +320,9 @@
 
     /// Tells all controllers which configuration is held: those that did not bring it need not.
     fn tell_configuration(&self, configuration: u64, out: &mut Vec<Effect>) {
-        for (to, _) in self.controllers.iter().filter(|(_, one)| one.up) {
+        for to in self.controllers.linked() {
             let message = Message::Alive(Alive { majority_age_ms: NEVER, configuration });
-            out.push(Effect::SendController { to: *to, message });
+            out.push(Effect::SendController { to, message });
         }
     }
 
@@ -389,52 +337,25 @@
             return;
         }
         let lost: Vec<_> = taken.lost.iter().map(record_to_wire).collect();
-        let others = self
-            .controllers
-            .iter()
-            .filter(|(address, one)| one.up && **address != from && !one.has_contact(now));
-        for (to, _) in others {
+        let without_contact = |to: &SocketAddrV4| *to != from && !self.controllers.has_contact(now, *to);
+        for to in self.controllers.linked().filter(without_contact) {
             let message = Message::Replicas(Replicas::from(lost.clone()));
-            out.push(Effect::SendController { to: *to, message });
+            out.push(Effect::SendController { to, message });
         }
     }
 
     fn fleet(&mut self, from: SocketAddrV4, fleet: &Fleet) {
-        let told = fleet.controllers.iter().filter_map(|address| address.socket()).collect();
-        if let Some(controller) = self.controllers.get_mut(&from) {
-            controller.fleet = Some((told, fleet.proxies));
-        }
+        self.controllers.told_fleet(from, fleet);
         self.update_fleet();
     }
 
-    /// All controllers that anyone names, and the greatest number of proxies: too small a share of a fixed
-    /// allowance wastes little, too large a one breaks it.
     fn update_fleet(&mut self) {
-        let told = self.controllers.values().filter_map(|controller| controller.fleet.as_ref());
-        let (mut controllers, mut proxies) = (BTreeSet::new(), 0);
-        for (named, count) in told {
-            controllers.extend(named.iter().copied());
-            proxies = proxies.max(*count);
-        }
+        let (controllers, proxies) = self.controllers.fleet();
         self.view.set_fleet(controllers.into_iter().collect(), proxies);
     }
 
-    fn alive(&mut self, now: Millis, from: SocketAddrV4, alive: Alive) {
-        let Some(controller) = self.controllers.get_mut(&from) else { return };
-        controller.told_contact = true;
-        let proved =
-            (alive.majority_age_ms != NEVER).then(|| now.saturating_sub(alive.majority_age_ms.into()));
-        controller.majority_at = controller.majority_at.max(proved);
-    }
-
-    /// Age of the newest proof of any controller that what it tells is the majority's.
-    fn majority_age(&self, now: Millis) -> u32 {
-        let newest = self.controllers.values().filter_map(|controller| controller.majority_at).max();
-        newest.map_or(NEVER, |at| now.saturating_sub(at).min(Millis::from(NEVER)) as u32)
-    }
-
     fn feed(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        let age = self.majority_age(now);
+        let age = self.controllers.majority_age(now);
         for (link, proxy) in self.proxies.iter_mut().filter(|(_, proxy)| !proxy.busy) {
             let messages = proxy.subscriber.messages(now, &self.view, age);
             if !messages.is_empty() {
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -1,5 +1,6 @@
 //! One client's request on its way: what was sent, what is proven, what may still be sent.
 
+use crate::cause::Cause;
 use crate::figures::{LateReason, Work};
 use evidence::Ms;
 use prefix_index::{PartKey, ReplicaNumber};
@@ -129,30 +130,6 @@
     Wait,
 }
 
-/// Why a request was given up.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumCount, strum::EnumIter, strum::IntoStaticStr,
-)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Cause {
-    /// The service has no replica that is ready.
-    NoReplica,
-    /// All replicas are full.
-    AllFull,
-    /// No replica has the weights yet that the request must run on.
-    NoWeights,
-    /// It was sent as often as its route allows.
-    NoTries,
-    /// The retry budget is spent.
-    NoBudget,
-    /// No replica could be reached.
-    Unreached,
-    /// It may have run and may not be repeated.
-    InDoubt,
-    /// Its time is over.
-    Expired,
-}
-
 /// The final answer of a request that was given up.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Final {
--- a/crates/dispatch/src/figures.rs
+++ b/crates/dispatch/src/figures.rs
@@ -1,7 +1,7 @@
 //! What became of requests and of their prompts, counted for operators: each late answer has one reason, the part of its
 //! time that was longest.
 
-use crate::call::Cause;
+use crate::cause::Cause;
 use evidence::Ms;
 use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -1,6 +1,7 @@
 //! What follows from how a send went.
 
-use crate::call::{Call, Cause, Next, Out, Outcome, COME_BACK, LEAST_TIME};
+use crate::call::{Call, Next, Out, Outcome, COME_BACK, LEAST_TIME};
+use crate::cause::Cause;
 use crate::dispatcher::Dispatcher;
 use crate::figures::Work;
 use evidence::Ms;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod budget;
 mod call;
+mod cause;
 mod choose;
 mod dispatcher;
 mod figures;
@@ -26,7 +27,8 @@
 mod twins;
 
 pub use budget::{BudgetLimits, RetryBudget};
-pub use call::{Ask, Call, Cause, Final, Next, Outcome, Rules, Target, TenantName};
+pub use call::{Ask, Call, Final, Next, Outcome, Rules, Target, TenantName};
+pub use cause::Cause;
 pub use choose::{pick, Candidate, CostModel, ReadRate};
 pub use dispatcher::{Bounds, Dispatcher};
 pub use evidence::Ms;
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -1,6 +1,7 @@
 //! Where a request is sent.
 
-use crate::call::{Ask, Call, Cause, Final, Out, Target, COME_BACK, LEAST_TIME};
+use crate::call::{Ask, Call, Final, Out, Target, COME_BACK, LEAST_TIME};
+use crate::cause::Cause;
 use crate::choose::{pick, Candidate, CostModel};
 use crate::dispatcher::{Dispatcher, FIRST_PROXIES};
 use crate::figures::Work;
