Tests hold the ports they rely on; the start of a whole fleet is played and timed

Seen in runs: the answer was 401, another test's proxy; request "a" arrived at another test's replica; a third test waited for ever. Ruled out: a listener that outlives its drop in a child process (the binary starts none), and the proxy.

Change: stand_in::ports::Refusing holds a bound socket that does not listen, in place of a copy in tests/support; unused_ports gives ports below those of the system, once each, in place of free_port in the soak and in sockets.rs, whose second inner port nobody had looked at.

New: tests/soak/start.rs, power lost by all machines at once, time until each edge machine serves; and whole_start.rs of the register, the same in simulated time during a change.

--- a/crates/controller/tests/sockets.rs
+++ b/crates/controller/tests/sockets.rs
@@ -4,7 +4,7 @@
 
 use controller::Surroundings;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
 use std::path::Path;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -12,21 +12,24 @@
 use process::Control;
 use rstest::rstest;
 use settings::ProcessSettings;
+use stand_in::ports::unused_ports;
 use support::configuration;
 use tempfile::TempDir;
 use tokio::sync::mpsc;
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Ports that were free on all three addresses a moment ago.
+/// The ports of three controllers, the same on each one's address.
 struct Ports {
     control: u16,
+    /// The first of two.
     inner: u16,
 }
 
 impl Ports {
     fn find() -> Ports {
-        Ports { control: free_port(), inner: free_port() }
+        let hosts = [ip(1), ip(2), ip(3)];
+        Ports { control: unused_ports(&hosts, 1), inner: unused_ports(&hosts, 2) }
     }
 }
 
@@ -34,18 +37,6 @@
     Ipv4Addr::new(127, 0, 7, host)
 }
 
-fn free_port() -> u16 {
-    loop {
-        let first = TcpListener::bind(SocketAddrV4::new(ip(1), 0)).expect("a port");
-        let port = first.local_addr().expect("bound").port();
-        let others: Vec<_> =
-            (2..=3).map(|host| TcpListener::bind(SocketAddrV4::new(ip(host), port))).collect();
-        if port < u16::MAX && others.iter().all(Result::is_ok) {
-            return port;
-        }
-    }
-}
-
 struct Running {
     tell: mpsc::Sender<Control>,
     thread: JoinHandle<()>,
--- a/crates/proxy/tests/whole_path.rs
+++ b/crates/proxy/tests/whole_path.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use rstest::rstest;
+use stand_in::ports::Refusing;
 use support::*;
 
 #[test]
@@ -285,10 +286,9 @@
 #[test]
 fn a_replica_that_can_not_be_reached_costs_no_try() {
     play(|| async {
-        let (gone, there) = (Replica::new("i-gone").await, Replica::new("i-2").await);
-        let dead = gone.record();
-        drop(gone);
-        let fixture = Fixture::with(CONFIGURATION, vec![dead, there.record()]).await;
+        let (gone, there) = (Refusing::bind(), Replica::new("i-2").await);
+        let records = vec![record("i-gone", gone.address()), there.record()];
+        let fixture = Fixture::with(CONFIGURATION, records).await;
         for number in 0..8 {
             let mut client = fixture.client().await;
             client.write(ask("write", &format!("a{number}"), "")).await;
@@ -305,10 +305,8 @@
 #[test]
 fn nobody_reached_means_not_run() {
     play(|| async {
-        let gone = Replica::new("i-gone").await;
-        let dead = gone.record();
-        drop(gone);
-        let fixture = Fixture::with(CONFIGURATION, vec![dead]).await;
+        let gone = Refusing::bind();
+        let fixture = Fixture::with(CONFIGURATION, vec![record("i-gone", gone.address())]).await;
         let mut client = fixture.client().await;
         client.write(ask("write", "a", "")).await;
         let (head, _) = client.answer().await;
--- a/crates/register/tests/simulated/main.rs
+++ b/crates/register/tests/simulated/main.rs
@@ -13,6 +13,7 @@
 mod mutations;
 mod scenario;
 mod second_loss;
+mod whole_start;
 
 use std::ops::Range;
 
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod damage;
+pub mod ports;
 
 use http::{BodyReader, Framing, RequestHead, ResponseFraming, ResponseHead};
 use std::net::SocketAddr;
--- a/tests/ending_lists.rs
+++ b/tests/ending_lists.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use stand_in::ports::Refusing;
 use std::time::{Duration, Instant};
 use support::front::*;
 use support::hand::{Hand, Peer};
@@ -113,12 +114,12 @@
 
 #[test]
 fn a_discovery_that_refused_is_asked_again_and_tells_at_once_when_it_is_back() {
-    let (nodes, discovery, folder) = ([Hand::new(), Hand::new()], Hand::refusing(), Folder::new("refused"));
-    let text = config("127.0.0.1:0", discovery.address, &servers(&nodes, ["in_service"; 2]));
+    let (nodes, discovery, folder) = ([Hand::new(), Hand::new()], Refusing::bind(), Folder::new("refused"));
+    let text = config("127.0.0.1:0", discovery.address().into(), &servers(&nodes, ["in_service"; 2]));
     let program = Program::start(&[], Some(&folder.write("config.json", &text)));
     let line = program.line("roster: ");
     assert!(line.contains("asking again until it is told"), "{line}");
-    let lists = Lists { folder, nodes, discovery: discovery.listen(), program };
+    let lists = Lists { folder, nodes, discovery: Hand::at(discovery), program };
     let mut peer = lists.discovery.accept_within(TOLD).expect("a watch");
     peer.head();
     peer.watch_head();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -4,10 +4,11 @@
 use crate::record::{Disturbance, Millis, Process, Record, Seen};
 use crate::relay::{Dialers, Relay, Trouble};
 use crate::test_build;
+use stand_in::ports::unused_ports;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -50,18 +51,6 @@
     10 + ((first * 4 + run) % 240) as u8
 }
 
-/// A port on 127.0.0.1 that is free, below those that the system gives out.
-fn free_port() -> u16 {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    loop {
-        let step = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 20_000 + (std::process::id() as u16 % 97 * 101 + step) % 10_000;
-        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
-            return port;
-        }
-    }
-}
-
 struct Running {
     child: Option<Child>,
     started: Millis,
@@ -103,7 +92,7 @@
 impl Fleet {
     /// All processes, started. `folder` takes settings, disks and logs.
     pub fn start(program: &Path, folder: &Path, size: Size, record: Record, seed: u64) -> Fleet {
-        let agent_ports = (0..size.edges).map(|_| free_port()).collect();
+        let agent_ports = (0..size.edges).map(|_| unused_ports(&[Ipv4Addr::LOCALHOST], 1)).collect();
         let shared = Shared {
             program: program.to_path_buf(),
             folder: folder.to_path_buf(),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,6 +16,7 @@
 mod record;
 mod relay;
 mod replica;
+mod start;
 mod test_build;
 mod touch;
 
@@ -28,12 +29,13 @@
 use record::{Millis, Process, Record, Seen};
 use replica::{End, Replica};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, timeout};
 
 /// Seeds that CI plays, and those with cut links and bad disks.
@@ -104,17 +106,37 @@
 }
 
 fn play(seed: u64) -> Vec<String> {
-    let folder = std::env::temp_dir().join(format!("steppick-soak-{}-{seed}", std::process::id()));
+    let (faults, _) = play_story(&format!("seed {seed}"), |folder| async move {
+        let run = Run::start(seed, size(seed), 0, &folder);
+        run.begin(seed).await;
+        for (at, action) in draw_plan(seed, run.fleet.size()) {
+            sleep(Duration::from_millis(at.saturating_sub(run.record.now()))).await;
+            run.act(action);
+        }
+        run.recovered().await;
+        run.stop().await
+    });
+    faults
+}
+
+/// Plays a run in a folder of its own: its faults, and what was seen. The folder stays where there are faults.
+fn play_story<F>(name: &str, story: impl FnOnce(PathBuf) -> F) -> (Vec<String>, Vec<record::Event>)
+where
+    F: Future<Output = Vec<record::Event>>,
+{
+    let folder_name = format!("steppick-soak-{}-{}", std::process::id(), name.replace(' ', "-"));
+    let folder = std::env::temp_dir().join(folder_name);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let (faults, events) = LocalSet::new().block_on(&runtime, run(seed, &folder));
+    let events = LocalSet::new().block_on(&runtime, story(folder.clone()));
+    let faults = check::faults(&events);
     if faults.is_empty() && std::env::var_os("SOAK_KEEP").is_none() {
         let _ = std::fs::remove_dir_all(&folder);
     } else {
         let text: Vec<String> = events.iter().map(|event| format!("{} {:?}", event.at, event.seen)).collect();
         let _ = std::fs::write(folder.join("events.txt"), text.join("\n"));
-        println!("seed {seed}: kept in {}", folder.display());
+        println!("{name}: kept in {}", folder.display());
     }
-    faults
+    (faults, events)
 }
 
 /// A run with its parties.
@@ -126,48 +148,39 @@
     replicas: RefCell<Vec<Option<Replica>>>,
     random: RefCell<SmallRng>,
     lives: Cell<u64>,
+    supervision: JoinHandle<()>,
 }
 
-async fn run(seed: u64, folder: &Path) -> (Vec<String>, Vec<record::Event>) {
-    let size = size(seed);
-    let record = Record::new();
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_steppick"));
-    let fleet = Fleet::start(&program, folder, size, record.clone(), seed);
-    let supervision = spawn_local(fleet.clone().supervise());
-    let clients = Clients {
-        fleet: fleet.clone(),
-        record: record.clone(),
-        last_request: Rc::default(),
-        newest: Rc::default(),
-        stopped: Rc::default(),
-    };
-    let operators = Operators::new(&fleet, &record, &clients, seed);
-    let random = RefCell::new(SmallRng::seed_from_u64(seed ^ 0xf1ee7));
-    let run = Rc::new(Run {
-        fleet: fleet.clone(),
-        record: record.clone(),
-        operators: operators.clone(),
-        clients: clients.clone(),
-        replicas: RefCell::default(),
-        random,
-        lives: Cell::new(0),
-    });
-    run.begin(seed).await;
-    for (at, action) in draw_plan(seed, size) {
-        sleep(Duration::from_millis(at.saturating_sub(record.now()))).await;
-        run.act(action);
+impl Run {
+    /// All processes and parties; `spare_routes` routes nobody asks for fill the configuration.
+    fn start(seed: u64, size: Size, spare_routes: usize, folder: &Path) -> Rc<Run> {
+        let record = Record::new();
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_steppick"));
+        let fleet = Fleet::start(&program, folder, size, record.clone(), seed);
+        let supervision = spawn_local(fleet.clone().supervise());
+        let clients = Clients {
+            fleet: fleet.clone(),
+            record: record.clone(),
+            last_request: Rc::default(),
+            newest: Rc::default(),
+            stopped: Rc::default(),
+        };
+        let operators = Operators::new(&fleet, &record, &clients, seed, spare_routes);
+        let random = RefCell::new(SmallRng::seed_from_u64(seed ^ 0xf1ee7));
+        let (replicas, lives) = (RefCell::default(), Cell::new(0));
+        Rc::new(Run { fleet, record, operators, clients, replicas, random, lives, supervision })
+    }
+
+    /// Ends all; what was seen.
+    async fn stop(&self) -> Vec<record::Event> {
+        self.clients.stopped.set(true);
+        self.operators.stop();
+        sleep(Duration::from_millis(100)).await;
+        self.fleet.stop();
+        self.supervision.abort();
+        self.record.events()
     }
-    run.recovered().await;
-    clients.stopped.set(true);
-    operators.stop();
-    sleep(Duration::from_millis(100)).await;
-    fleet.stop();
-    supervision.abort();
-    let events = record.events();
-    (check::faults(&events), events)
-}
 
-impl Run {
     /// Replicas, the first configuration, readers and clients.
     async fn begin(self: &Rc<Self>, seed: u64) {
         let size = self.fleet.size();
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -43,6 +43,7 @@
     last_taken: RefCell<Option<Order>>,
     named: Cell<u64>,
     stopped: Cell<bool>,
+    spare_routes: usize,
 }
 
 /// All operators of a run.
@@ -50,7 +51,14 @@
 pub struct Operators(Rc<State>);
 
 impl Operators {
-    pub fn new(fleet: &Fleet, record: &Record, clients: &Clients, seed: u64) -> Operators {
+    /// Their first configuration has `spare_routes` routes that nobody asks for.
+    pub fn new(
+        fleet: &Fleet,
+        record: &Record,
+        clients: &Clients,
+        seed: u64,
+        spare_routes: usize,
+    ) -> Operators {
         Operators(Rc::new(State {
             fleet: fleet.clone(),
             record: record.clone(),
@@ -62,6 +70,7 @@
             last_taken: RefCell::default(),
             named: Cell::new(1),
             stopped: Cell::new(false),
+            spare_routes,
         }))
     }
 
@@ -83,7 +92,7 @@
         state.last_version.set(version);
         state.last_order.set(state.last_order.get() + 1);
         let based_on = state.current.get();
-        let body = if based_on == 0 { whole(version) } else { change(based_on, version) };
+        let body = if based_on == 0 { whole(version, state.spare_routes) } else { change(based_on, version) };
         Order { number: state.last_order.get(), based_on, version, body: body.to_string() }
     }
 
@@ -192,7 +201,7 @@
     )
 }
 
-fn whole(version: u64) -> Value {
+fn whole(version: u64, spare_routes: usize) -> Value {
     let services: Vec<Value> = (0..SERVICES)
         .map(|service| {
             json!({"name": format!("s{service}"), "health-path": "/health", "max-conns": 360, "protocol": "h1", "tls": false,
@@ -200,12 +209,18 @@
                 "stride": 6, "max-calls": 12, "models": [{"name": MODEL}]}})
         })
         .collect();
+    let mut routes = vec![
+        route("read", "/read/", "read_only", 0),
+        route("write", "/write/", "writing", 1),
+        route("stream", "/stream/", "streaming", 0),
+        only(version),
+    ];
+    let spare =
+        |number: usize| route(&format!("spare-{number}"), &format!("/spare-{number}/"), "read_only", 0);
+    routes.extend((0..spare_routes).map(spare));
     json!({
         "version": version,
-        "routes": [
-            route("read", "/read/", "read_only", 0), route("write", "/write/", "writing", 1),
-            route("stream", "/stream/", "streaming", 0), only(version),
-        ],
+        "routes": routes,
         "services": services,
         "caps": {"max-header-bytes": 16_384, "max-body-bytes": 4_194_304, "header-wait-ms": 3_000, "idle-ms": 15_000},
         "customers": [{"name": "tenant-1", "api-keys": [KEY], "priority": 1, "isolated": false}],
--- a/tests/support/hand.rs
+++ b/tests/support/hand.rs
@@ -2,6 +2,7 @@
 
 use super::site;
 use socket2::{Domain, Socket, Type};
+use stand_in::ports::Refusing;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -22,12 +23,10 @@
         Hand { listener, address }
     }
 
-    /// An address that refuses connections before [`Refusing::listen`].
-    pub fn refusing() -> Refusing {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
-        let address = socket.local_addr().ok().and_then(|address| address.as_socket()).expect("an address");
-        Refusing { socket, address }
+    /// Listens where connections were refused until now.
+    pub fn at(refusing: Refusing) -> Hand {
+        let address = refusing.address().into();
+        Hand { listener: refusing.listen(), address }
     }
 
     /// One whose queue of connections is full: a further one does not come up before [`Jammed::open`].
@@ -68,20 +67,6 @@
     }
 }
 
-/// A port that is held without a listener: connections to it are refused, and nobody else can take it meanwhile.
-pub struct Refusing {
-    socket: Socket,
-    pub address: SocketAddr,
-}
-
-impl Refusing {
-    /// Listens there from now on.
-    pub fn listen(self) -> Hand {
-        self.socket.listen(128).expect("it listens");
-        Hand { listener: self.socket.into(), address: self.address }
-    }
-}
-
 pub struct Jammed {
     hand: Hand,
     queued: Vec<TcpStream>,
