Review case 3: an acknowledged draining is dropped after several namings of weights

A script with stand-ins: 20 versions of the weights are named 700 ms apart, then the service's one replica is replaced. Its draining is acknowledged, and requests reach it for longer than drain-ms (rule DRAIN). The stand-ins take orders to load weights, and listen below the ports of outgoing connections.

--- a/review/common.rs
+++ b/review/common.rs
@@ -218,6 +218,21 @@
         self.finish(COULD_NOT_RUN);
     }
 
+    /// Names a version of the model's weights until that is taken.
+    pub fn name_weights(&self, version: u64) {
+        for attempt in 0..200 {
+            let head = "POST /version-put HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n";
+            let body = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
+            if let Some((200..=299, _)) = exchange(self.controller(attempt), head, &body) {
+                self.record.say(&format!("version {version} of the weights is named"));
+                return;
+            }
+            sleep(Duration::from_millis(50));
+        }
+        self.record.say("no controller took the naming");
+        self.finish(COULD_NOT_RUN);
+    }
+
     /// Ends all processes that were started, and this one.
     pub fn finish(&self, code: i32) -> ! {
         for (_, child) in self.children.lock().unwrap().iter_mut() {
@@ -258,9 +273,10 @@
 
 /// A row of ports that are free at all addresses that are used.
 fn free_ports(subnet: u8, edges: usize) -> u16 {
-    let first = 20_000 + (std::process::id() % 400) as u16 * 40;
+    // Below the ports that the system gives to outgoing connections.
+    let first = (std::process::id() % 300) as u16 * 40;
     for step in 0..200_u16 {
-        let port = 20_000 + (first - 20_000 + step * 40) % 16_000;
+        let port = 20_000 + (first + step * 40) % 12_000;
         let is_free = |class: u8, number: u8, port: u16| {
             TcpListener::bind((Ipv4Addr::new(127, subnet, class, number), port)).is_ok()
         };
@@ -357,6 +373,18 @@
     pub salt: String,
 }
 
+/// What a replica has loaded, and which orders it has taken.
+#[derive(Debug, Clone, Copy)]
+pub struct Weights {
+    pub version: u64,
+    pub busy: bool,
+    pub orders: u64,
+}
+
+/// Time that a replica takes to load weights, as on the sheet of a small site, and how old its reports are.
+const LOAD_MS: u64 = 290;
+const REPORT_LAG_MS: u64 = 150;
+
 /// One life of a stand-in replica. It serves what the operators' page describes, in one piece each.
 pub struct Replica {
     pub id: String,
@@ -374,10 +402,29 @@
     kept: Mutex<HashMap<(String, String), Kept>>,
     events: Mutex<Vec<String>>,
     pub shared: Mutex<Vec<Shared>>,
+    /// The weights with the time from which they were so, the newest last.
+    weights: Mutex<Vec<(u64, Weights)>>,
+    is_draining: AtomicBool,
+    /// When its word that it drains was first acknowledged.
+    pub drain_acknowledged: Mutex<Option<u64>>,
+    /// Requests that reached it for itself, each with the time.
+    pub arrived: Mutex<Vec<(u64, String)>>,
 }
 
 impl Replica {
     pub fn start(fleet: &Arc<Fleet>, id: &str, place: usize, slots: u64, decide: Decide) -> Arc<Replica> {
+        Replica::start_with(fleet, id, place, slots, 1, decide)
+    }
+
+    /// Starts a replica that holds this version of the weights.
+    pub fn start_with(
+        fleet: &Arc<Fleet>,
+        id: &str,
+        place: usize,
+        slots: u64,
+        version: u64,
+        decide: Decide,
+    ) -> Arc<Replica> {
         let address = fleet.replica(place);
         let until = Instant::now() + Duration::from_secs(3);
         let listener = loop {
@@ -405,6 +452,10 @@
             kept: Mutex::default(),
             events: Mutex::default(),
             shared: Mutex::default(),
+            weights: Mutex::new(vec![(0, Weights { version, busy: false, orders: 0 })]),
+            is_draining: AtomicBool::new(false),
+            drain_acknowledged: Mutex::default(),
+            arrived: Mutex::default(),
         });
         let accepting = replica.clone();
         spawn(move || accepting.accept(listener));
@@ -446,7 +497,7 @@
         }
     }
 
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    fn serve(self: &Arc<Replica>, mut stream: TcpStream) -> io::Result<()> {
         let mut bytes = Vec::new();
         let mut room = [0; 16 * 1024];
         loop {
@@ -468,7 +519,7 @@
                 }
                 bytes.extend_from_slice(&room[..count]);
             }
-            bytes.drain(..length);
+            let body: Vec<u8> = bytes.drain(..length).collect();
             let path = head.path().split('?').next().unwrap_or("").to_string();
             match path.as_str() {
                 "/report" => write_json(&mut stream, &self.report())?,
@@ -478,20 +529,100 @@
                     let text = format!("HTTP/1.1 200 OK\r\nNode-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
                     stream.write_all(text.as_bytes())?;
                 }
-                "/order" => stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?,
+                "/order" => {
+                    let status = self.clone().order(&head, &String::from_utf8_lossy(&body));
+                    let text = format!("HTTP/1.1 {status} Order\r\nContent-Length: 0\r\n\r\n");
+                    stream.write_all(text.as_bytes())?;
+                }
                 _ => self.request(&mut stream, &head)?,
             }
         }
     }
 
     fn report(&self) -> String {
+        let then = self.fleet.record.now().saturating_sub(REPORT_LAG_MS);
+        let weights = self.weights.lock().unwrap();
+        let shown = weights.iter().rev().find(|(since, _)| *since <= then).unwrap_or(&weights[0]).1;
         format!(
-            "{{\"stage\":\"both_ways\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\
-             \"call-count\":0,\"waiting\":0,\"running\":{},\"cache-used\":0,\"cache-total\":173784,\"handles\":0}}",
+            "{{\"stage\":\"both_ways\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":{},\"adapters\":[]}}],\"busy\":{},\
+             \"call-count\":{},\"waiting\":0,\"running\":{},\"cache-used\":0,\"cache-total\":{CACHE_TOKENS},\"handles\":0}}",
+            shown.version,
+            shown.busy,
+            shown.orders,
             self.running.load(Ordering::SeqCst)
         )
     }
 
+    pub fn weights(&self) -> Weights {
+        self.weights.lock().unwrap().last().expect("it has weights").1
+    }
+
+    /// Takes an order to load weights, or says why not.
+    fn order(self: Arc<Replica>, head: &Head, body: &str) -> u16 {
+        let number = |name: &str| {
+            let (_, rest) = body.split_once(&format!("\"{name}\":"))?;
+            rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
+        };
+        if head.get("expected-node").is_some_and(|node| node != self.id) {
+            return 421;
+        }
+        let (Some(version), Some(_)) = (number("version"), number("fence")) else { return 400 };
+        let mut all = self.weights.lock().unwrap();
+        let now = all.last().expect("it has weights").1;
+        let status = match () {
+            _ if now.busy || number("expected").is_some_and(|expected| expected != now.orders) => 409,
+            _ if now.version >= version => 200,
+            _ => 202,
+        };
+        let record = &self.fleet.record;
+        record.note(&format!("{} answers the order {body} with {status}", self.id));
+        if status == 202 {
+            let taken = Weights { busy: true, orders: now.orders + 1, ..now };
+            all.push((record.now(), taken));
+            let loading = self.clone();
+            spawn(move || {
+                // What runs ends first.
+                while loading.running.load(Ordering::SeqCst) > 0 {
+                    sleep(Duration::from_millis(2));
+                }
+                sleep(Duration::from_millis(LOAD_MS));
+                let record = &loading.fleet.record;
+                loading.kept.lock().unwrap().clear();
+                loading.weights.lock().unwrap().push((record.now(), Weights { version, busy: false, ..taken }));
+                record.note(&format!("{} has loaded version {version}", loading.id));
+            });
+        }
+        status
+    }
+
+    /// It says that it drains, until that is acknowledged; its heartbeats go on and say so too.
+    pub fn drain(&self) {
+        self.is_draining.store(true, Ordering::SeqCst);
+        for attempt in 0..40 {
+            if self.say(self.fleet.controller(self.place + attempt)).is_some() {
+                let now = self.fleet.record.now();
+                *self.drain_acknowledged.lock().unwrap() = Some(now);
+                self.fleet.record.say(&format!("replica {} drains, acknowledged", self.id));
+                return;
+            }
+            sleep(Duration::from_millis(20));
+        }
+        self.fleet.record.say("nobody acknowledged the draining");
+        self.fleet.finish(COULD_NOT_RUN);
+    }
+
+    /// Says that it leaves.
+    pub fn leave(&self) {
+        for attempt in 0..40 {
+            let head = format!("POST /nodes/{}/leave HTTP/1.1\r\nHost: x\r\n", self.id);
+            if let Some((200..=299, _)) = exchange(self.fleet.controller(attempt), &head, "") {
+                self.fleet.record.say(&format!("replica {} has left", self.id));
+                return;
+            }
+            sleep(Duration::from_millis(50));
+        }
+    }
+
     fn kv_events(&self, head: &Head) -> String {
         let since = head.path().split_once("since=").and_then(|(_, since)| since.parse::<usize>().ok()).unwrap_or(0);
         let wait = head.get("wait-ms").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0).min(1_000);
@@ -526,17 +657,21 @@
     fn request(&self, stream: &mut TcpStream, head: &Head) -> io::Result<()> {
         let attempt = head.get("attempt-id").unwrap_or("").to_string();
         let refuse = |status: u16| {
-            format!("HTTP/1.1 {status} No\r\nAttempt-Id: {attempt}\r\nNot-Run: 1\r\nNode-Id: {}\r\nVersions: 1\r\nContent-Length: 0\r\n\r\n", self.id)
+            format!("HTTP/1.1 {status} No\r\nAttempt-Id: {attempt}\r\nNot-Run: 1\r\nNode-Id: {}\r\nVersions: {}\r\nContent-Length: 0\r\n\r\n", self.id, self.weights().version)
         };
         let other_node = head.get("expected-node").is_some_and(|node| node != self.id);
-        let other_version = head.get("expect-version").is_some_and(|version| version != "1");
+        let weights = self.weights();
+        let other_version = head.get("expect-version").is_some_and(|version| version != weights.version.to_string());
+        if !other_node && !attempt.is_empty() {
+            self.arrived.lock().unwrap().push((self.fleet.record.now(), attempt.clone()));
+        }
         if attempt.is_empty() || other_node || other_version {
             let status = if attempt.is_empty() { 400 } else { 421 };
             self.fleet.record.note(&format!("{} refuses {attempt} with {status}", self.id));
             return stream.write_all(refuse(status).as_bytes());
         }
         let before = self.running.fetch_add(1, Ordering::SeqCst);
-        if before as u64 >= self.slots {
+        if before as u64 >= self.slots || self.weights().busy {
             self.running.fetch_sub(1, Ordering::SeqCst);
             self.fleet.record.note(&format!("{} is full for {attempt}", self.id));
             return stream.write_all(refuse(503).as_bytes());
@@ -557,7 +692,7 @@
         let record = &self.fleet.record;
         record.note(&format!("{} {what} {attempt} of tenant {tenant}, salt {salt}, after event {after}", self.id));
         let Deed::Stream { events, pause_ms } = deed else {
-            let text = format!("HTTP/1.1 500 Error\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.0\r\nVersions: 1\r\nContent-Length: 0\r\n\r\n", self.id);
+            let text = format!("HTTP/1.1 500 Error\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.0\r\nVersions: {}\r\nContent-Length: 0\r\n\r\n", self.id, self.weights().version);
             return stream.write_all(text.as_bytes());
         };
         self.read_prompt(head, tenant, salt, attempt);
@@ -570,9 +705,10 @@
     /// Sends the events of a run.
     fn stream(&self, stream: &mut TcpStream, attempt: &str, after: u64, events: u64, pause_ms: u64) -> io::Result<()> {
         let text = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.1\r\nVersions: 1\r\nContent-Type: text/event-stream\r\n\
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.1\r\nVersions: {}\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n",
-            self.id
+            self.id,
+            self.weights().version
         );
         stream.write_all(text.as_bytes())?;
         for event in after + 1..=events {
@@ -639,24 +775,12 @@
     fn beat(&self) {
         let (mut controller, mut beat_to) = (self.place, None);
         while !self.is_gone() {
-            let count = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
-            let head = format!("POST /nodes/{}/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n", self.id);
-            let body = format!(
-                "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"z{}\",\"version\":\"v1\",\"free-slots\":{},\"state\":\"ready\",\
-                 \"cold-left-ms\":0,\"stage\":\"both_ways\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[]}}],\
-                 \"call-count\":{count}}}",
-                self.address,
-                self.place % 3,
-                self.slots
-            );
-            let to = beat_to.unwrap_or_else(|| self.fleet.controller(controller));
-            match exchange(to, &head, &body) {
-                Some((200..=299, answer)) => {
-                    let told = answer.split_once("\"beat-to\":\"").and_then(|(_, rest)| rest.split('"').next());
-                    beat_to = told.and_then(|address| address.parse().ok());
+            match self.say(beat_to.unwrap_or_else(|| self.fleet.controller(controller))) {
+                Some(told) => {
+                    beat_to = told;
                     sleep(Duration::from_millis(BEAT_EVERY_MS));
                 }
-                _ => {
+                None => {
                     beat_to = None;
                     controller += 1;
                     sleep(Duration::from_millis(50));
@@ -664,6 +788,28 @@
             }
         }
     }
+
+    /// Sends a heartbeat; `None` unless it is acknowledged, else where the next one goes, if that was told.
+    fn say(&self, to: SocketAddrV4) -> Option<Option<SocketAddrV4>> {
+        let count = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
+        let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let head = format!("POST /nodes/{}/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n", self.id);
+        let body = format!(
+            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"z{}\",\"version\":\"v1\",\"free-slots\":{},\"state\":\"{state}\",\
+             \"cold-left-ms\":0,\"stage\":\"both_ways\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":{},\"adapters\":[]}}],\
+             \"call-count\":{count}}}",
+            self.address,
+            self.place % 3,
+            self.slots,
+            self.weights().version
+        );
+        let answer = exchange(to, &head, &body);
+        let status = answer.as_ref().map(|(status, _)| *status);
+        self.fleet.record.note(&format!("{} says {state}, call-count {count}, to {to}: {status:?}", self.id));
+        let (_, answer) = answer.filter(|(status, _)| (200..=299).contains(status))?;
+        let told = answer.split_once("\"beat-to\":\"").and_then(|(_, rest)| rest.split('"').next());
+        Some(told.and_then(|address| address.parse().ok()))
+    }
 }
 
 fn write_json(stream: &mut TcpStream, body: &str) -> io::Result<()> {
