--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -112,7 +112,8 @@
     let whole = tries.iter().filter(|(_, tried)| tried.end == End::Whole(200)).count();
     let binds = acknowledged + APPLY_MS;
     let sent_at = |attempt: &str| tries.iter().find(|(id, _)| id == attempt).map(|(_, tried)| tried.sent_at);
-    let shared: Vec<Shared> = replicas.iter().flat_map(|replica| replica.shared.lock().unwrap().clone()).collect();
+    let shared: Vec<Shared> =
+        replicas.iter().flat_map(|replica| replica.shared.lock().unwrap().clone()).collect();
     // Both sides lie behind the moment from which the configuration binds: the memory was made then, and the request that
     // used it was sent then.
     let is_breach = |shared: &&Shared| {
@@ -123,7 +124,13 @@
     for breach in breaches.iter().take(20) {
         record.say(&format!(
             "at {} request {} of {} used part {} under salt {}, made at {} by request {} of {}",
-            breach.at, breach.attempt, breach.user, breach.part, breach.salt, breach.kept.made_at, breach.kept.attempt,
+            breach.at,
+            breach.attempt,
+            breach.user,
+            breach.part,
+            breach.salt,
+            breach.kept.made_at,
+            breach.kept.attempt,
             breach.kept.maker
         ));
     }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -81,7 +81,11 @@
                     number += 1;
                     let attempt = format!("{:08x}{number:08x}", 0x5000_0000 + client);
                     let asked = Ask {
-                        prompt: format!("{:08x}:800,{:08x}:60", 0x1000 + client % 20, 0x2000_0000 + client * 1000 + number),
+                        prompt: format!(
+                            "{:08x}:800,{:08x}:60",
+                            0x1000 + client % 20,
+                            0x2000_0000 + client * 1000 + number
+                        ),
                         attempt: attempt.clone(),
                         path: "/a/tag".into(),
                         key: "key-a".into(),
@@ -118,11 +122,17 @@
     let undisturbed = fleet.all_run();
     let tries = tries.lock().unwrap();
     let lasted = |tried: &Tried| tried.ended_at - tried.sent_at;
-    let whole = tries.iter().filter(|(_, tried)| tried.end == End::Whole(200) && tried.events == EVENTS).count();
+    let whole =
+        tries.iter().filter(|(_, tried)| tried.end == End::Whole(200) && tried.events == EVENTS).count();
     let long: Vec<_> = tries.iter().filter(|(_, tried)| lasted(tried) > GIVE_UP_MS).collect();
     let unanswered: Vec<_> = long.iter().filter(|(_, tried)| lasted(tried) > GIVE_UP_MS + SLACK_MS).collect();
     for (attempt, tried) in &long {
-        record.say(&format!("{attempt}: {:?} after {} ms, {} events", tried.end, lasted(tried), tried.events));
+        record.say(&format!(
+            "{attempt}: {:?} after {} ms, {} events",
+            tried.end,
+            lasted(tried),
+            tried.events
+        ));
     }
     record.say(&format!(
         "{} requests, {whole} whole; {} lasted longer than give-up-ms, {} of them had no final answer {SLACK_MS} ms after it",
@@ -135,6 +145,10 @@
         fleet.finish(COULD_NOT_RUN);
     }
     let is_broken = unanswered.len() >= LEAST && unanswered.len() * 4 > long.len();
-    record.say(if is_broken { "rule CONFIG (give-up-ms) is broken" } else { "rule CONFIG (give-up-ms) held" });
+    record.say(if is_broken {
+        "rule CONFIG (give-up-ms) is broken"
+    } else {
+        "rule CONFIG (give-up-ms) held"
+    });
     fleet.finish(if is_broken { BROKEN } else { HELD })
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -58,7 +58,11 @@
                 while !stopped.load(Ordering::SeqCst) {
                     number += 1;
                     let asked = Ask {
-                        prompt: format!("{:08x}:100,{:08x}:60", 0x1000 + client, 0x2000_0000 + client * 10_000 + number),
+                        prompt: format!(
+                            "{:08x}:100,{:08x}:60",
+                            0x1000 + client,
+                            0x2000_0000 + client * 10_000 + number
+                        ),
                         attempt: format!("{:08x}{number:08x}", 0x8000_0000 + client),
                         path: "/a/check".into(),
                         key: "key-a".into(),
@@ -96,7 +100,11 @@
     let arrived = old.arrived.lock().unwrap();
     let late: Vec<_> = arrived.iter().filter(|(at, _)| *at > acknowledged + DRAIN_MS).collect();
     for (at, attempt) in late.iter().take(20) {
-        record.say(&format!("request {attempt} reached {} {} ms after its draining was acknowledged", old.id, at - acknowledged));
+        record.say(&format!(
+            "request {attempt} reached {} {} ms after its draining was acknowledged",
+            old.id,
+            at - acknowledged
+        ));
     }
     let whole = tries.lock().unwrap().iter().filter(|tried| tried.end == End::Whole(200)).count();
     record.say(&format!(
--- a/review/common.rs
+++ b/review/common.rs
@@ -133,7 +133,8 @@
             (self.ip(2, number), listen, "null".to_string())
         };
         let (class, machine) = if role == "controller" { ("core", "core") } else { ("edge", "edge") };
-        let seeds: Vec<String> = (0..CONTROLLERS).map(|seed| format!("\"{}\"", self.controller(seed))).collect();
+        let seeds: Vec<String> =
+            (0..CONTROLLERS).map(|seed| format!("\"{}\"", self.controller(seed))).collect();
         format!(
             "node: \"{machine}-{number}\"\nrole: \"{role}\"\nmachine-class: \"{class}\"\nip: \"{ip}\"\nzone: \"z{zone}\"\n\
              region: \"r\"\nzones: {{z0: \"r\", z1: \"r\", z2: \"r\"}}\nlisten-on: {listen}\n\
@@ -280,8 +281,10 @@
         let is_free = |class: u8, number: u8, port: u16| {
             TcpListener::bind((Ipv4Addr::new(127, subnet, class, number), port)).is_ok()
         };
-        let agents = (0..edges as u16).all(|edge| TcpListener::bind((Ipv4Addr::LOCALHOST, port + 5 + edge)).is_ok());
-        let all = (1..=3).all(|class| (1..=12).all(|number| (0..5).all(|more| is_free(class, number, port + more))));
+        let agents =
+            (0..edges as u16).all(|edge| TcpListener::bind((Ipv4Addr::LOCALHOST, port + 5 + edge)).is_ok());
+        let all = (1..=3)
+            .all(|class| (1..=12).all(|number| (0..5).all(|more| is_free(class, number, port + more))));
         if agents && all {
             return port;
         }
@@ -471,7 +474,11 @@
 
     /// It crashes: all of its connections are reset, and it says nothing.
     pub fn crash(&self) {
-        self.fleet.record.say(&format!("replica {} crashes with {} runs", self.id, self.running.load(Ordering::SeqCst)));
+        self.fleet.record.say(&format!(
+            "replica {} crashes with {} runs",
+            self.id,
+            self.running.load(Ordering::SeqCst)
+        ));
         self.is_gone.store(true, Ordering::SeqCst);
         for connection in self.connections.lock().unwrap().drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
@@ -526,7 +533,8 @@
                 "/kv-events" => write_json(&mut stream, &self.kv_events(&head))?,
                 "/kv-list" => write_json(&mut stream, &self.kv_list())?,
                 "/health" => {
-                    let text = format!("HTTP/1.1 200 OK\r\nNode-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                    let text =
+                        format!("HTTP/1.1 200 OK\r\nNode-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
                     stream.write_all(text.as_bytes())?;
                 }
                 "/order" => {
@@ -588,7 +596,11 @@
                 sleep(Duration::from_millis(LOAD_MS));
                 let record = &loading.fleet.record;
                 loading.kept.lock().unwrap().clear();
-                loading.weights.lock().unwrap().push((record.now(), Weights { version, busy: false, ..taken }));
+                loading
+                    .weights
+                    .lock()
+                    .unwrap()
+                    .push((record.now(), Weights { version, busy: false, ..taken }));
                 record.note(&format!("{} has loaded version {version}", loading.id));
             });
         }
@@ -624,7 +636,8 @@
     }
 
     fn kv_events(&self, head: &Head) -> String {
-        let since = head.path().split_once("since=").and_then(|(_, since)| since.parse::<usize>().ok()).unwrap_or(0);
+        let since =
+            head.path().split_once("since=").and_then(|(_, since)| since.parse::<usize>().ok()).unwrap_or(0);
         let wait = head.get("wait-ms").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0).min(1_000);
         let until = Instant::now() + Duration::from_millis(wait);
         loop {
@@ -661,7 +674,8 @@
         };
         let other_node = head.get("expected-node").is_some_and(|node| node != self.id);
         let weights = self.weights();
-        let other_version = head.get("expect-version").is_some_and(|version| version != weights.version.to_string());
+        let other_version =
+            head.get("expect-version").is_some_and(|version| version != weights.version.to_string());
         if !other_node && !attempt.is_empty() {
             self.arrived.lock().unwrap().push((self.fleet.record.now(), attempt.clone()));
         }
@@ -690,7 +704,10 @@
             Deed::Stream { .. } => "runs",
         };
         let record = &self.fleet.record;
-        record.note(&format!("{} {what} {attempt} of tenant {tenant}, salt {salt}, after event {after}", self.id));
+        record.note(&format!(
+            "{} {what} {attempt} of tenant {tenant}, salt {salt}, after event {after}",
+            self.id
+        ));
         let Deed::Stream { events, pause_ms } = deed else {
             let text = format!("HTTP/1.1 500 Error\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.0\r\nVersions: {}\r\nContent-Length: 0\r\n\r\n", self.id, self.weights().version);
             return stream.write_all(text.as_bytes());
@@ -703,7 +720,14 @@
     }
 
     /// Sends the events of a run.
-    fn stream(&self, stream: &mut TcpStream, attempt: &str, after: u64, events: u64, pause_ms: u64) -> io::Result<()> {
+    fn stream(
+        &self,
+        stream: &mut TcpStream,
+        attempt: &str,
+        after: u64,
+        events: u64,
+        pause_ms: u64,
+    ) -> io::Result<()> {
         let text = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {}.1\r\nVersions: {}\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n",
@@ -746,7 +770,9 @@
             kept.insert(key.clone(), Kept { maker, attempt, made_at: now, used_at: now, tokens });
             self.tell('+', &key, tokens);
             while kept.values().map(|kept| kept.tokens).sum::<u64>() > CACHE_TOKENS {
-                let Some(oldest) = kept.iter().min_by_key(|(_, kept)| kept.used_at).map(|(key, _)| key.clone()) else {
+                let Some(oldest) =
+                    kept.iter().min_by_key(|(_, kept)| kept.used_at).map(|(key, _)| key.clone())
+                else {
                     break;
                 };
                 kept.remove(&oldest);
@@ -761,7 +787,8 @@
             "{} uses part {part} for {attempt} of tenant {tenant}: made by {} of tenant {} at {} under salt {salt}",
             self.id, kept.attempt, kept.maker, kept.made_at
         ));
-        let (user, attempt, part, salt) = (tenant.to_string(), attempt.to_string(), part.clone(), salt.clone());
+        let (user, attempt, part, salt) =
+            (tenant.to_string(), attempt.to_string(), part.clone(), salt.clone());
         self.shared.lock().unwrap().push(Shared { at, user, attempt, part, kept, salt });
     }
 
@@ -793,7 +820,10 @@
     fn say(&self, to: SocketAddrV4) -> Option<Option<SocketAddrV4>> {
         let count = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
-        let head = format!("POST /nodes/{}/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n", self.id);
+        let head = format!(
+            "POST /nodes/{}/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n",
+            self.id
+        );
         let body = format!(
             "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"z{}\",\"version\":\"v1\",\"free-slots\":{},\"state\":\"{state}\",\
              \"cold-left-ms\":0,\"stage\":\"both_ways\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":{},\"adapters\":[]}}],\
@@ -813,7 +843,10 @@
 }
 
 fn write_json(stream: &mut TcpStream, body: &str) -> io::Result<()> {
-    let text = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream.write_all(text.as_bytes())
 }
 
@@ -854,10 +887,17 @@
 pub fn ask(fleet: &Fleet, edge: usize, ask: &Ask) -> Tried {
     let record = &fleet.record;
     let sent_at = record.now();
-    record.note(&format!("client sends {} to edge {edge}, path {}, prompt {}", ask.attempt, ask.path, ask.prompt));
+    record.note(&format!(
+        "client sends {} to edge {edge}, path {}, prompt {}",
+        ask.attempt, ask.path, ask.prompt
+    ));
     let (end, events) = try_ask(fleet, edge, ask).unwrap_or((End::NotSent, 0));
     let ended_at = record.now();
-    record.note(&format!("client of {}: {end:?} after {} ms, {events} events", ask.attempt, ended_at - sent_at));
+    record.note(&format!(
+        "client of {}: {end:?} after {} ms, {events} events",
+        ask.attempt,
+        ended_at - sent_at
+    ));
     Tried { end, sent_at, ended_at, events }
 }
 
@@ -925,7 +965,9 @@
     fn take_chunks(&mut self) -> bool {
         loop {
             let Some(end) = self.raw.windows(2).position(|two| two == b"\r\n") else { return false };
-            let size = std::str::from_utf8(&self.raw[..end]).ok().and_then(|text| usize::from_str_radix(text, 16).ok());
+            let size = std::str::from_utf8(&self.raw[..end])
+                .ok()
+                .and_then(|text| usize::from_str_radix(text, 16).ok());
             let Some(size) = size else { return false };
             if self.raw.len() < end + 2 + size + 2 {
                 return false;
