--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -2,6 +2,7 @@
 
 use crate::cause::Cause;
 use crate::figures::{LateReason, Work};
+use crate::salt::Tenant;
 use evidence::Ms;
 use prefix_index::{PartKey, ReplicaNumber};
 use std::net::SocketAddrV4;
@@ -21,15 +22,6 @@
     pub tries: u32,
 }
 
-/// The tenant of a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TenantName {
-    /// Its name.
-    pub name: Rc<str>,
-    /// It shares no part of a prompt with others.
-    pub is_isolated: bool,
-}
-
 /// A request to be dispatched.
 #[derive(Debug, Clone)]
 pub struct Ask {
@@ -42,7 +34,7 @@
     /// `Prompt-Prefix`, if it has one.
     pub prompt: Option<String>,
     /// Its tenant, if it has one.
-    pub tenant: Option<TenantName>,
+    pub tenant: Option<Tenant>,
     /// When it is given up.
     pub deadline: Ms,
     /// By when its first piece earns it its full worth, if its route tells.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -144,9 +144,9 @@
         self.mechanisms = mechanisms;
     }
 
-    /// The tenants that share with nobody have changed; see [`crate::isolation_digest`].
-    pub fn set_isolation(&mut self, digest: u64) {
-        self.salts = Salts { isolation: digest };
+    /// The tenants of the configuration, or who of them shares, have changed.
+    pub fn set_salts(&mut self, salts: Salts) {
+        self.salts = salts;
     }
 
     /// The services' engines and the stores of kept blocks have changed.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,7 +27,7 @@
 mod twins;
 
 pub use budget::{BudgetLimits, RetryBudget};
-pub use call::{Ask, Call, Final, Next, Outcome, Rules, Target, TenantName};
+pub use call::{Ask, Call, Final, Next, Outcome, Rules, Target};
 pub use cause::Cause;
 pub use choose::{pick, Candidate, CostModel, ReadRate};
 pub use dispatcher::{Bounds, Dispatcher};
@@ -38,5 +38,5 @@
 pub use mechanisms::{Mechanism, Mechanisms};
 pub use moves::{Engine, Engines, Store};
 pub use prefix_index::{Part, PartKey, ReplicaNumber};
-pub use salt::{isolation_digest, Salts};
+pub use salt::{Salts, Tenant, TenantPolicy};
 pub use twins::{Twins, MOST_TWINS};
--- a/crates/dispatch/src/moving.rs
+++ b/crates/dispatch/src/moving.rs
@@ -131,8 +131,8 @@
     /// Whether a start is likely to be asked for again: it is open to all tenants that share, or it was asked for before.
     /// What one tenant asks for once would push out of the store what many ask for.
     fn is_worth_saving(&self, call: &Call, shared: &[Part]) -> bool {
-        let is_isolated = call.ask.tenant.as_ref().is_some_and(|tenant| tenant.is_isolated);
+        let is_shared = call.ask.tenant.as_ref().is_none_or(|tenant| self.salts.is_sharing(tenant));
         let was_kept = || shared.last().is_some_and(|last| self.index.was_kept(last.key));
-        !is_isolated || was_kept() || !self.mechanisms.has(Mechanism::StoreAdmission)
+        is_shared || was_kept() || !self.mechanisms.has(Mechanism::StoreAdmission)
     }
 }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -1,6 +1,6 @@
 //! Where a request is sent.
 
-use crate::call::{Ask, Call, Final, Out, Target, COME_BACK, LEAST_TIME};
+use crate::call::{Call, Final, Out, Target, COME_BACK, LEAST_TIME};
 use crate::cause::Cause;
 use crate::choose::{pick, Candidate, CostModel};
 use crate::dispatcher::{Dispatcher, FIRST_PROXIES};
@@ -118,7 +118,7 @@
         now: Ms,
     ) -> Target {
         let version = call.ask.model.as_deref().map(|model| self.version_to_expect(number, model, now));
-        let salt = version.map(|version| self.salts.salt(version, isolated(&call.ask)));
+        let salt = version.map(|version| self.salts.salt(version, call.ask.tenant.as_ref()));
         let parts = match (&salt, &call.ask.prompt, &call.ask.model) {
             (Some(salt), Some(prompt), Some(model)) => {
                 Part::read_prompt(prompt, salt, model).unwrap_or_default()
@@ -223,7 +223,7 @@
         distinct.sort_unstable();
         distinct.dedup();
         for version in distinct {
-            let salt = self.salts.salt(version, isolated(&call.ask));
+            let salt = self.salts.salt(version, call.ask.tenant.as_ref());
             let Ok(parts) = Part::read_prompt(prompt, &salt, model) else { continue };
             let mut found: Vec<Kept> = Vec::new();
             self.index.lookup(&parts, now, &mut found);
@@ -300,10 +300,6 @@
     }
 }
 
-fn isolated(ask: &Ask) -> Option<&str> {
-    ask.tenant.as_ref().filter(|tenant| tenant.is_isolated).map(|tenant| &*tenant.name)
-}
-
 fn parts_of(prompt: Option<&str>) -> Vec<Part> {
     prompt.and_then(|prompt| Part::read_prompt(prompt, "", "").ok()).unwrap_or_default()
 }
--- a/crates/dispatch/tests/choosing.rs
+++ b/crates/dispatch/tests/choosing.rs
@@ -3,8 +3,7 @@
 mod support;
 
 use dispatch::{
-    home, isolation_digest, pick, Candidate, CostModel, Mechanisms, Outcome, ReadRate, ReplicaNumber, Salts,
-    HOME_SAVES,
+    home, pick, Candidate, CostModel, Mechanisms, Outcome, ReadRate, ReplicaNumber, Salts, HOME_SAVES,
 };
 use peer::{part_key, PartChange, Prefixes};
 use rand::rngs::SmallRng;
@@ -182,29 +181,31 @@
 
 #[test]
 fn salts_part_versions_and_tenants_that_share_with_nobody() {
-    let (none, some) = (Salts::default(), Salts { isolation: isolation_digest(["t1", "t2"]) });
+    let (none, some) = (Salts::default(), salts(&["t3"], &["t1", "t2"]));
     let long = "x".repeat(5_000);
-    let salts = [
+    let isolated = |version, name| some.salt(version, Some(&tenant(name, true)));
+    let all = [
         none.salt(1, None),
         none.salt(2, None),
         some.salt(1, None),
-        none.salt(1, Some("t1")),
-        none.salt(1, Some("t2")),
-        none.salt(2, Some("t1")),
-        none.salt(1, Some(&long)),
-        none.salt(1, Some("t\r\nHost: x")),
+        isolated(1, "t1"),
+        isolated(1, "t2"),
+        isolated(2, "t1"),
+        isolated(1, &long),
+        isolated(1, "t\r\nHost: x"),
     ];
-    let distinct: HashSet<&String> = salts.iter().collect();
-    assert_eq!(distinct.len(), salts.len());
-    assert!(salts.iter().all(|salt| salt.len() < 100 && salt.bytes().all(|byte| byte.is_ascii_graphic())));
-    // The order in which tenants are named does not matter.
-    assert_eq!(isolation_digest(["t2", "t1"]), some.isolation);
-    assert_eq!(isolation_digest([]), 0);
+    let distinct: HashSet<&String> = all.iter().collect();
+    assert_eq!(distinct.len(), all.len());
+    assert!(all.iter().all(|salt| salt.len() < 100 && salt.bytes().all(|byte| byte.is_ascii_graphic())));
+    // Neither the order in which tenants are named matters, nor who shares.
+    assert_eq!(salts(&["t4"], &["t2", "t1"]).salt(1, None), some.salt(1, None));
+    assert_eq!(salts(&["t1", "t2"], &[]).salt(1, None), none.salt(1, None));
 }
 
 #[test]
 fn isolated_tenants_get_a_salt_of_their_own() {
     let mut dispatcher = dispatcher(1);
+    dispatcher.set_salts(salts(&["t1", "t2"], &[]));
     let salt = |dispatcher: &mut dispatch::Dispatcher, name, isolated| {
         sent(dispatcher, of_tenant(prompt("a:1"), name, isolated), START).1.salt
     };
@@ -214,7 +215,7 @@
     assert_ne!(own, shared);
     assert_ne!(salt(&mut dispatcher, "t2", true), own);
     // Once a tenant shares no more, what it left among the shared parts is not found again.
-    dispatcher.set_isolation(isolation_digest(["t1"]));
+    dispatcher.set_salts(salts(&["t2"], &["t1"]));
     assert_ne!(salt(&mut dispatcher, "t2", false), shared);
 }
 
--- a/crates/dispatch/tests/moves.rs
+++ b/crates/dispatch/tests/moves.rs
@@ -76,7 +76,7 @@
     let first = isolated_send(&mut dispatcher, "aa:5000,b1:10");
     assert_eq!((first.fetch, first.save), (Some(store()), None));
     // It may have been dropped since: nobody is known to keep it, but somebody did.
-    let salt = Salts::default().salt(1, Some("t1"));
+    let salt = Salts::default().salt(1, Some(&tenant("t1", true)));
     let dropped = PartChange { part: part_key("m", &salt, "aa"), tokens: 0 };
     take(&mut dispatcher, &Prefixes::new(&first.id, 7, false, vec![dropped]));
     let second = isolated_send(&mut dispatcher, "aa:5000,b2:10");
@@ -95,7 +95,7 @@
 #[test]
 fn what_another_proxy_asked_for_is_known_from_what_replicas_tell() {
     let mut dispatcher = with_store(3);
-    let salt = Salts::default().salt(1, Some("t1"));
+    let salt = Salts::default().salt(1, Some(&tenant("t1", true)));
     let change = |tokens| PartChange { part: part_key("m", &salt, "aa"), tokens };
     take(&mut dispatcher, &Prefixes::new("i-2", 7, false, vec![change(5_000)]));
     take(&mut dispatcher, &Prefixes::new("i-2", 7, false, vec![change(0)]));
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,7 +1,9 @@
 //! A small fleet for the dispatcher, in simulated time.
 #![allow(dead_code)]
 
-use dispatch::{Ask, Bounds, Call, Dispatcher, Final, Ms, Next, Outcome, Rules, Target, TenantName};
+use dispatch::{
+    Ask, Bounds, Call, Dispatcher, Final, Ms, Next, Outcome, Rules, Salts, Target, Tenant, TenantPolicy,
+};
 use peer::{ModelVersion, ReplicaRecord, ReplicaState};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
@@ -54,11 +56,23 @@
     Ask { model: Some("m".into()), prompt: Some(text.into()), ..ask(false, 2) }
 }
 
-pub fn of_tenant(mut ask: Ask, name: &str, is_isolated: bool) -> Ask {
-    ask.tenant = Some(TenantName { name: Rc::from(name), is_isolated });
+/// A request of a tenant that is isolated when it comes, or not.
+pub fn of_tenant(mut ask: Ask, name: &str, came_isolated: bool) -> Ask {
+    ask.tenant = Some(tenant(name, came_isolated));
     ask
 }
 
+pub fn tenant(name: &str, came_isolated: bool) -> Tenant {
+    Tenant { name: Rc::from(name), came_isolated }
+}
+
+/// Salts under a configuration with these tenants.
+pub fn salts(sharing: &[&str], isolated: &[&str]) -> Salts {
+    let sharing = sharing.iter().map(|name| TenantPolicy { name, is_isolated: false });
+    let isolated = isolated.iter().map(|name| TenantPolicy { name, is_isolated: true });
+    Salts::new(sharing.chain(isolated))
+}
+
 /// Begins a request and makes its first send.
 pub fn sent(dispatcher: &mut Dispatcher, ask: Ask, now: Ms) -> (Call, Target) {
     let mut call = dispatcher.begin(ask, now);
--- a/crates/proxy/src/plan.rs
+++ b/crates/proxy/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::view::InForce;
 use configuration::{Route, RouteKind, Share};
-use dispatch::{Ask, Ms, Rules, TenantName};
+use dispatch::{Ask, Ms, Rules, Tenant};
 use http::RequestHead;
 use rand::rngs::SmallRng;
 use rand::Rng;
@@ -71,9 +71,9 @@
             rules: Rules { is_idempotent: route.is_idempotent(), tries: route.most_tries() },
             model: text("model"),
             prompt: text("prompt-prefix"),
-            tenant: customer.map(|customer| TenantName {
+            tenant: customer.map(|customer| Tenant {
                 name: Rc::from(customer.name.as_str()),
-                is_isolated: customer.isolated,
+                came_isolated: customer.isolated,
             }),
             deadline: now + time_left(head, route),
             target: (route.target_ms > 0.0).then_some(now + route.target_ms),
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::urgency::Urgency;
 use configuration::{Configuration, ConfigurationError, KeyTable, Router, Service};
-use dispatch::{isolation_digest, Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Store};
+use dispatch::{Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Salts, Store, TenantPolicy};
 use feed::{namings_from_wire, Asked};
 use peer::Message;
 use std::rc::Rc;
@@ -127,9 +127,7 @@
         }
         match self.read(message) {
             Ok(in_force) => {
-                let isolated = in_force.configuration.customers.iter().filter(|customer| customer.isolated);
-                let digest = isolation_digest(isolated.map(|customer| customer.name.as_str()));
-                self.dispatcher.set_isolation(digest);
+                self.dispatcher.set_salts(salts(&in_force.configuration));
                 self.dispatcher.set_moves(engines(&in_force.configuration), stores(&in_force.configuration));
                 self.in_force = Some(Rc::new(in_force));
                 ViewAnswer::Configured
@@ -160,6 +158,15 @@
     }
 }
 
+/// The salts under which replicas keep what requests leave.
+fn salts(configuration: &Configuration) -> Salts {
+    let policies = configuration
+        .customers
+        .iter()
+        .map(|customer| TenantPolicy { name: &customer.name, is_isolated: customer.isolated });
+    Salts::new(policies)
+}
+
 /// What replicas need to move kept blocks, by service.
 fn engines(configuration: &Configuration) -> Engines {
     let engine = |service: &Service| {
