Requests sent again get their Priority from the ranks in force

After a configuration that names other ranks, a request that came before it and is sent again bore the number of the former ranks. Replicas let the one in before what is more urgent, or preempt it for less urgent ones.

Cause: `Plan` kept the number, which is a place among the ranks of the configuration under which the request came. At the replica it is compared with numbers of the newer one.

Change: the plan keeps the ranks; each send takes its number from the configuration in force.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::connection::Connection;
 use crate::exchange::Exchange;
 use crate::opening::{recycle, Opened, Sending};
-use crate::outgoing::request_bytes;
+use crate::outgoing::{request_bytes, SendFacts};
 use dispatch::{Next, Outcome, Target};
 use http::{BodyReader, ResponseFraming, ResponseHead};
 use std::pin::pin;
@@ -66,9 +66,13 @@
     where
         'a: 's,
     {
-        let left = self.plan.ask.deadline - self.shared.now();
-        let resumed = self.passage.last_event_id().filter(|_| self.passage.has_begun());
-        let bytes = request_bytes(self.head, self.body, self.plan, target, left, resumed);
+        let facts = SendFacts {
+            target,
+            priority: self.shared.view.borrow().priority(self.plan.ranks),
+            time_left: self.plan.ask.deadline - self.shared.now(),
+            last_event_id: self.passage.last_event_id().filter(|_| self.passage.has_begun()),
+        };
+        let bytes = request_bytes(self.head, self.body, self.plan, facts);
         let is_head = self.head.method() == "HEAD";
         Sending { shared: self.shared, plan: self.plan, target, bytes, deadline: self.deadline(), is_head }
     }
--- a/crates/proxy/src/outgoing.rs
+++ b/crates/proxy/src/outgoing.rs
@@ -20,16 +20,22 @@
     "tenant",
 ];
 
-/// The bytes of a request for this target, with `time_left` ms to go. A stream that goes on after an event names it in
-/// `last_event_id`.
-pub fn request_bytes(
-    head: &RequestHead,
-    body: &[u8],
-    plan: &Plan,
-    target: &Target,
-    time_left: Ms,
-    last_event_id: Option<&str>,
-) -> Vec<u8> {
+/// What one send of a request tells its replica.
+#[derive(Debug, Clone, Copy)]
+pub struct SendFacts<'send> {
+    /// Where it goes.
+    pub target: &'send Target,
+    /// `Priority`, if the configuration in force gives it one.
+    pub priority: Option<u64>,
+    /// How long it may take, ms.
+    pub time_left: Ms,
+    /// The event after which a stream goes on.
+    pub last_event_id: Option<&'send str>,
+}
+
+/// The bytes of a request for one send.
+pub fn request_bytes(head: &RequestHead, body: &[u8], plan: &Plan, facts: SendFacts) -> Vec<u8> {
+    let SendFacts { target, priority, time_left, last_event_id } = facts;
     let mut bytes = Vec::with_capacity(1024 + body.len());
     let mut line = |name: &str, value: &[u8]| {
         bytes.extend_from_slice(name.as_bytes());
@@ -51,7 +57,7 @@
     if let Some(tenant) = &plan.ask.tenant {
         line("Tenant", tenant.name.as_bytes());
     }
-    if let Some(priority) = plan.priority {
+    if let Some(priority) = priority {
         line("Priority", format!("{priority}").as_bytes());
     }
     if let Some(version) = target.version {
--- a/crates/proxy/src/plan.rs
+++ b/crates/proxy/src/plan.rs
@@ -1,5 +1,6 @@
 //! What becomes of a request, by its head and the configuration in force. No I/O.
 
+use crate::urgency::Ranks;
 use crate::view::InForce;
 use configuration::{Route, RouteKind, Share};
 use dispatch::{Ask, Ms, Rules, Tenant};
@@ -16,8 +17,8 @@
 pub struct Plan {
     /// What the dispatcher needs.
     pub ask: Ask,
-    /// `Priority`, if the configuration sets one.
-    pub priority: Option<u64>,
+    /// How urgent it is. Its number towards replicas follows at each send from the ranks in force then.
+    pub ranks: Ranks,
     /// The client's id of this try.
     pub attempt_id: String,
     /// The answer is a series of events.
@@ -80,9 +81,7 @@
         };
         Ok(Plan {
             ask,
-            priority: in_force
-                .urgency
-                .priority(customer.and_then(|customer| customer.priority), route.priority),
+            ranks: Ranks { tenant: customer.and_then(|customer| customer.priority), route: route.priority },
             attempt_id: text("attempt-id").ok_or(Refusal::NoAttemptId)?,
             is_stream,
         })
--- a/crates/proxy/src/urgency.rs
+++ b/crates/proxy/src/urgency.rs
@@ -5,6 +5,15 @@
 /// The least urgent `Priority` that replicas know; 0 is the most urgent.
 const LEAST_URGENT: usize = 9;
 
+/// The ranks of a request; 0 is the most urgent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Ranks {
+    /// Its tenant's.
+    pub tenant: Option<Whole>,
+    /// Its route's.
+    pub route: Option<Whole>,
+}
+
 /// The ranks that a configuration names.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Urgency {
@@ -20,9 +29,10 @@
         Urgency { tenants: distinct(tenants), routes: distinct(routes) }
     }
 
-    /// `Priority` for a request of this tenant on this route; `None` where neither has a rank. What has no rank comes
-    /// behind all that have one.
-    pub fn priority(&self, tenant: Option<Whole>, route: Option<Whole>) -> Option<u64> {
+    /// `Priority` for a request of these ranks; `None` where it has neither. What has no rank comes behind all that have
+    /// one.
+    pub fn priority(&self, ranks: Ranks) -> Option<u64> {
+        let Ranks { tenant, route } = ranks;
         if tenant.is_none() && route.is_none() {
             return None;
         }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -1,6 +1,6 @@
 //! The proxy's view of the fleet, built from its agent's messages. No I/O.
 
-use crate::urgency::Urgency;
+use crate::urgency::{Ranks, Urgency};
 use configuration::{Configuration, ConfigurationError, KeyTable, Router, Service};
 use dispatch::{Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Salts, Store, TenantPolicy};
 use feed::{namings_from_wire, Asked};
@@ -65,6 +65,11 @@
         self.in_force.as_ref().map_or(0, |in_force| in_force.configuration.version.0)
     }
 
+    /// `Priority` for a request of these ranks, by the configuration in force.
+    pub fn priority(&self, ranks: Ranks) -> Option<u64> {
+        self.in_force.as_ref()?.urgency.priority(ranks)
+    }
+
     /// Whether clients can be served: there is a configuration and a list of replicas.
     pub fn is_complete(&self) -> bool {
         self.in_force.is_some() && self.has_replicas
--- a/crates/proxy/tests/isolation.rs
+++ b/crates/proxy/tests/isolation.rs
@@ -3,7 +3,6 @@
 
 mod support;
 
-use peer::Message;
 use rstest::rstest;
 use support::*;
 
@@ -36,26 +35,9 @@
     }
 }
 
-/// [`CONFIGURATION`] as a later version, in which the route `empty` has a place of its own.
-fn configuration(version: u64, tenant: Tenant) -> String {
-    CONFIGURATION
-        .replace("\"version\":7", &format!("\"version\":{version}"))
-        .replace("/empty/", &format!("/empty-{version}/"))
-        .replace(Tenant::Shares.json(), tenant.json())
-}
-
-/// Tells the proxy a configuration, and waits until it is in force.
+/// Tells the proxy this of tenant-1 in a later version of the configuration.
 async fn configure(fixture: &mut Fixture, version: u64, tenant: Tenant) {
-    fixture.tell(Message::Configuration(whole(&configuration(version, tenant)))).await;
-    let mut asker = fixture.client().await;
-    let question = ask(&format!("empty-{version}"), "q", "").replace(KEY, "k2");
-    loop {
-        asker.write(&question).await;
-        // There is no replica for the route; before, there is no route.
-        if asker.answer().await.0.status == 503 {
-            return;
-        }
-    }
+    fixture.reconfigure(version, Tenant::Shares.json(), tenant.json()).await;
 }
 
 /// Guards against review case 1 (WALL): a stream that was taken up at another replica left an isolated tenant's memory under
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -97,6 +97,25 @@
         self.agent.write_all(&encode(&message).expect("short")).await.expect("linked");
     }
 
+    /// Tells the proxy a later version of [`CONFIGURATION`] in which `new` stands for `old`, and waits until it is in force.
+    pub async fn reconfigure(&mut self, version: u64, old: &str, new: &str) {
+        assert!(CONFIGURATION.contains(old), "{old} is in the configuration");
+        // The route that has no replicas moves with each version: its answer tells which one is in force.
+        let text = CONFIGURATION
+            .replace("\"version\":7", &format!("\"version\":{version}"))
+            .replace("/empty/", &format!("/empty-{version}/"))
+            .replace(old, new);
+        self.tell(Message::Configuration(whole(&text))).await;
+        let mut asker = self.client().await;
+        let question = ask(&format!("empty-{version}"), "q", "").replace(KEY, "k2");
+        loop {
+            asker.write(&question).await;
+            if asker.answer().await.0.status == 503 {
+                return;
+            }
+        }
+    }
+
     /// Asks whether the proxy is ready.
     pub async fn readiness(&self) -> u16 {
         let mut asker = Peer::connect(self.ready).await;
