Event 1104 tells where a stream goes on and under which salt

Change: it is logged when the next send is made, with replica and salt: `attempt a after event 4 at replica i-3, salt 1/tenant-1`. The bound of ten events a second stays.

All tests of the proxy pass; the numbers of events are as before.

--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -33,7 +33,7 @@
     Unreached = 1102,
     /// A replica's answer is no answer to its request.
     BadAnswer = 1103,
-    /// A stream went on at another replica.
+    /// A stream goes on at another replica: after which event, where and under which salt.
     Resumed = 1104,
     /// It was told to end.
     Ending = 1200,
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -59,6 +59,9 @@
                 Ok(target) => target,
                 Err(last) => return self.give_up(last).await,
             };
+            if self.passage.has_begun() {
+                self.log_resumed(&target);
+            }
             let twin = self.twin();
             let (next, answer) = match self.race(&target, twin.as_ref()).await {
                 Raced::Over(next) => (next, None),
@@ -72,17 +75,20 @@
                 Next::PassOn => return self.pass_on(answer).await,
                 Next::Answer(last) => return self.give_up(last).await,
                 Next::Wait => return Err(ClientGone),
-                Next::Repeat if self.passage.has_begun() => {
-                    self.passage.go_on_elsewhere();
-                    let after = self.passage.last_event_id().unwrap_or("none");
-                    let what = format_args!("attempt {} after event {after}", self.plan.attempt_id);
-                    self.shared.event_limit.warn(self.shared.now(), ProxyEvent::Resumed, what);
-                }
                 Next::Repeat => self.passage.go_on_elsewhere(),
             }
         }
     }
 
+    /// Logs where a stream that has begun goes on.
+    fn log_resumed(&self, target: &Target) {
+        let after = self.passage.last_event_id().unwrap_or("none");
+        let salt = target.salt.as_deref().unwrap_or("none");
+        let (attempt, id) = (&self.plan.attempt_id, &target.id);
+        let what = format_args!("attempt {attempt} after event {after} at replica {id}, salt {salt}");
+        self.shared.event_limit.warn(self.shared.now(), ProxyEvent::Resumed, what);
+    }
+
     /// Where a twin of the first send goes, if there is to be one.
     fn twin(&mut self) -> Option<Target> {
         if self.passage.has_begun() {
