--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod budget;
 mod call;
+mod candidates;
 mod cause;
 mod choose;
 mod dispatcher;
