--- a/crates/proxy/tests/contracts.rs
+++ b/crates/proxy/tests/contracts.rs
@@ -142,9 +142,7 @@
         client.write(ask("stream", "a", "")).await;
         let (mut connection, request) = replica.request().await;
         assert!(deadline_left(&request) <= 200);
-        connection.write(stream_head("a") + &event(1)).await;
-        client.head().await;
-        client.text(&event(1)).await;
+        begin_stream(&mut connection, &mut client, "a").await;
         client.ended().await;
         assert!((200..700).contains(&asked.elapsed().as_millis()), "{:?}", asked.elapsed());
         connection.ended().await;
--- a/crates/proxy/tests/isolation.rs
+++ b/crates/proxy/tests/isolation.rs
@@ -49,9 +49,7 @@
         client.write(ask("resume", "a", WITH_MODEL)).await;
         let (mut first, request, other) = first_of(&one, &two).await;
         assert_ne!(request.header("Cache-Salt"), Some(OWN));
-        first.write(stream_head("a") + &event(1)).await;
-        client.head().await;
-        client.text(&event(1)).await;
+        begin_stream(&mut first, &mut client, "a").await;
         configure(&mut fixture, 8, Tenant::IsIsolated).await;
         drop(first);
         let (mut second, request) = other.request().await;
@@ -149,9 +147,7 @@
         let (replica, mut fixture, mut client) = with_one_replica().await;
         client.write(ask("stream", "a", WITH_MODEL)).await;
         let (mut connection, _) = replica.request().await;
-        connection.write(stream_head("a") + &event(1)).await;
-        client.head().await;
-        client.text(&event(1)).await;
+        begin_stream(&mut connection, &mut client, "a").await;
         configure(&mut fixture, 8, Tenant::IsIsolated).await;
         let mut newcomer = fixture.client().await;
         newcomer.write(ask("stream", "b", WITH_MODEL)).await;
--- a/crates/proxy/tests/outdated.rs
+++ b/crates/proxy/tests/outdated.rs
@@ -48,9 +48,7 @@
         let (replica, mut fixture, mut client) = with_one_replica().await;
         client.write(ask("stream", "a", WITH_MODEL)).await;
         let (mut connection, _) = replica.request().await;
-        connection.write(stream_head("a") + &event(1)).await;
-        client.head().await;
-        client.text(&event(1)).await;
+        begin_stream(&mut connection, &mut client, "a").await;
         fixture.tell(overdue()).await;
         // What is sent after it expects the new version, so the naming has been heard.
         let mut other = fixture.client().await;
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -31,9 +31,7 @@
         let (replica, _fixture, mut client) = with_one_replica().await;
         client.write(ask("stream", "a", "")).await;
         let (mut connection, _) = replica.request().await;
-        connection.write(stream_head("a") + &event(1)).await;
-        client.head().await;
-        client.text(&event(1)).await;
+        begin_stream(&mut connection, &mut client, "a").await;
         drop(connection);
         client.ended().await;
         assert!(!client.has_rest());
@@ -84,9 +82,7 @@
         let (one, two, _fixture, mut client) = with_two_replicas().await;
         client.write(ask("resume", "a", "")).await;
         let (mut first, _, other) = first_of(&one, &two).await;
-        first.write(stream_head("a") + &event(1)).await;
-        client.head().await;
-        client.text(&event(1)).await;
+        begin_stream(&mut first, &mut client, "a").await;
         drop(first);
         let (mut second, _) = other.request().await;
         second.write(stream_head("a") + &event(1) + &event(2) + LAST_CHUNK).await;
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -344,6 +344,13 @@
     )
 }
 
+/// Has a replica begin a stream, and waits until its client has the first event.
+pub async fn begin_stream(replica: &mut Peer, client: &mut Peer, id: &str) {
+    replica.write(stream_head(id) + &event(1)).await;
+    client.head().await;
+    client.text(&event(1)).await;
+}
+
 /// An event of a stream, as a chunk.
 pub fn event(id: u32) -> String {
     let event = event_text(id);
