--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -50,6 +50,11 @@
     ("cut-off-leave", ['kind = "version_bump", count = 0, at = 14', 'kind = "config_race", count = 6, gap_s = 4.0, at = 4',
                        'kind = "scale_in", share = 0.12, at = 8', 'kind = "scale_in", share = 0.12, at = 14.8'],
      ['kind = "core_cut", count = 1, for_s = 20, how = "leader race", at = 6', 'kind = "ack_lost", x = 0.7, for_s = 25, at = 3'], None),
+    # Tenants become isolated and are released while replicas crash and fail, so that requests are sent again after the change.
+    ("isolated-tenants", [f'kind = "config_change", how = "tenant", at = {at}' for at in (3, 6, 9, 12, 15, 18, 21, 24)],
+     ['kind = "srv_crash", share = 0.15, for_s = 3, how = "dark", at = 5.3', 'kind = "srv_crash", share = 0.15, for_s = 3, at = 11.4',
+      'kind = "srv_grey", share = 0.15, x = 0.4, for_s = 5, how = "errors", at = 8', 'kind = "srv_grey", share = 0.15, x = 0.4, for_s = 5, how = "reset", at = 14.2',
+      'kind = "srv_crash", share = 0.15, for_s = 2, how = "gone", at = 17.4', 'kind = "garble", how = "unframed", share = 0.5, x = 0.04, for_s = 6, at = 20.2'], None),
 ]
 
 # Versions of weights named one on top of the other, before the move to the one before is done: name, times, plan, faults, closing.
