Event 2033 tells which number a dropped heartbeat met

The logs could not tell three causes apart: the controller drops the word, the word is lost between controllers and agents, or proxies hold to an older record.

No logic changes.

--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -35,6 +35,8 @@
     ReplicaLeft = 2031,
     /// A replica is about to end.
     ReplicaDrains = 2032,
+    /// A heartbeat was dropped as late.
+    HeartbeatLate = 2033,
     /// A message of the register group can't be read.
     RegisterMessage = 2041,
     /// A message of the membership can't be read.
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -66,7 +66,7 @@
 
     /// Takes a heartbeat in, whether or not it may be acknowledged here: what it tells is true all the same.
     fn heartbeat(&mut self, now: Millis, call: CallId, record: Record) {
-        let (id, zone, state) = (record.id.clone(), record.zone.clone(), record.state);
+        let (id, zone, state, beat) = (record.id.clone(), record.zone.clone(), record.state, record.beat);
         self.log_older_weights(&record);
         match self.view.replicas.heartbeat(now, record) {
             Heard::Full => {
@@ -77,7 +77,8 @@
                 ControllerEvent::ReplicaDrains.info(format_args!("replica {id} drains"))
             }
             Heard::News => ControllerEvent::ReplicaNews.debug(format_args!("news of replica {id}")),
-            Heard::Same | Heard::Late => {}
+            Heard::Late => self.log_late(&id, state, beat),
+            Heard::Same => {}
         }
         if !self.has_contact(now) {
             let reply = without_contact();
@@ -91,6 +92,20 @@
         self.barrier.hold(now, call, reply);
     }
 
+    /// Logs a heartbeat that was dropped as late, with what is known instead.
+    fn log_late(&self, id: &str, state: State, beat: u64) {
+        let known = self.view.replicas.get(id);
+        let is_known_to_end =
+            known.is_some_and(|known| matches!(known.state, State::Draining | State::Gone));
+        let known = known.map(|known| (known.state, known.beat));
+        let what = format!("replica {id}: heartbeat {beat} ({state:?}) is late, known is {known:?}");
+        if state == State::Draining && !is_known_to_end {
+            ControllerEvent::HeartbeatLate.warn(format_args!("{what}"));
+        } else {
+            ControllerEvent::HeartbeatLate.debug(format_args!("{what}"));
+        }
+    }
+
     /// Where a replica should send its next heartbeats.
     fn home(&self, id: &str, zone: &str) -> String {
         let all = self.live_controllers();
