--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
 
-use crate::{Millis, ModelVersion, Record, State};
+use crate::report::StandingReports;
+use crate::{Millis, ModelVersion, Record, State, WeightsReport};
 
 /// Bounds of a catalogue.
 #[derive(Debug, Clone)]
@@ -74,6 +75,8 @@
 #[derive(Debug, Clone)]
 struct Entry {
     record: Record,
+    /// Weights that were seen since, until heartbeats tell of them.
+    reports: StandingReports,
     /// When a heartbeat was last heard here or by a peer.
     heard: Millis,
     /// The highest heartbeat heard here or by a peer; the record may stem from an earlier one.
@@ -89,7 +92,8 @@
 }
 
 impl Entry {
-    /// The record with the number of the newest heartbeat of which anything is known.
+    /// The record with the number of the newest heartbeat that anybody heard. It told nothing else: numbers are passed on
+    /// behind what their heartbeats told.
     fn newest(&self) -> Record {
         Record { beat: self.heard_beat.max(self.record.beat), ..self.record.clone() }
     }
@@ -206,25 +210,33 @@
             entry.heard = now;
             entry.heard_beat = record.beat;
         }
-        let known = entry.record.clone();
-        match self.take(record.clone()) {
-            Merged::Same if known.join(&record) != record.sorted() => Merged::Older,
+        let told = record.clone();
+        match self.take(record) {
+            Merged::Same if self.get(&told.id).is_some_and(|known| known.says_more_than(&told)) => {
+                Merged::Older
+            }
             merged => merged,
         }
     }
 
-    /// Notes newer weights that a replica was seen to hold between two heartbeats. Whether that was news.
-    ///
-    /// They count with the next heartbeat: it may be on its way already, sent before the replica held them. The one after it
-    /// tells by itself what the replica holds. Older weights are no news: what was seen is older than it looks.
-    pub fn note_models(&mut self, id: &str, models: &[ModelVersion]) -> bool {
-        let Some(entry) = self.entries.get(id) else { return false };
-        let mut noted = entry.record.clone();
-        if noted.state == State::Ready {
-            noted.beat = noted.beat.max(entry.heard_beat + 1);
+    /// Notes weights that a replica was seen to hold between two heartbeats; what the peers are to be told of it, if it is
+    /// news. Older weights are none: what was seen is older than it looks.
+    pub fn note_models(&mut self, id: &str, models: &[ModelVersion]) -> Option<WeightsReport> {
+        let after_beat = self.entries.get(id)?.newest().beat;
+        let report = WeightsReport { id: id.to_string(), after_beat, models: models.to_vec() };
+        self.take_report(&report).then_some(report)
+    }
+
+    /// Takes a report that was read here or by a peer. Whether it is news.
+    pub fn take_report(&mut self, report: &WeightsReport) -> bool {
+        let Some(entry) = self.entries.get_mut(&report.id) else { return false };
+        if entry.record.state == State::Gone {
+            return false;
         }
-        noted.take_newer_weights(models);
-        noted.models != entry.record.models && self.take(noted) == Merged::News
+        entry.reports.note(report);
+        // One that was judged as of an earlier heartbeat is not judged as of a later one by this.
+        let known = if entry.record.state == State::Ready { entry.newest() } else { entry.record.clone() };
+        self.take(known) == Merged::News
     }
 
     /// Notes heartbeats that a peer heard. They only tell that a replica lives: what it says comes by `merge`,
@@ -337,17 +349,19 @@
             changed: 0,
             untold: heard_here.is_some(),
             lost_since: None,
-            record,
+            reports: StandingReports::default(),
+            record: record.sorted(),
         };
         self.entries.insert(id.clone(), entry);
         self.note_change(&id);
     }
 
-    /// Joins a record with the one known.
+    /// Joins a record with the one known, and with the reports that stand beside it.
     fn take(&mut self, record: Record) -> Merged {
         let id = record.id.clone();
         let Some(entry) = self.entries.get_mut(&id) else { return Merged::Same };
-        let record = entry.record.join(&record);
+        let mut record = entry.record.join(&record);
+        entry.reports.apply(&mut record);
         let news = record.is_news_after(&entry.record);
         let (before, after) = (entry.record.address, record.address);
         let gone = record.state == State::Gone;
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -7,10 +7,12 @@
 mod catalog;
 mod home;
 mod record;
+mod report;
 
 pub use catalog::{Beat, Catalog, Heard, Limits, Merged};
 pub use home::{home_of, Controller};
 pub use record::{ModelVersion, Record, State};
+pub use report::WeightsReport;
 
 /// Milliseconds of the caller's steady clock.
 pub type Millis = u64;
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -50,13 +50,14 @@
     }
 
     /// The least description that includes both: that of the greater in [`Record::order`]. Of two with the same heartbeat
-    /// the newest weights count, since one of them may stem from a report after it. A later heartbeat counts alone: a
-    /// replica may go back to older weights.
+    /// each field counts by itself, and of weights the newest, since one of them may stem from a report after it. A later
+    /// heartbeat counts alone: a replica may go back to older weights.
+    #[must_use]
     pub fn join(&self, other: &Record) -> Record {
         let (mut greater, lesser) =
             if self.order(other).is_lt() { (other.clone(), self) } else { (self.clone(), other) };
         if greater.is_as_late_as(lesser) {
-            greater.take_newer_weights(&lesser.models);
+            greater.take_same_heartbeat(lesser);
         }
         greater.sorted()
     }
@@ -65,6 +66,23 @@
         self.beat == other.beat && (self.state == State::Gone) == (other.state == State::Gone)
     }
 
+    /// Joins the fields of two descriptions from one heartbeat. A replica sends one number once, so they seldom differ but
+    /// in weights and in the count-down; where they do, all who merge them come to the same.
+    fn take_same_heartbeat(&mut self, other: &Record) {
+        self.take_newer_weights(&other.models);
+        self.cold_left_ms = self.cold_left_ms.min(other.cold_left_ms);
+        if self.place() < other.place() {
+            self.service.clone_from(&other.service);
+            self.zone.clone_from(&other.zone);
+            (self.address, self.free_slots) = (other.address, other.free_slots);
+        }
+    }
+
+    /// What does not change in a replica's life.
+    fn place(&self) -> (SocketAddrV4, &str, &str, u32) {
+        (self.address, &self.service, &self.zone, self.free_slots)
+    }
+
     /// Takes over what `others` tell of weights where it is newer.
     pub(crate) fn take_newer_weights(&mut self, others: &[ModelVersion]) {
         for model in others {
@@ -73,14 +91,25 @@
                 None => self.models.push(model.clone()),
             }
         }
+        self.sort_models();
     }
 
-    /// The same with its models in order of their names, as [`Record::join`] leaves them.
+    fn sort_models(&mut self) {
+        self.models.sort_by(|a, b| a.name.cmp(&b.name).then(b.version.cmp(&a.version)));
+        self.models.dedup_by(|later, earlier| later.name == earlier.name);
+    }
+
+    /// The same with each model once, in order of their names, as [`Record::join`] leaves them.
     pub(crate) fn sorted(mut self) -> Record {
-        self.models.sort_by(|a, b| a.name.cmp(&b.name));
+        self.sort_models();
         self
     }
 
+    /// Whether somebody who holds this, merged with what `other` tells, should tell it in return.
+    pub(crate) fn says_more_than(&self, other: &Record) -> bool {
+        self.order(other).is_gt() || self.is_news_after(&other.clone().sorted())
+    }
+
     /// Whether subscribers must hear of the step from `before` to this description. Heartbeats that change
     /// nothing but their number, and the count-down from a cold start, are not news.
     pub fn is_news_after(&self, before: &Record) -> bool {
--- a/crates/catalog/tests/catalogue.rs
+++ b/crates/catalog/tests/catalogue.rs
@@ -142,7 +142,7 @@
     here.heartbeat(0, record("a", 1, 5, State::Ready));
     there.merge(0, record("a", 1, 5, State::Ready));
     let newer = vec![ModelVersion { name: "m".to_string(), version: 2 }];
-    assert!(here.note_models("a", &newer));
+    assert!(here.note_models("a", &newer).is_some());
     let told = here.get("a").cloned().expect("known");
     assert_eq!(there.merge(10, told), Merged::News, "though its heartbeat is the same");
     assert_eq!(there.get("a").map(|record| record.models.clone()), Some(newer.clone()));
@@ -157,7 +157,8 @@
     let mut table = catalogue();
     table.heartbeat(0, record("a", 1, 5, State::Ready));
     table.tick(5_000, true);
-    assert!(table.note_models("a", &[ModelVersion { name: "m".to_string(), version: 2 }]));
+    let newer = [ModelVersion { name: "m".to_string(), version: 2 }];
+    assert!(table.note_models("a", &newer).is_some());
     assert_eq!(state_of(&table, "a"), Some(State::Lost));
     table.heartbeat(5_100, record("a", 1, 6, State::Ready));
     assert_eq!(state_of(&table, "a"), Some(State::Ready));
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -67,7 +67,7 @@
     /// Takes a heartbeat in, whether or not it may be acknowledged here: what it tells is true all the same.
     fn heartbeat(&mut self, now: Millis, call: CallId, record: Record) {
         let (id, zone, state, beat) = (record.id.clone(), record.zone.clone(), record.state, record.beat);
-        self.log_older_weights(&record);
+        let older = self.older_weights(&record);
         match self.view.replicas.heartbeat(now, record) {
             Heard::Full => {
                 let reply = Reply::later(503, "too many replicas; raise the limit", 1_000);
@@ -80,6 +80,11 @@
             Heard::Late => self.log_late(&id, state, beat),
             Heard::Same => {}
         }
+        self.log_older_weights(&id, beat, &older);
+        if state == State::Draining && !self.is_known_to_end(&id) {
+            let reply = Reply::later(503, "a later heartbeat is known; say it again", RETRY_AFTER_MS);
+            return self.replies.push(Effect::Reply { call, reply });
+        }
         if !self.has_contact(now) {
             let reply = without_contact();
             return self.replies.push(Effect::Reply { call, reply });
@@ -92,14 +97,17 @@
         self.barrier.hold(now, call, reply);
     }
 
+    /// Whether it is known here that a replica drains or has ended: only then may its word be acknowledged.
+    fn is_known_to_end(&self, id: &str) -> bool {
+        let known = self.view.replicas.get(id);
+        known.is_some_and(|known| matches!(known.state, State::Draining | State::Gone))
+    }
+
     /// Logs a heartbeat that was dropped as late, with what is known instead.
     fn log_late(&self, id: &str, state: State, beat: u64) {
-        let known = self.view.replicas.get(id);
-        let is_known_to_end =
-            known.is_some_and(|known| matches!(known.state, State::Draining | State::Gone));
-        let known = known.map(|known| (known.state, known.beat));
+        let known = self.view.replicas.get(id).map(|known| (known.state, known.beat));
         let what = format!("replica {id}: heartbeat {beat} ({state:?}) is late, known is {known:?}");
-        if state == State::Draining && !is_known_to_end {
+        if state == State::Draining && !self.is_known_to_end(id) {
             ControllerEvent::HeartbeatLate.warn(format_args!("{what}"));
         } else {
             ControllerEvent::HeartbeatLate.debug(format_args!("{what}"));
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -22,6 +22,13 @@
 /// Most replicas that such a line names.
 const MOST_BEHIND_LOGGED: usize = 20;
 
+/// Weights that a heartbeat tells, with the newer version that was believed before.
+#[derive(Debug)]
+pub(crate) struct OlderWeights {
+    told: ModelVersion,
+    believed: u64,
+}
+
 impl Machine {
     pub(crate) fn learned_weights(&mut self, at: Moment, bytes: &[u8]) {
         let value = match WeightsValue::read(bytes) {
@@ -125,19 +132,25 @@
         ));
     }
 
-    /// Logs weights that a later heartbeat tells and that are older than the replica is believed to hold.
-    pub(crate) fn log_older_weights(&self, told: &Record) {
-        let Some(known) = self.view.replicas.get(&told.id).filter(|known| known.beat < told.beat) else {
-            return;
+    /// Weights that a later heartbeat tells and that are older than the replica is believed to hold.
+    pub(crate) fn older_weights(&self, told: &Record) -> Vec<OlderWeights> {
+        let known = self.view.replicas.get(&told.id).filter(|known| known.beat < told.beat);
+        let believed = |told: &ModelVersion| {
+            let known = known?.models.iter().find(|known| known.name == told.name)?;
+            let older = OlderWeights { told: told.clone(), believed: known.version };
+            (known.version > told.version).then_some(older)
         };
-        for ModelVersion { name, version } in &told.models {
-            let believed = known.models.iter().find(|known| known.name == *name);
-            if let Some(believed) = believed.filter(|believed| believed.version > *version) {
-                ControllerEvent::WeightsWentBack.warn(format_args!(
-                    "replica {}: heartbeat {} tells {name} version {version}, it was believed to hold {}",
-                    told.id, told.beat, believed.version
-                ));
-            }
+        told.models.iter().filter_map(believed).collect()
+    }
+
+    /// Logs older weights that are believed now; a report may stand beside the heartbeat that told them.
+    pub(crate) fn log_older_weights(&self, id: &str, beat: u64, older: &[OlderWeights]) {
+        let models = self.view.replicas.get(id).map_or(&[][..], |record| &record.models);
+        for OlderWeights { told, believed } in older.iter().filter(|older| models.contains(&older.told)) {
+            let ModelVersion { name, version } = told;
+            ControllerEvent::WeightsWentBack.warn(format_args!(
+                "replica {id}: heartbeat {beat} tells {name} version {version}, it was believed to hold {believed}"
+            ));
         }
     }
 
@@ -148,8 +161,9 @@
                 "replica {replica}: {model} version {version}, {took_ms} ms after its order"
             ));
         }
-        if let Some(report) = report {
-            self.view.replicas.note_models(replica, &report.models);
+        let noted = report.and_then(|report| self.view.replicas.note_models(replica, &report.models));
+        if let Some(noted) = noted {
+            self.peers.tell_report(&noted);
         }
         if self.moves.is_to_be_ordered(at.now, replica) {
             self.next_upkeep = at.now;
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -332,7 +332,7 @@
         }
         if at.now >= self.next_beats {
             self.next_beats = at.now + BEATS_EVERY_MS;
-            self.send_beats(out);
+            self.tell_beats();
         }
         if at.now >= self.next_upkeep {
             let is_late = at.now > self.next_upkeep + LATE_MS;
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -4,10 +4,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-use catalog::Beat;
-use feed::{ReplicaFeed, View};
+use catalog::{Beat, WeightsReport};
+use feed::{report_from_wire, report_to_wire, ReplicaFeed, View};
 use membership::Status;
-use peer::{Beats, Message};
+use peer::{Beats, Message, WeightsReports};
 use register::message as register_message;
 use register::{Input as RegisterInput, RegisterMessage};
 
@@ -30,22 +30,66 @@
     Left,
 }
 
+/// What one other controller is still to be sent.
+#[derive(Debug)]
+struct PeerFeed {
+    replicas: ReplicaFeed,
+    /// Numbers of heartbeats and reports between them: they go behind the records of what the heartbeats told, so that
+    /// whoever knows a number knows what was told under it.
+    beats: Vec<Beat>,
+    reports: Vec<WeightsReport>,
+}
+
+impl PeerFeed {
+    fn new() -> PeerFeed {
+        PeerFeed { replicas: ReplicaFeed::of_home(READY_EVERY_MS), beats: Vec::new(), reports: Vec::new() }
+    }
+
+    /// The messages that are due.
+    fn messages(&mut self, now: Millis, view: &View) -> Vec<Message> {
+        let mut messages = Vec::from_iter(self.replicas.message(now, view));
+        if !self.replicas.is_up_to_date(view) {
+            return messages;
+        }
+        if !self.reports.is_empty() {
+            let reports = self.reports.drain(..).map(|report| report_to_wire(&report));
+            messages.push(Message::WeightsReports(WeightsReports::from(reports.collect::<Vec<_>>())));
+        }
+        if !self.beats.is_empty() {
+            let beats = self.beats.drain(..);
+            let beats = beats.map(|one| peer::Beat { id: one.id.as_str().into(), beat: one.beat });
+            messages.push(Message::Beats(Beats::from(beats.collect::<Vec<_>>())));
+        }
+        messages
+    }
+}
+
 /// The links to other controllers that are up.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    links: BTreeMap<SocketAddrV4, ReplicaFeed>,
+    links: BTreeMap<SocketAddrV4, PeerFeed>,
     /// The version of the protocol that each one spoke last.
     protocols: BTreeMap<SocketAddrV4, u16>,
 }
 
 impl Peers {
     pub fn up(&mut self, peer: SocketAddrV4) {
-        self.links.insert(peer, ReplicaFeed::of_home(READY_EVERY_MS));
+        self.links.insert(peer, PeerFeed::new());
     }
 
     /// When a message that is held back is due.
     pub fn deadline(&self, view: &View) -> Millis {
-        self.links.values().map(|replicas| replicas.deadline(view)).min().unwrap_or(Millis::MAX)
+        self.links.values().map(|feed| feed.replicas.deadline(view)).min().unwrap_or(Millis::MAX)
+    }
+
+    /// Has heartbeats told of that were heard here.
+    pub fn tell_beats(&mut self, beats: &[Beat]) {
+        self.links.values_mut().for_each(|feed| feed.beats.extend_from_slice(beats));
+    }
+
+    /// Has a report told of that was read here.
+    pub fn tell_report(&mut self, report: &WeightsReport) {
+        self.links.values_mut().for_each(|feed| feed.reports.push(report.clone()));
     }
 
     pub fn down(&mut self, peer: SocketAddrV4) {
@@ -111,6 +155,11 @@
                     heard.map(|one| Beat { id: one.id.as_str().to_string(), beat: one.beat }).collect();
                 self.view.replicas.peer_beats(at.now, &heard);
             }
+            Message::WeightsReports(told) => {
+                for report in &told.reports {
+                    self.view.replicas.take_report(&report_from_wire(report));
+                }
+            }
             Message::Loads(news) => self.loads.peer_told(at.now, from, &news),
             Message::KeepEnds(ends) => self.asked_to_keep(at, from, &ends),
             Message::EndsKept(ends) => self.ends_kept(from, &ends),
@@ -135,17 +184,10 @@
         }
     }
 
-    /// Tells the other controllers which replicas were heard here.
-    pub(crate) fn send_beats(&mut self, out: &mut Vec<Effect>) {
+    /// Has the other controllers told which replicas were heard here.
+    pub(crate) fn tell_beats(&mut self) {
         let beats = self.view.replicas.take_beats();
-        if beats.is_empty() {
-            return;
-        }
-        let heard = beats.iter().map(|one| peer::Beat { id: one.id.as_str().into(), beat: one.beat });
-        let message = Message::Beats(Beats::from(heard.collect::<Vec<_>>()));
-        for to in self.peers.links.keys() {
-            out.push(Effect::SendPeer { to: *to, message: message.clone() });
-        }
+        self.peers.tell_beats(&beats);
     }
 
     /// Tells the other controllers what is new of replicas and of their load.
@@ -155,10 +197,9 @@
                 out.push(Effect::SendPeer { to: *to, message: message.clone() });
             }
         }
-        for (to, replicas) in &mut self.peers.links {
-            if let Some(message) = replicas.message(now, &self.view) {
-                out.push(Effect::SendPeer { to: *to, message });
-            }
+        for (to, feed) in &mut self.peers.links {
+            let messages = feed.messages(now, &self.view).into_iter();
+            out.extend(messages.map(|message| Effect::SendPeer { to: *to, message }));
         }
         RecordsSent { change: self.view.replicas.last_change() }
     }
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -6,10 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use catalog::State;
+use catalog::{Record, State};
 use controller::command::Reply;
 use controller::duty::moves::ReplicaCall;
 use controller::machine::{Effect, Input, Machine, Moment, Timing};
+use feed::record_from_wire;
 use links::LinkId;
 use membership::{Member, Membership};
 use peer::{Message, KEEPS_ENDS, PROTOCOL};
@@ -83,6 +84,8 @@
     up: BTreeSet<(usize, usize)>,
     flights: Vec<Flight>,
     last_arrival: BTreeMap<(usize, usize), u64>,
+    /// The records that each controller has sent to each other one on their present link.
+    told: BTreeMap<(usize, usize), BTreeMap<String, Record>>,
     agents: Vec<AgentState>,
     seen: Vec<Seen>,
     replies: BTreeMap<CallHandle, Reply>,
@@ -114,6 +117,7 @@
             up: BTreeSet::new(),
             flights: Vec::new(),
             last_arrival: BTreeMap::new(),
+            told: BTreeMap::new(),
             agents: Vec::new(),
             seen: Vec::new(),
             replies: BTreeMap::new(),
@@ -251,6 +255,7 @@
                 let reachable = alive && !cut && wanted.contains(&address(to));
                 let peer = address(to);
                 if reachable && self.up.insert((from, to)) {
+                    self.told.remove(&(from, to));
                     self.step(from, Input::PeerUp { peer });
                     let protocol = self.protocol;
                     self.step(to, Input::PeerHello { peer: address(from), protocol });
@@ -419,6 +424,7 @@
 
     fn send(&mut self, from: usize, to: SocketAddrV4, message: Message) {
         let to = usize::from(to.ip().octets()[3] - 1);
+        self.check_numbers(from, to, &message);
         let last = self.last_arrival.entry((from, to)).or_default();
         let arrives = (*last).max(self.now + self.random.random_range(1..4));
         *last = arrives;
@@ -427,6 +433,27 @@
         }
     }
 
+    /// A heartbeat's number goes behind what the heartbeat told: the receiver may put it on what it knows.
+    fn check_numbers(&mut self, from: usize, to: usize, message: &Message) {
+        let told = self.told.entry((from, to)).or_default();
+        match message {
+            Message::Replicas(replicas) => {
+                let records = replicas.records.iter().map(record_from_wire);
+                told.extend(records.map(|record| (record.id.clone(), record)));
+            }
+            Message::Beats(beats) => {
+                let Some(machine) = self.hosts[from].machine.as_ref() else { return };
+                for beat in &beats.heard {
+                    let known = machine.view().replicas.get(beat.id.as_str());
+                    let told = told.get(beat.id.as_str());
+                    let is_told = known.zip(told).is_some_and(|(known, told)| !known.is_news_after(told));
+                    assert!(is_told, "{from} tells {to} of {beat:?}: {known:?}, it was told {told:?}");
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn tell(&mut self, link: LinkId, messages: Vec<Message>) {
         let place = self.agents.iter().position(|agent| agent.link == link).expect("an agent's link");
         let agent = &mut self.agents[place];
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -5,7 +5,7 @@
 mod disk;
 mod replicas;
 
-pub use cluster::{Agent, Cluster};
+pub use cluster::{Agent, CallHandle, Cluster};
 
 /// A configuration with that many routes to one service, as an operator sends it.
 pub fn configuration(version: u64, routes: usize) -> String {
--- a/crates/feed/src/records.rs
+++ b/crates/feed/src/records.rs
@@ -2,15 +2,11 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use catalog::{ModelVersion, Record, State};
+use catalog::{ModelVersion, Record, State, WeightsReport};
 use peer::{ReplicaRecord, ReplicaState};
 
 /// A record as it is sent.
 pub fn record_to_wire(record: &Record) -> ReplicaRecord {
-    let models = record.models.iter();
-    let models = models
-        .map(|model| peer::ModelVersion { name: model.name.as_str().into(), version: model.version })
-        .collect();
     let mut wire = ReplicaRecord::new(&record.id, &record.service, record.address.into(), &record.zone);
     wire.state = match record.state {
         State::Ready => ReplicaState::Ready,
@@ -21,13 +17,12 @@
     wire.beat = record.beat;
     wire.free_slots = record.free_slots;
     wire.cold_left_ms = record.cold_left_ms;
-    wire.with_models(models)
+    wire.with_models(models_to_wire(&record.models))
 }
 
 /// A record as it came.
 pub fn record_from_wire(wire: &ReplicaRecord) -> Record {
     let nowhere = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
-    let models = wire.models.iter();
     Record {
         id: wire.id.as_str().to_string(),
         service: wire.service.as_str().to_string(),
@@ -41,9 +36,37 @@
             ReplicaState::Gone => State::Gone,
         },
         beat: wire.beat,
-        models: models
-            .map(|model| ModelVersion { name: model.name.as_str().to_string(), version: model.version })
-            .collect(),
+        models: models_from_wire(&wire.models),
         cold_left_ms: wire.cold_left_ms,
     }
 }
+
+/// A report as it is sent.
+pub fn report_to_wire(report: &WeightsReport) -> peer::WeightsReport {
+    peer::WeightsReport::new(&report.id, report.after_beat, models_to_wire(&report.models))
+}
+
+/// A report as it came.
+pub fn report_from_wire(wire: &peer::WeightsReport) -> WeightsReport {
+    WeightsReport {
+        id: wire.id.as_str().to_string(),
+        after_beat: wire.after_beat,
+        models: models_from_wire(&wire.models),
+    }
+}
+
+fn models_to_wire(models: &[ModelVersion]) -> Vec<peer::ModelVersion> {
+    let wire = |model: &ModelVersion| peer::ModelVersion {
+        name: model.name.as_str().into(),
+        version: model.version,
+    };
+    models.iter().map(wire).collect()
+}
+
+fn models_from_wire(wire: &[peer::ModelVersion]) -> Vec<ModelVersion> {
+    let model = |wire: &peer::ModelVersion| ModelVersion {
+        name: wire.name.as_str().to_string(),
+        version: wire.version,
+    };
+    wire.iter().map(model).collect()
+}
--- a/crates/feed/src/replicas.rs
+++ b/crates/feed/src/replicas.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// Whether the receiver has been sent all that it is to hear.
+    pub fn is_up_to_date(&self, view: &View) -> bool {
+        let newest = Some(view.replicas.last_change());
+        self.seen_urgent == newest && (!self.is_home || self.seen_ready == newest)
+    }
+
     /// The records that the receiver has not got yet and that are due; what is returned counts as sent.
     pub fn message(&mut self, now: Millis, view: &View) -> Option<Message> {
         let newest = view.replicas.last_change();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,5 +18,7 @@
     TELLS_HOME, TELLS_INTEREST, UNREACHABLE,
 };
 pub use parts::{part_key, replica_key};
-pub use replica::{Beat, Beats, Ends, ModelVersion, ReplicaRecord, ReplicaState, Replicas};
+pub use replica::{
+    Beat, Beats, Ends, ModelVersion, ReplicaRecord, ReplicaState, Replicas, WeightsReport, WeightsReports,
+};
 pub use text::{Address, Text};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,6 @@
 //! The messages. Numbers and fields are only ever added.
 
-use crate::replica::{Beats, Ends, Replicas};
+use crate::replica::{Beats, Ends, Replicas, WeightsReports};
 use crate::{Address, Text};
 use deku::prelude::*;
 
@@ -301,6 +301,9 @@
     /// The sender's disk holds that these replicas have ended.
     #[deku(id = "16")]
     EndsKept(Ends),
+    /// Weights that replicas were seen to hold between two beats.
+    #[deku(id = "17")]
+    WeightsReports(WeightsReports),
     /// A message of a later version; to be skipped.
     #[deku(id_pat = "_")]
     Unknown {
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -165,3 +165,41 @@
         Ends { count: ids.len() as u32, ids }
     }
 }
+
+/// Weights that a replica was seen to hold after one of its heartbeats.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct WeightsReport {
+    /// Id of the replica.
+    pub id: Text,
+    /// Number of the newest beat that was known then.
+    #[deku(endian = "little")]
+    pub after_beat: u64,
+    #[deku(endian = "little", update = "self.models.len()")]
+    model_count: u16,
+    /// Its models.
+    #[deku(count = "model_count")]
+    pub models: Vec<ModelVersion>,
+}
+
+impl WeightsReport {
+    /// A report of these models.
+    pub fn new(id: &str, after_beat: u64, models: Vec<ModelVersion>) -> WeightsReport {
+        WeightsReport { id: id.into(), after_beat, model_count: models.len() as u16, models }
+    }
+}
+
+/// Reports that a controller read since its last such message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct WeightsReports {
+    #[deku(assert = "*count <= MOST_RECORDS", endian = "little", update = "self.reports.len()")]
+    count: u32,
+    /// The reports; each is merged by itself.
+    #[deku(count = "count")]
+    pub reports: Vec<WeightsReport>,
+}
+
+impl From<Vec<WeightsReport>> for WeightsReports {
+    fn from(reports: Vec<WeightsReport>) -> WeightsReports {
+        WeightsReports { count: reports.len() as u32, reports }
+    }
+}
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -42,6 +42,9 @@
         Message::Subscription(Subscription { is_home: 1 }),
         Message::KeepEnds(vec!["i-1".into(), "i-2".into()].into()),
         Message::EndsKept(vec!["i-1".into()].into()),
+        Message::WeightsReports(
+            vec![WeightsReport::new("i-1", 7, vec![ModelVersion { name: "m".into(), version: 3 }])].into(),
+        ),
     ]
 }
 
