Controller tests: a report beside a cold start is told a few times, not every 20 ms

Failure guarded: two controllers that hold different words for one heartbeat's number (the review read it, nobody had played it). One hears the heartbeat, with less time left of the cold start; the other reads a report before it hears of that number. Each told the other its own word until the next one.

--- a/crates/controller/tests/draining.rs
+++ b/crates/controller/tests/draining.rs
@@ -21,6 +21,7 @@
 struct Sender {
     id: &'static str,
     beat: u64,
+    cold_left_ms: u64,
 }
 
 impl Sender {
@@ -28,7 +29,7 @@
         cluster.replicas.add(id, 1, 1, 0);
         let replica = cluster.replicas.all.get_mut(id).expect("it was added");
         replica.next_beat = u64::MAX;
-        Sender { id, beat: 0 }
+        Sender { id, beat: 0, cold_left_ms: 0 }
     }
 
     fn version(&self, cluster: &Cluster) -> u64 {
@@ -37,8 +38,11 @@
 
     fn say(&mut self, cluster: &mut Cluster, host: usize, state: &str) -> CallHandle {
         self.beat += 1;
-        let version = self.version(cluster);
-        cluster.issue_heartbeat_with(host, self.id, 1, state, self.beat, version)
+        let (beat, cold_left_ms, version) = (self.beat, self.cold_left_ms, self.version(cluster));
+        let body = format!(
+            r#"{{"service":"reader","address":"10.1.0.1:8080","zone":"zone-0","version":"v1","free-slots":12,"state":"{state}","cold-left-ms":{cold_left_ms},"stage":"both_ways","models":[{{"name":"m","version":{version},"adapters":[]}}],"call-count":{beat}}}"#
+        );
+        cluster.issue(host, "POST", &format!("/nodes/{}/heartbeat", self.id), None, &body)
     }
 }
 
@@ -129,6 +133,49 @@
     assert_eq!(play_until_answered(&mut cluster, call), Some(503));
 }
 
+/// Guards against controllers that hold different words for one number, and told each other theirs every 20 ms until the next
+/// heartbeat: the time of a cold start counts down unheard, and a report is told under a number that others heard.
+#[rstest]
+fn a_report_beside_a_cold_start_is_told_a_few_times(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(0, 1, 2)] home: usize,
+) {
+    for named_after_ms in (0..BEAT_EVERY_MS).step_by(20) {
+        report_beside_a_cold_start(seed, home, named_after_ms);
+    }
+}
+
+fn report_beside_a_cold_start(seed: u64, home: usize, named_after_ms: u64) {
+    const CONTROLLERS: usize = 3;
+    /// The naming's order and report take less.
+    const BEATS: u64 = 4;
+    let mut cluster = Cluster::new(seed, CONTROLLERS);
+    cluster.replicas.load_ms = 50;
+    // Heartbeats at different times between two messages on them to the other controllers, which leave every 400 ms.
+    cluster.play(2_000 + 100 * seed);
+    let mut replica = Sender::new(&mut cluster, "a");
+    let before = cluster.replica_messages;
+    for beat in 0..BEATS {
+        replica.cold_left_ms = 30_000 - beat * BEAT_EVERY_MS;
+        replica.say(&mut cluster, home, "ready");
+        if beat == 1 {
+            cluster.play(named_after_ms);
+            name_weights(&mut cluster, 2, 2);
+            cluster.play(BEAT_EVERY_MS - named_after_ms);
+        } else {
+            cluster.play(BEAT_EVERY_MS);
+        }
+    }
+    assert_eq!(replica.version(&cluster), 2, "it was moved");
+    // Two things are new: the replica, and its weights. Each controller tells each other one of each twice at most.
+    let most = 2 * 2 * CONTROLLERS * (CONTROLLERS - 1);
+    let told = cluster.replica_messages - before;
+    assert!(
+        told <= most,
+        "{told} messages in {BEATS} heartbeats, at most {most}; named after {named_after_ms} ms"
+    );
+}
+
 /// A heartbeat that is on its way: which controller it reaches, and when.
 struct OnItsWay {
     arrives: u64,
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -86,6 +86,8 @@
     last_arrival: BTreeMap<(usize, usize), u64>,
     /// The records that each controller has sent to each other one on their present link.
     told: BTreeMap<(usize, usize), BTreeMap<String, Record>>,
+    /// Messages on replicas that controllers have sent each other.
+    pub replica_messages: usize,
     agents: Vec<AgentState>,
     seen: Vec<Seen>,
     replies: BTreeMap<CallHandle, Reply>,
@@ -118,6 +120,7 @@
             flights: Vec::new(),
             last_arrival: BTreeMap::new(),
             told: BTreeMap::new(),
+            replica_messages: 0,
             agents: Vec::new(),
             seen: Vec::new(),
             replies: BTreeMap::new(),
@@ -438,6 +441,7 @@
         let told = self.told.entry((from, to)).or_default();
         match message {
             Message::Replicas(replicas) => {
+                self.replica_messages += 1;
                 let records = replicas.records.iter().map(record_from_wire);
                 told.extend(records.map(|record| (record.id.clone(), record)));
             }
