An end that is heard from another process is written, so losses in a row leave it known

Callers would see: a leave is acknowledged; all machines lose power and one its disk, then the same with another disk, then the third, catch-up-s apart. The replica counts as ready with its next beat.

Cause: ends were written only where they were acknowledged or asked to be kept. A machine that came back without its disk heard of them in the records told on a new link and kept them in memory. Ruled out: the contact after the restart (the machine with the disk is always among the majority).

Change: whoever hears from another process that a replica has ended writes it, all that is new in one write. Known ends are taken once, so a list of them costs no further writes.

--- a/crates/controller/src/ends.rs
+++ b/crates/controller/src/ends.rs
@@ -103,8 +103,18 @@
 
     /// A replica has ended.
     pub fn take(&mut self, wall_ms: u64, id: &str) {
-        self.ended.entry(id.to_string()).or_insert(wall_ms);
-        self.forget(wall_ms);
+        self.take_all(wall_ms, [id]);
+    }
+
+    /// Replicas have ended; those that are known count from before.
+    pub fn take_all<'a>(&mut self, wall_ms: u64, ids: impl IntoIterator<Item = &'a str>) {
+        let known = self.ended.len();
+        for id in ids {
+            self.ended.entry(id.to_string()).or_insert(wall_ms);
+        }
+        if self.ended.len() > known {
+            self.forget(wall_ms);
+        }
     }
 
     fn forget(&mut self, wall_ms: u64) {
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -164,7 +164,7 @@
             }
             // An agent passes on which replicas others call lost.
             Message::Replicas(replicas) => {
-                self.view.take_replicas(at.now, &replicas);
+                self.take_replicas(at, &replicas);
             }
             Message::Alive(alive) => {
                 if let Some(agent) = self.agents.links.get_mut(&link) {
--- a/crates/controller/src/machine/ends.rs
+++ b/crates/controller/src/machine/ends.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use peer::{Ends, Message, Text};
+use peer::{Ends, Message, ReplicaState, Replicas, Text};
 use process::Event;
 
 use crate::event::ControllerEvent;
@@ -19,6 +19,14 @@
         self.barrier.hold_end(at.now, call, id);
     }
 
+    /// Takes records of replicas. What others know to have ended is written here, too: a machine that came back without its
+    /// disk may be the only one left after the next loss.
+    pub(crate) fn take_replicas(&mut self, at: Moment, replicas: &Replicas) {
+        self.view.take_replicas(at.now, replicas);
+        let ended = replicas.records.iter().filter(|record| record.state == ReplicaState::Gone);
+        self.ends.take_all(at.wall_ms, ended.map(|record| record.id.as_str()));
+    }
+
     /// Another controller is to acknowledge these ends, and asks that they be kept here.
     pub(crate) fn asked_to_keep(&mut self, at: Moment, from: SocketAddrV4, ends: &Ends) {
         for id in &ends.ids {
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -147,7 +147,7 @@
                 Err(why) => ControllerEvent::MembershipMessage.warn(format_args!("from {from}: {why}")),
             },
             Message::Replicas(replicas) => {
-                self.view.take_replicas(at.now, &replicas);
+                self.take_replicas(at, &replicas);
             }
             Message::Beats(beats) => {
                 let heard = beats.heard.iter();
--- a/crates/controller/tests/ends.rs
+++ b/crates/controller/tests/ends.rs
@@ -8,6 +8,9 @@
 use rstest::rstest;
 use support::Cluster;
 
+/// A machine counts as lost for so long after its start (`catch-up-s`).
+const CATCH_UP_MS: u64 = 4_000;
+
 fn started(seed: u64, size: usize) -> Cluster {
     let mut cluster = Cluster::new(seed, size);
     cluster.play(2_000);
@@ -46,6 +49,33 @@
     }
 }
 
+/// Guards against an acknowledged leave that is forgotten by losses in a row: machines that came back without their disks heard
+/// of it again, and kept it in memory only.
+#[rstest]
+#[case::three(3, &[0, 1, 2], 1)]
+#[case::three_the_other_way(3, &[2, 1, 0], 1)]
+#[case::five(5, &[0, 1, 2, 3, 4, 0], 2)]
+fn an_acknowledged_leave_outlives_losses_in_a_row(
+    #[case] size: usize,
+    #[case] wiped: &[usize],
+    #[case] at_once: usize,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut cluster = started(seed, size);
+    assert_eq!(leave(&mut cluster, seed as usize % size), Some(200));
+    for lost in wiped.chunks(at_once) {
+        cluster.restart_all(1_200, lost);
+        cluster.play(CATCH_UP_MS);
+    }
+    for (beat, host) in (2..).zip(0..size) {
+        cluster.heartbeat(host, "a", 1, "ready", beat);
+        cluster.play(50);
+    }
+    for host in 0..size {
+        assert_eq!(cluster.state_at(host, "a"), Some(State::Gone), "at {host}");
+    }
+}
+
 /// Who has not written it does not count: with too few disks the replica is told to come back.
 #[rstest]
 #[case::all_write(3, &[], Some(200))]
