--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,45 +1,11 @@
 //! The table of replicas: heartbeats in, changes out.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
+use crate::changes::ChangeLog;
 use crate::report::StandingReports;
-use crate::{Millis, ModelVersion, Record, State, WeightsReport};
-
-/// Bounds of a catalogue.
-#[derive(Debug, Clone)]
-pub struct Limits {
-    /// Silence after which a replica counts as lost.
-    pub lost_after_ms: Millis,
-    /// Silence after which a replica that was draining is taken for ended, as it said. One that is lost is forgotten so long
-    /// after: should it come back, it is known again with its next heartbeat.
-    pub gone_after_ms: Millis,
-    /// An id keeps its address while it was heard so lately: another one there is a late message of the address's former
-    /// owner.
-    pub reuse_after_ms: Millis,
-    /// How long ended ids are remembered, so that late messages don't bring them back.
-    pub remember_gone_ms: Millis,
-    /// Most ended ids remembered.
-    pub most_gone: usize,
-    /// Most replicas kept; heartbeats of further ones are turned away.
-    pub most_replicas: usize,
-}
-
-impl Limits {
-    /// Bounds for replicas that send a heartbeat every `beat_every_ms`, with addresses that may be given
-    /// again `reuse_after_ms` after an end.
-    pub fn for_beats(beat_every_ms: Millis, reuse_after_ms: Millis) -> Limits {
-        const MISSED_BEATS: u64 = 3;
-        Limits {
-            lost_after_ms: MISSED_BEATS * beat_every_ms + beat_every_ms / 4,
-            gone_after_ms: 100 * beat_every_ms,
-            reuse_after_ms,
-            remember_gone_ms: 600_000,
-            most_gone: 2_000,
-            most_replicas: 4_000,
-        }
-    }
-}
+use crate::{Limits, Millis, ModelVersion, Record, State, WeightsReport};
 
 /// What became of a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,14 +70,8 @@
 pub struct Catalog {
     limits: Limits,
     entries: HashMap<String, Entry>,
-    /// Ids by the number of their last change.
-    changes: BTreeMap<u64, String>,
+    changes: ChangeLog,
     by_address: HashMap<SocketAddrV4, String>,
-    last_change: u64,
-    /// Number of the last change to a replica that drains or has ended.
-    last_urgent_change: u64,
-    /// A subscriber that has not got further than this must take a snapshot.
-    forgotten: u64,
     /// Lost replicas that were forgotten since the last call of [`Catalog::take_forgotten`].
     forgotten_ids: Vec<String>,
 }
@@ -121,11 +81,8 @@
         Catalog {
             limits,
             entries: HashMap::new(),
-            changes: BTreeMap::new(),
+            changes: ChangeLog::default(),
             by_address: HashMap::new(),
-            last_change: 0,
-            last_urgent_change: 0,
-            forgotten: 0,
             forgotten_ids: Vec::new(),
         }
     }
@@ -330,8 +287,7 @@
 
     fn remove(&mut self, id: &str) {
         let Some(entry) = self.entries.remove(id) else { return };
-        self.changes.remove(&entry.changed);
-        self.forgotten = self.forgotten.max(entry.changed);
+        self.changes.forget(entry.changed);
         if self.by_address.get(&entry.record.address).is_some_and(|holder| holder == id) {
             self.by_address.remove(&entry.record.address);
         }
@@ -387,23 +343,18 @@
 
     fn note_change(&mut self, id: &str) {
         let Some(entry) = self.entries.get_mut(id) else { return };
-        self.changes.remove(&entry.changed);
-        self.last_change += 1;
-        entry.changed = self.last_change;
-        if matches!(entry.record.state, State::Draining | State::Gone) {
-            self.last_urgent_change = self.last_change;
-        }
-        self.changes.insert(self.last_change, id.to_string());
+        let is_urgent = matches!(entry.record.state, State::Draining | State::Gone);
+        entry.changed = self.changes.note(entry.changed, id, is_urgent);
     }
 
     /// Number of the last change.
     pub fn last_change(&self) -> u64 {
-        self.last_change
+        self.changes.last()
     }
 
     /// Number of the last change to a replica that drains or has ended.
     pub fn last_urgent_change(&self) -> u64 {
-        self.last_urgent_change
+        self.changes.last_urgent()
     }
 
     /// All records, the ended ones too, in the order of their last changes.
@@ -414,11 +365,11 @@
     /// The records that changed after change number `since`; `None` if some of those are forgotten, so that
     /// the subscriber must take a snapshot.
     pub fn changes_since(&self, since: u64) -> Option<Vec<Record>> {
-        (since >= self.forgotten && since <= self.last_change).then(|| self.records_after(since))
+        self.changes.reaches_back_to(since).then(|| self.records_after(since))
     }
 
     fn records_after(&self, since: u64) -> Vec<Record> {
-        let ids = self.changes.range(since + 1..).map(|(_, id)| id);
+        let ids = self.changes.ids_after(since);
         ids.filter_map(|id| self.get(id).cloned()).collect()
     }
 
@@ -436,20 +387,3 @@
         self.entries.values().map(|entry| &entry.record).filter(|record| record.state != State::Gone)
     }
 }
-
-impl Record {
-    /// The end of a replica of which nothing else is known.
-    pub fn ended(id: &str) -> Record {
-        Record {
-            id: id.to_string(),
-            service: String::new(),
-            address: SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
-            zone: String::new(),
-            free_slots: 0,
-            state: State::Gone,
-            beat: 0,
-            models: Vec::new(),
-            cold_left_ms: 0,
-        }
-    }
-}
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -5,12 +5,15 @@
 //! milliseconds of a steady clock that the caller hands in.
 
 mod catalog;
+mod changes;
 mod home;
+mod limits;
 mod record;
 mod report;
 
-pub use catalog::{Beat, Catalog, Heard, Limits, Merged};
+pub use catalog::{Beat, Catalog, Heard, Merged};
 pub use home::{home_of, Controller};
+pub use limits::Limits;
 pub use record::{ModelVersion, Record, State};
 pub use report::WeightsReport;
 
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -1,7 +1,7 @@
 //! One replica as its heartbeats describe it, and how two descriptions merge.
 
 use std::cmp::Ordering;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// What is known of a replica's willingness to serve; a later variant wins at the same heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -41,6 +41,21 @@
 }
 
 impl Record {
+    /// The end of a replica of which nothing else is known.
+    pub fn ended(id: &str) -> Record {
+        Record {
+            id: id.to_string(),
+            service: String::new(),
+            address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+            zone: String::new(),
+            free_slots: 0,
+            state: State::Gone,
+            beat: 0,
+            models: Vec::new(),
+            cold_left_ms: 0,
+        }
+    }
+
     /// Orders two descriptions of one replica: the greater one holds.
     ///
     /// `Gone` is above all; otherwise the later heartbeat is above, and at the same heartbeat the graver state.
