A stream that the next replica fails is cut off; every request returns its ending

Cause: `Exchange::take` dropped such an answer as `Failed`, as a failure can't go on in an answer that has begun. With no send left the dispatcher said `PassOn` for it, and `pass_on` took "no answer" for "passed on piece by piece": the request ended as if it had been answered, and its connection went to the next request. The same for 4xx and 3xx.

In the new test a request that waits behind the stream on its connection is begun while the stream is open, so the exchange had returned; that rules out a proxy that waits for the replica's body, for a send or for the client.

Change: the dispatcher never says that an answer is passed on; it says "send again" or "give up", and who holds an answer passes that on. `Taken` tells an answer that was passed on from one that is held and from a send that is over. `Ending` is what every request returns; only an answer written to its end makes it whole, everything else closes the connection.

Tests: 26 answers to a stream that is taken up (streams.rs); 11 failed on the former sources, all pass.

--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -114,12 +114,11 @@
 pub enum Next {
     /// Send again: [`crate::Dispatcher::send`] tells where.
     Repeat,
-    /// Pass the replica's answer on.
-    PassOn,
-    /// Give the final answer.
-    Answer(Final),
-    /// Nothing: another send of the same call is out.
-    Wait,
+    /// Nothing is sent any more: the answer of the send that has just ended is passed on if there is one, else this one
+    /// is given.
+    GiveUp(Final),
+    /// Nothing: the answer was whole, another send of the same call is out, or nobody waits for an answer.
+    Nothing,
 }
 
 /// The final answer of a request that was given up.
--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -56,22 +56,16 @@
         self.judge(call, number, expected, outcome, now);
         call.note(outcome);
         match outcome {
-            Outcome::Answered => return Next::PassOn,
-            Outcome::Abandoned => return Next::Wait,
-            _ if !call.out.is_empty() => return Next::Wait,
-            Outcome::Failed if !self.may_repeat(call, now) => return Next::PassOn,
+            Outcome::Answered | Outcome::Abandoned => return Next::Nothing,
+            _ if !call.out.is_empty() => return Next::Nothing,
             _ => {}
         }
         match self.obstacle(call, outcome, now) {
             None => Next::Repeat,
-            Some(cause) => Next::Answer(call.give_up(cause, COME_BACK)),
+            Some(cause) => Next::GiveUp(call.give_up(cause, COME_BACK)),
         }
     }
 
-    fn may_repeat(&mut self, call: &Call, now: Ms) -> bool {
-        self.obstacle(call, Outcome::Failed, now).is_none()
-    }
-
     /// What forbids another send.
     fn obstacle(&mut self, call: &Call, outcome: Outcome, now: Ms) -> Option<Cause> {
         if outcome == Outcome::Expired || call.ask.deadline - now < LEAST_TIME {
--- a/crates/dispatch/tests/calls.rs
+++ b/crates/dispatch/tests/calls.rs
@@ -65,14 +65,16 @@
 }
 
 #[test]
-fn the_replicas_own_failure_is_passed_on_unless_it_may_be_repeated() {
+fn the_replicas_own_failure_is_the_last_word_unless_it_may_be_repeated() {
     let mut dispatcher = dispatcher(3);
     let (mut call, target) = sent(&mut dispatcher, ask(false, 2), START);
-    assert_eq!(dispatcher.ended(&mut call, target.replica, Outcome::Failed, START), Next::PassOn);
+    let last_word = last(dispatcher.ended(&mut call, target.replica, Outcome::Failed, START));
+    assert_eq!((last_word.status, last_word.retry_after, last_word.cause), (502, None, Cause::InDoubt));
     let (mut call, target) = sent(&mut dispatcher, ask(true, 2), START);
     assert_eq!(dispatcher.ended(&mut call, target.replica, Outcome::Failed, START), Next::Repeat);
     let target = dispatcher.send(&mut call, START).expect("another replica");
-    assert_eq!(dispatcher.ended(&mut call, target.replica, Outcome::Failed, START), Next::PassOn);
+    let last_word = last(dispatcher.ended(&mut call, target.replica, Outcome::Failed, START));
+    assert_eq!((last_word.status, last_word.retry_after, last_word.cause), (502, None, Cause::NoTries));
 }
 
 #[test]
@@ -192,8 +194,8 @@
     assert_ne!(twin.replica, first.replica);
     assert_eq!(call.sends(), 2);
     // One fails: the other decides.
-    assert_eq!(dispatcher.ended(&mut call, first.replica, Outcome::Broken, START), Next::Wait);
-    assert_eq!(dispatcher.ended(&mut call, twin.replica, Outcome::Answered, START), Next::PassOn);
+    assert_eq!(dispatcher.ended(&mut call, first.replica, Outcome::Broken, START), Next::Nothing);
+    assert_eq!(dispatcher.ended(&mut call, twin.replica, Outcome::Answered, START), Next::Nothing);
 }
 
 #[rstest]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -84,14 +84,14 @@
 pub fn answered(dispatcher: &mut Dispatcher, ask: Ask, now: Ms) -> Target {
     let (mut call, target) = sent(dispatcher, ask, now);
     dispatcher.began(&mut call, target.replica, now);
-    assert_eq!(dispatcher.ended(&mut call, target.replica, Outcome::Answered, now), Next::PassOn);
+    assert_eq!(dispatcher.ended(&mut call, target.replica, Outcome::Answered, now), Next::Nothing);
     target
 }
 
 /// The final answer that follows.
 pub fn last(next: Next) -> Final {
     match next {
-        Next::Answer(last) => last,
+        Next::GiveUp(last) => last,
         other => panic!("no final answer but {other:?}"),
     }
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -12,17 +12,15 @@
 /// Longest answer that is held until it is whole, bytes; a longer one is passed on as it comes.
 const HELD: usize = 64 * 1024;
 
-/// How a send ended, with the answer that may be passed on if it was held.
+/// What became of an answer that had begun.
 #[derive(Debug)]
-pub(crate) struct Ended {
-    pub outcome: Outcome,
-    pub answer: Option<Answer>,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, answer: None }
-    }
+pub(crate) enum Taken {
+    /// It was passed on to its end, as it came.
+    Passed,
+    /// It is whole, and nothing of it has been passed on.
+    Held(Answer),
+    /// It can't be passed on to its end: the send is over.
+    Over(Outcome),
 }
 
 /// A whole answer of a replica.
@@ -30,6 +28,19 @@
 pub(crate) struct Answer {
     pub head: ResponseHead,
     pub body: Vec<u8>,
+    /// It says that the replica failed.
+    is_failure: bool,
+}
+
+impl Answer {
+    /// How the send ended that brought it.
+    pub fn outcome(&self) -> Outcome {
+        if self.is_failure {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
+        }
+    }
 }
 
 /// What became of the sends that were out at one time.
@@ -116,7 +127,7 @@
 
     /// Ends the sends that are out; tells what follows.
     fn end_all(&mut self, out: [Option<&Target>; 2], outcome: Outcome) -> Next {
-        out.into_iter().flatten().fold(Next::Wait, |_, target| self.ended(target, outcome))
+        out.into_iter().flatten().fold(Next::Nothing, |_, target| self.ended(target, outcome))
     }
 
     /// A send has ended; tells what follows.
@@ -130,18 +141,16 @@
     }
 
     /// Takes the answer that has begun, to its end.
-    pub(crate) async fn take(&mut self, target: &Target, opened: Opened) -> Ended {
-        let is_success = opened.is_success();
-        let Opened { replica, head, is_failure } = opened;
-        // A stream that goes on must be a stream again.
-        if self.passage.has_begun() && !is_success {
-            return Outcome::Failed.into();
-        }
-        if self.plan.is_stream && is_success {
-            return self.pass_stream(target, head, replica).await.into();
-        }
-        let outcome = if is_failure { Outcome::Failed } else { Outcome::Answered };
-        self.pass_or_hold(target, head, replica, outcome).await
+    pub(crate) async fn take(&mut self, target: &Target, opened: Opened) -> Taken {
+        let taken = if self.plan.is_stream && opened.is_success() {
+            self.pass_stream(target, opened).await
+        } else if self.passage.has_begun() {
+            // Only a stream can go on in an answer that has begun.
+            Err(Outcome::Failed)
+        } else {
+            self.pass_or_hold(target, opened).await
+        };
+        taken.unwrap_or_else(Taken::Over)
     }
 
     /// Waits for more from the replica.
@@ -156,27 +165,20 @@
     }
 
     /// Passes a stream on as it comes.
-    async fn pass_stream(&mut self, target: &Target, head: ResponseHead, mut replica: Connection) -> Outcome {
-        let ResponseFraming::Framed(framing) = head.framing else { return Outcome::Broken };
-        let mut reader = BodyReader::new(framing);
-        match self.pass(target, &head, &mut replica, &mut reader, Vec::new()).await {
-            Ok(()) => {
-                recycle(self.shared, target, &head, replica);
-                Outcome::Answered
-            }
-            Err(outcome) => outcome,
-        }
+    async fn pass_stream(&mut self, target: &Target, opened: Opened) -> Result<Taken, Outcome> {
+        let ResponseFraming::Framed(framing) = opened.head.framing else { return Err(Outcome::Broken) };
+        self.pass(target, opened, BodyReader::new(framing), Vec::new()).await
     }
 
     /// Passes on `held` and then what comes, to the body's end.
     async fn pass(
         &mut self,
         target: &Target,
-        head: &ResponseHead,
-        replica: &mut Connection,
-        reader: &mut BodyReader,
+        opened: Opened,
+        mut reader: BodyReader,
         held: Vec<u8>,
-    ) -> Result<(), Outcome> {
+    ) -> Result<Taken, Outcome> {
+        let Opened { mut replica, head, .. } = opened;
         let (mut data, mut output) = (held, Vec::new());
         loop {
             let used = reader.read(&replica.input, &mut data).map_err(|_| Outcome::Broken)?;
@@ -185,7 +187,7 @@
                 self.began(target);
             }
             let is_last = reader.is_done();
-            self.passage.piece(head, &data, is_last, &mut output).map_err(|_| Outcome::Broken)?;
+            self.passage.piece(&head, &data, is_last, &mut output).map_err(|_| Outcome::Broken)?;
             data.clear();
             if !output.is_empty() {
                 let deadline = self.deadline();
@@ -193,46 +195,31 @@
                 output.clear();
             }
             if is_last {
-                return Ok(());
+                recycle(self.shared, target, &head, replica);
+                return Ok(Taken::Passed);
             }
-            self.more(replica).await?;
+            self.more(&mut replica).await?;
         }
     }
 
     /// Holds a short answer until it is whole; passes a long one on as it comes.
-    async fn pass_or_hold(
-        &mut self,
-        target: &Target,
-        head: ResponseHead,
-        mut replica: Connection,
-        outcome: Outcome,
-    ) -> Ended {
-        let ResponseFraming::Framed(framing) = head.framing else { return Outcome::Broken.into() };
+    async fn pass_or_hold(&mut self, target: &Target, mut opened: Opened) -> Result<Taken, Outcome> {
+        let ResponseFraming::Framed(framing) = opened.head.framing else { return Err(Outcome::Broken) };
         self.began(target);
         let mut reader = BodyReader::new(framing);
         let mut body = Vec::new();
         loop {
-            match reader.read(&replica.input, &mut body) {
-                Ok(used) => replica.used(used),
-                Err(_) => return Outcome::Broken.into(),
-            }
+            let used = reader.read(&opened.replica.input, &mut body).map_err(|_| Outcome::Broken)?;
+            opened.replica.used(used);
             if reader.is_done() {
+                let Opened { replica, head, is_failure } = opened;
                 recycle(self.shared, target, &head, replica);
-                return Ended { outcome, answer: Some(Answer { head, body }) };
+                return Ok(Taken::Held(Answer { head, body, is_failure }));
             }
             if body.len() > HELD {
-                break;
-            }
-            if let Err(outcome) = self.more(&mut replica).await {
-                return outcome.into();
-            }
-        }
-        match self.pass(target, &head, &mut replica, &mut reader, body).await {
-            Ok(()) => {
-                recycle(self.shared, target, &head, replica);
-                Outcome::Answered.into()
+                return self.pass(target, opened, reader, body).await;
             }
-            Err(outcome) => outcome.into(),
+            self.more(&mut opened.replica).await?;
         }
     }
 
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -2,8 +2,9 @@
 
 use crate::answer::own;
 use crate::connection::Connection;
+use crate::ending::Ending;
 use crate::event::ProxyEvent;
-use crate::exchange::{ClientGone, Exchange};
+use crate::exchange::Exchange;
 use crate::lifecycle::Phase;
 use crate::plan::Plan;
 use crate::shared::{BodyRoom, Shared, UnderWay};
@@ -48,10 +49,11 @@
             Ok(request) => {
                 let under_way = UnderWay::new(&shared);
                 let close = request.head.close || shared.phase() != Phase::Serving;
-                if answer(&shared, &mut client, &request, close).await.is_err() {
+                let ending = answer(&shared, &mut client, &request, close).await;
+                drop(under_way);
+                if !ending.is_whole() {
                     return;
                 }
-                drop(under_way);
                 if close {
                     return client.close_gently().await;
                 }
@@ -72,28 +74,26 @@
     }
 }
 
-/// Answers one request.
-async fn answer(
-    shared: &Rc<Shared>,
-    client: &mut Connection,
-    request: &Request,
-    close: bool,
-) -> Result<(), ClientGone> {
+/// Answers one request; tells how it ended.
+async fn answer(shared: &Rc<Shared>, client: &mut Connection, request: &Request, close: bool) -> Ending {
     let head = &request.head;
     let Some(in_force) = shared.view.borrow().in_force() else {
-        let bytes = own(503, Some(COME_BACK), head.lines.get("attempt-id"), close);
-        return client.write(&bytes).await.map_err(|_| ClientGone);
+        return refuse(client, &own(503, Some(COME_BACK), head.lines.get("attempt-id"), close)).await;
     };
     let planned = Plan::new(head, &in_force, shared.now(), &mut shared.random.borrow_mut());
     match planned {
         Ok(plan) => Exchange::new(shared, client, (head, &request.body), &plan, close).run().await,
         Err(refusal) => {
-            let bytes = own(refusal.status(), None, head.lines.get("attempt-id"), close);
-            client.write(&bytes).await.map_err(|_| ClientGone)
+            refuse(client, &own(refusal.status(), None, head.lines.get("attempt-id"), close)).await
         }
     }
 }
 
+/// Gives the client an answer of the proxy's own.
+async fn refuse(client: &mut Connection, answer: &[u8]) -> Ending {
+    client.write(answer).await.map_or(Ending::ClientGone, |()| Ending::Refused)
+}
+
 /// Reads the next request.
 async fn read(shared: &Rc<Shared>, client: &mut Connection) -> Result<Request, Unread> {
     if client.input.is_empty() {
--- /dev/null
+++ b/crates/proxy/src/ending.rs
@@ -0,0 +1,25 @@
+//! How a request that was taken ended, as its client sees it. No I/O.
+
+use strum::{EnumCount, EnumIter, IntoStaticStr};
+
+/// The one end of a request. Whoever takes one returns this: there is no way out without telling the client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+#[must_use]
+pub enum Ending {
+    /// A replica's whole answer was passed on.
+    Answered,
+    /// The client was given a whole answer of the proxy's own.
+    Refused,
+    /// The answer had begun and is not whole; the connection is reset.
+    CutOff,
+    /// The client has left, or did not take what it was given; the connection is closed.
+    ClientGone,
+}
+
+impl Ending {
+    /// Whether the connection can go on: the client has the whole answer.
+    pub fn is_whole(self) -> bool {
+        matches!(self, Ending::Answered | Ending::Refused)
+    }
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,21 +1,18 @@
 //! One client's request from its plan to its final answer.
 
 use crate::answer::{own, passed_head};
-use crate::attempt::{Answer, Raced};
+use crate::attempt::{Answer, Raced, Taken};
 use crate::connection::Connection;
+use crate::ending::Ending;
 use crate::event::ProxyEvent;
 use crate::plan::Plan;
 use crate::relay::Passage;
 use crate::shared::Shared;
-use dispatch::{Call, Final, Next, Target};
+use dispatch::{Call, Final, Next, Outcome, Target};
 use http::RequestHead;
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// The client's connection can't go on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ClientGone;
-
 /// A request on its way.
 pub(crate) struct Exchange<'a> {
     pub shared: &'a Rc<Shared>,
@@ -48,11 +45,8 @@
         self.shared.instant(self.plan.ask.deadline)
     }
 
-    /// Sends the request until it is answered or given up.
-    ///
-    /// # Errors
-    /// The client's connection can't go on.
-    pub async fn run(&mut self) -> Result<(), ClientGone> {
+    /// Sends the request until it is answered or given up; tells how it ended for the client.
+    pub async fn run(&mut self) -> Ending {
         loop {
             let sent = self.shared.view.borrow_mut().dispatcher.send(&mut self.call, self.shared.now());
             let target = match sent {
@@ -63,19 +57,27 @@
                 self.log_resumed(&target);
             }
             let twin = self.twin();
-            let (next, answer) = match self.race(&target, twin.as_ref()).await {
-                Raced::Over(next) => (next, None),
+            let next = match self.race(&target, twin.as_ref()).await {
+                Raced::Over(next) => next,
                 Raced::Opened(is_twin, opened) => {
                     let winner = twin.as_ref().filter(|_| is_twin).unwrap_or(&target);
-                    let ended = self.take(winner, *opened).await;
-                    (self.ended(winner, ended.outcome), ended.answer)
+                    match self.take(winner, *opened).await {
+                        Taken::Passed => {
+                            self.ended(winner, Outcome::Answered);
+                            return Ending::Answered;
+                        }
+                        Taken::Held(answer) => match self.ended(winner, answer.outcome()) {
+                            Next::Repeat => Next::Repeat,
+                            Next::GiveUp(_) | Next::Nothing => return self.pass_on(answer).await,
+                        },
+                        Taken::Over(outcome) => self.ended(winner, outcome),
+                    }
                 }
             };
             match next {
-                Next::PassOn => return self.pass_on(answer).await,
-                Next::Answer(last) => return self.give_up(last).await,
-                Next::Wait => return Err(ClientGone),
                 Next::Repeat => self.passage.go_on_elsewhere(),
+                Next::GiveUp(last) => return self.give_up(last).await,
+                Next::Nothing => return Ending::ClientGone,
             }
         }
     }
@@ -97,21 +99,17 @@
         self.shared.view.borrow_mut().dispatcher.twin(&mut self.call, self.shared.now())
     }
 
-    /// Passes a whole answer on, unless that has been done piece by piece.
-    async fn pass_on(&mut self, answer: Option<Answer>) -> Result<(), ClientGone> {
-        let Some(Answer { head, body }) = answer else { return Ok(()) };
-        if self.passage.has_begun() {
-            return self.cut_off();
-        }
-        let mut bytes = Vec::with_capacity(512 + body.len());
-        let writer = passed_head(&head, self.close, &mut bytes);
-        writer.piece(&body, &mut bytes);
+    /// Passes on a whole answer of which nothing has been passed on.
+    async fn pass_on(&mut self, answer: Answer) -> Ending {
+        let mut bytes = Vec::with_capacity(512 + answer.body.len());
+        let writer = passed_head(&answer.head, self.close, &mut bytes);
+        writer.piece(&answer.body, &mut bytes);
         writer.end(&mut bytes);
-        self.write(&bytes).await
+        self.write(&bytes, Ending::Answered).await
     }
 
     /// Tells the client that the request is given up.
-    async fn give_up(&mut self, last: Final) -> Result<(), ClientGone> {
+    async fn give_up(&mut self, last: Final) -> Ending {
         let (status, cause, sends) = (last.status, last.cause, self.call.sends());
         self.shared.view.borrow_mut().dispatcher.given_up(cause);
         let what = format_args!("attempt {} with {status}: {cause}, {sends} sends", self.plan.attempt_id);
@@ -120,20 +118,21 @@
             return self.cut_off();
         }
         let bytes = own(status, last.retry_after, Some(&self.plan.attempt_id), self.close);
-        self.write(&bytes).await
+        self.write(&bytes, Ending::Refused).await
     }
 
     /// Ends an answer that has begun so that it does not look whole.
-    fn cut_off(&mut self) -> Result<(), ClientGone> {
+    fn cut_off(&mut self) -> Ending {
         let what = format_args!("attempt {}", self.plan.attempt_id);
         self.shared.event_limit.warn(self.shared.now(), ProxyEvent::CutOff, what);
         self.client.reset_on_close();
-        Err(ClientGone)
+        Ending::CutOff
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> Result<(), ClientGone> {
+    /// Writes a whole answer, with which the request ends so.
+    async fn write(&mut self, bytes: &[u8], ending: Ending) -> Ending {
         let idle = self.shared.limits().idle_ms.0 as f64;
         let until = self.shared.instant(self.shared.now() + idle);
-        self.client.write_by(bytes, until).await.map_err(|_| ClientGone)
+        self.client.write_by(bytes, until).await.map_or(Ending::ClientGone, |()| ending)
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod client;
 mod connection;
+mod ending;
 mod error;
 mod event;
 mod exchange;
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use rstest::rstest;
 use support::*;
 
 #[test]
@@ -91,6 +92,64 @@
     });
 }
 
+/// A stream breaks off after its first event, and the replica that is to take it up answers so; then its connection ends, or
+/// stays open. Shows that the client's connection ends, with the stream cut off and nothing else on it: a request that waits
+/// behind the stream is not begun.
+fn taken_up_with(status: &'static str, rest: &'static str, closes: bool) {
+    play(|| async move {
+        let (one, two, _fixture, mut client) = with_two_replicas().await;
+        client.write(ask("resume", "a", "") + &ask("read", "b", "")).await;
+        let (mut first, _, other) = first_of(&one, &two).await;
+        begin_stream(&mut first, &mut client, "a").await;
+        drop(first);
+        let (mut second, _) = other.request().await;
+        second.write(format!("HTTP/1.1 {status}\r\nAttempt-Id: a\r\n{rest}")).await;
+        let _open = (!closes).then_some(second);
+        tokio::select! {
+            () = client.ended() => assert!(!client.has_rest()),
+            _ = first_of(&one, &two) => panic!("the connection goes on, and the stream on it has no end"),
+        }
+    });
+}
+
+/// Guards against a stream without an end (`review/2`): a replica that is to take it up answers something else.
+#[rstest]
+#[case::failure("500 Broken", "Content-Length: 0\r\n\r\n")]
+#[case::failure_with_a_body("500 Broken", "Content-Length: 6\r\n\r\nbroken")]
+#[case::failure_in_chunks("500 Broken", "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n")]
+#[case::failure_with_half_a_body("500 Broken", "Content-Length: 60\r\n\r\nbroken")]
+#[case::failure_without_framing("500 Broken", "\r\nbroken")]
+#[case::no_time("504 Late", "Content-Length: 0\r\n\r\n")]
+#[case::unknown("404 Unknown", "Content-Length: 0\r\n\r\n")]
+#[case::unknown_at_length("404 Unknown", "Content-Length: 90000\r\n\r\nunknown")]
+#[case::not_taken("400 Bad", "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::elsewhere("302 Found", "Location: /else\r\nContent-Length: 0\r\n\r\n")]
+#[case::not_changed("304 Same", "\r\n")]
+#[case::refusal("503 Full", "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::refusal_without_proof("503 Full", "Content-Length: 0\r\n\r\n")]
+#[case::other_weights("421 Other", "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::other_protocol("101 Switch", "Upgrade: x\r\n\r\n")]
+#[case::success_without_a_seal("200 OK", "Content-Length: 0\r\n\r\n")]
+#[case::success_without_framing("200 OK", "Server-Seal: s\r\n\r\n")]
+#[case::encoded_success("200 OK", "Server-Seal: s\r\nContent-Encoding: x\r\nContent-Length: 0\r\n\r\n")]
+#[case::wrong_chunks("200 OK", "Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n")]
+#[case::other_event("200 OK", "Server-Seal: s\r\nContent-Length: 15\r\n\r\nid: 4\ndata: 4\n\n")]
+#[case::malformed("000", "\r\n\r\n")]
+fn a_stream_that_is_not_taken_up_is_cut_off(#[case] status: &'static str, #[case] rest: &'static str) {
+    taken_up_with(status, rest, false);
+}
+
+/// Guards against a stream without an end: the replica that takes it up breaks off as well.
+#[rstest]
+#[case::in_its_head("200 OK", "Server-Seal")]
+#[case::behind_its_head("200 OK", "Server-Seal: s\r\nContent-Length: 9\r\n\r\n")]
+#[case::in_its_body("200 OK", "Server-Seal: s\r\nContent-Length: 9\r\n\r\nid: 2")]
+#[case::in_a_chunk("200 OK", "Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 2")]
+#[case::in_a_failure("500 Broken", "Content-Length: 60\r\n\r\nbroken")]
+fn a_stream_that_breaks_off_twice_is_cut_off(#[case] status: &'static str, #[case] rest: &'static str) {
+    taken_up_with(status, rest, true);
+}
+
 #[test]
 fn a_client_may_take_a_stream_up_itself() {
     play(|| async {
