A failure on a resumable route is passed on as bytes, and no stream goes on in it

Callers saw, on a route whose streams may be resumed: a 4xx or 5xx of over 64 KB that broke off was sent again, and the events of the other replica's success would have followed in the same chunked body, under the failure's status; one of over 256 KB without a blank line was withheld and became a 502 or, with no other replica, a 504 at the deadline.

Cause: `Passage` cut every body of such a route into events, also one that is no stream; so what looked like no event yet, or like an event without an id, left it ready to go on elsewhere.

Ruled out: the hold-back of short answers (HELD): up to 64 KB nothing was wrong, as nothing had been passed on.

Change: only a success is cut into events. Once the head of anything else is passed on, its bytes follow as they are, and the passage can't go on elsewhere: a break cuts it off. `is_success` is the head's own question now, asked in one place.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -270,6 +270,11 @@
         Ok(Some((ResponseHead { lines, status, framing, close, reason }, length)))
     }
 
+    /// Whether the status says that the request was done.
+    pub fn is_success(&self) -> bool {
+        (200..=299).contains(&self.status)
+    }
+
     /// The words after the status.
     pub fn reason(&self) -> &str {
         self.lines.text(&self.reason)
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -112,7 +112,7 @@
             let Some(target) = out[which].take() else { continue };
             let is_last = out.iter().all(Option::is_none);
             let next = match opened {
-                Ok(opened) if is_last || opened.is_success() => {
+                Ok(opened) if is_last || opened.head.is_success() => {
                     self.end_all(out, Outcome::Abandoned);
                     return Raced::Opened(which == 1, Box::new(opened));
                 }
@@ -142,7 +142,7 @@
 
     /// Takes the answer that has begun, to its end.
     pub(crate) async fn take(&mut self, target: &Target, opened: Opened) -> Taken {
-        let taken = if self.plan.is_stream && opened.is_success() {
+        let taken = if self.plan.is_stream && opened.head.is_success() {
             self.pass_stream(target, opened).await
         } else if self.passage.has_begun() {
             // Only a stream can go on in an answer that has begun.
--- a/crates/proxy/src/opening.rs
+++ b/crates/proxy/src/opening.rs
@@ -19,13 +19,6 @@
     pub is_failure: bool,
 }
 
-impl Opened {
-    /// Whether the answer is a success.
-    pub fn is_success(&self) -> bool {
-        (200..=299).contains(&self.head.status)
-    }
-}
-
 /// What is sent, and where.
 pub(crate) struct Sending<'a> {
     pub shared: &'a Rc<Shared>,
@@ -116,7 +109,7 @@
     /// Waits for the first piece of a stream.
     async fn first_piece(&self, mut opened: Opened) -> Result<Opened, Outcome> {
         let has_piece = opened.head.framing != ResponseFraming::Framed(Framing::Length(0));
-        if self.plan.is_stream && opened.is_success() && has_piece && opened.replica.input.is_empty() {
+        if self.plan.is_stream && opened.head.is_success() && has_piece && opened.replica.input.is_empty() {
             more(&mut opened.replica).await?;
         }
         Ok(opened)
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -65,18 +65,22 @@
     ) -> Result<(), EventError> {
         let mut whole = Vec::new();
         let data = match &mut self.events {
-            Some(events) => {
+            Some(events) if head.is_success() => {
                 events.read(data, &mut whole)?;
                 if is_last {
                     whole.extend(events.take_rest());
                 }
                 &whole
             }
-            None => data,
+            _ => data,
         };
         if data.is_empty() && !is_last {
             return Ok(());
         }
+        if !head.is_success() {
+            // What says that there is no stream is passed on as it is, and no stream can go on in it.
+            self.events = None;
+        }
         let close = self.close;
         let writer = *self.writer.get_or_insert_with(|| passed_head(head, close, output));
         writer.piece(data, output);
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -150,6 +150,50 @@
     taken_up_with(status, rest, true);
 }
 
+/// Longer than what a proxy holds until it is whole, shorter than the longest event.
+const LONG_FAILURE_BYTES: usize = 100_000;
+
+/// Guards against two answers in one: the events of another replica's stream behind a failure that has begun.
+#[rstest]
+#[case::failure("500 Broken")]
+#[case::unknown("404 Unknown")]
+fn a_failure_that_breaks_off_is_not_gone_on_with_a_stream(#[case] status: &'static str) {
+    play(|| async move {
+        let (one, two, _fixture, mut client) = with_two_replicas().await;
+        client.write(ask("resume", "a", "")).await;
+        let (mut first, _, other) = first_of(&one, &two).await;
+        // A blank line in it looks like the end of an event.
+        let body = event_text(1) + &"x".repeat(LONG_FAILURE_BYTES);
+        let chunk = format!("{:x}\r\n{body}\r\n", body.len());
+        first
+            .write(format!("HTTP/1.1 {status}\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}"))
+            .await;
+        assert_eq!(client.head().await.status.to_string(), status[..3]);
+        drop(first);
+        tokio::select! {
+            () = client.ended() => assert!(!client.has_text(LAST_CHUNK)),
+            _ = other.request() => panic!("it is sent again"),
+        }
+    });
+}
+
+/// Guards against bodies that are changed: what is no stream is passed on as it is, however long.
+#[test]
+fn a_failure_longer_than_any_event_is_passed_on_whole() {
+    play(|| async {
+        let (one, two, _fixture, mut client) = with_two_replicas().await;
+        client.write(ask("resume", "a", "")).await;
+        let (mut first, _, _) = first_of(&one, &two).await;
+        let body = "x".repeat(5 * LONG_FAILURE_BYTES);
+        let length = body.len();
+        first
+            .write(format!("HTTP/1.1 404 Unknown\r\nAttempt-Id: a\r\nContent-Length: {length}\r\n\r\n{body}"))
+            .await;
+        let (head, passed) = client.answer().await;
+        assert_eq!((head.status, passed), (404, body));
+    });
+}
+
 #[test]
 fn a_client_may_take_a_stream_up_itself() {
     play(|| async {
