--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -85,7 +85,7 @@
         let (front_at, ready_at) = (address(&front), address(&ready));
         let (tell, control) = mpsc::channel(4);
         let sockets = Sockets { front, ready, agent: at };
-        let life = spawn_local(serve(settings(), sockets, tuning, control));
+        let life = spawn_local(serve(settings(SETTINGS), sockets, tuning, control));
         let (mut agent, _) = agent.accept().await.expect("the proxy's link");
         let hello = next_message(&mut agent).await;
         assert!(matches!(hello, Message::Hello(_)), "{hello:?}");
@@ -123,6 +123,13 @@
         asker.answer().await.0.status
     }
 
+    /// What SIGHUP does after `new` was put in the place of `old` in the settings.
+    pub fn reload(&self, old: &str, new: &str) {
+        assert!(SETTINGS.contains(old), "{old} is in the settings");
+        let settings = Box::new(settings(&SETTINGS.replace(old, new)));
+        self.control.try_send(Control::Reload(settings)).expect("the proxy listens");
+    }
+
     /// What SIGTERM does.
     pub fn terminate(&self) {
         self.control.try_send(Control::Terminate).expect("the proxy listens");
@@ -134,10 +141,13 @@
     }
 }
 
-fn settings() -> ProcessSettings {
-    let text = "node: n\nrole: r\nip: 127.0.0.1\ninner-ports: [1, 2]\nseeds: [\"127.0.0.1:1\"]\nzone: z\n\
-        caps: {open-files: 400, memory-mb: 100}\n\
-        bounds: {grace-s: 8, retry-ratio: 10, retry-window-s: 10, extra-tries: 50, version-ms: 6000}\n";
+/// The settings of the proxy under test.
+const SETTINGS: &str =
+    "node: n\nrole: r\nip: 127.0.0.1\ninner-ports: [1, 2]\nseeds: [\"127.0.0.1:1\"]\nzone: z\n\
+    caps: {open-files: 400, memory-mb: 100}\n\
+    bounds: {grace-s: 8, retry-ratio: 10, retry-window-s: 10, extra-tries: 50, version-ms: 6000}\n";
+
+fn settings(text: &str) -> ProcessSettings {
     ProcessSettings::read(text).expect("sound settings")
 }
 
@@ -275,6 +285,16 @@
         self.0.request().await.expect("a sound and whole request")
     }
 
+    /// The connection, to be used on another thread.
+    pub fn into_std(self) -> std::net::TcpStream {
+        self.0.into_std().expect("a socket")
+    }
+
+    /// A connection that was used on another thread.
+    pub fn from_std(stream: std::net::TcpStream) -> Peer {
+        Peer(Wire::from_std(stream).expect("a socket"))
+    }
+
     /// The head of the next request; its body stays unread.
     pub async fn request_head(&mut self) -> RequestHead {
         self.0.request_head().await.expect("a sound request")
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ports;
 
 use http::{BodyReader, Framing, RequestHead, ResponseFraming, ResponseHead};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -64,6 +65,16 @@
         Some(Wire::new(stream))
     }
 
+    /// The socket, to be used on another thread; what has come and was not taken is lost.
+    pub fn into_std(self) -> io::Result<std::net::TcpStream> {
+        self.stream.into_std()
+    }
+
+    /// A connection that was used on another thread.
+    pub fn from_std(stream: std::net::TcpStream) -> io::Result<Wire> {
+        Ok(Wire::new(TcpStream::from_std(stream)?))
+    }
+
     /// Whether all was written.
     pub async fn write(&mut self, bytes: impl AsRef<[u8]>) -> bool {
         self.stream.write_all(bytes.as_ref()).await.is_ok()
