Property test: every request of a client that stays has one end by its deadline

Now replicas also answer any of 13 statuses (a success without a seal among them), framed by length, by chunks or by their end, of up to 100,000 bytes, whole or to any part, or say nothing at all. Each request has to end by its Deadline-Left and half a second (PROTOCOL.md): a whole answer, whose body is of its own replica (another's events may not follow in a refusal), or an end of its connection. Histories in which nobody is silent keep their deadline of 4 s.

--- a/crates/proxy/tests/histories.rs
+++ b/crates/proxy/tests/histories.rs
@@ -1,8 +1,11 @@
 //! Both ends of proxied connections as properties of bytes, over drawn histories: clients that send several requests at once
-//! and cancel at any byte, replicas that answer early, break off or reset at any byte of an answer, or say more than one.
+//! and cancel at any byte, replicas that answer early, break off or reset at any byte of an answer, say more than one, answer
+//! with any status, framing and length, or say nothing.
 //!
 //! Each client's bytes are answers to its requests, in order; each replica's bytes are whole heads of requests that a client
-//! sent, each with its own body; a request that may not be repeated and may have run goes nowhere else.
+//! sent, each with its own body; a request that may not be repeated and may have run goes nowhere else. Every request of a
+//! client that stays has one end by its deadline and half a second: a whole answer, or an answer that is cut off and with it
+//! the connection.
 //!
 //! `PROPTEST_CASES` plays more of them.
 
@@ -10,13 +13,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use http::RequestHead;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use support::*;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 /// Histories that CI plays.
 const CASES: u32 = 48;
@@ -27,6 +34,18 @@
 /// Longest body of a request, bytes.
 const LONGEST_BODY: usize = 40_000;
 
+/// What a request's `Deadline-Left` tells, ms: in histories in which a replica says nothing, and in all others.
+const DEADLINE_WITH_SILENCE: u64 = 200;
+const DEADLINE: u64 = 4_000;
+/// How long after its deadline a request may be without an end.
+const SLACK: Duration = Duration::from_millis(500);
+/// Longest body of an answer that is no success; longer ones than a proxy holds until they are whole are among them.
+const LONGEST_REFUSAL: usize = 100_000;
+/// A status that is proof by itself.
+const MISDIRECTED: u16 = 421;
+/// What bodies of such answers are made of.
+const REFUSAL_BODY: &str = "o";
+
 /// A route of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
@@ -49,6 +68,18 @@
     Refuses { before_body: bool },
     /// It breaks off after this part of its answer.
     BreaksOff { part: f64, by_reset: bool },
+    /// It answers something that is no success, up to this part of it.
+    Odd { status: u16, framing: OddFraming, length: usize, part: f64 },
+    /// It says nothing.
+    Silent,
+}
+
+/// How an answer tells its end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum OddFraming {
+    Length,
+    Chunks,
+    UntilClose,
 }
 
 #[derive(Debug, Clone)]
@@ -66,6 +97,32 @@
     reactions: Vec<Reaction>,
 }
 
+impl History {
+    /// What its requests' `Deadline-Left` tells, ms.
+    fn deadline(&self) -> u64 {
+        if self.reactions.contains(&Reaction::Silent) {
+            DEADLINE_WITH_SILENCE
+        } else {
+            DEADLINE
+        }
+    }
+}
+
+fn odd_reactions() -> impl Strategy<Value = Reaction> {
+    // A success without a seal is none.
+    let status =
+        prop::sample::select(vec![101_u16, 200, 204, 302, 304, 400, 404, 408, 421, 429, 500, 503, 504]);
+    let framing = prop::sample::select(vec![OddFraming::Length, OddFraming::Chunks, OddFraming::UntilClose]);
+    let length = prop_oneof![Just(0), 1..100_usize, 0..LONGEST_REFUSAL];
+    let part = prop_oneof![2 => Just(1.0), 1 => 0.0..1.0];
+    (status, framing, length, part).prop_map(|(status, framing, length, part)| Reaction::Odd {
+        status,
+        framing,
+        length,
+        part,
+    })
+}
+
 fn histories() -> impl Strategy<Value = History> {
     let kind = prop::sample::select(vec![Kind::Read, Kind::Write, Kind::Stream, Kind::Resume]);
     let request = (kind, 0..LONGEST_BODY);
@@ -78,6 +135,8 @@
         1 => Just(Reaction::Fails),
         1 => any::<bool>().prop_map(|before_body| Reaction::Refuses { before_body }),
         2 => (0.0..1.0, any::<bool>()).prop_map(|(part, by_reset)| Reaction::BreaksOff { part, by_reset }),
+        3 => odd_reactions(),
+        1 => Just(Reaction::Silent),
     ];
     (vec(client, 1..4), vec(reaction, 1..12)).prop_map(|(clients, reactions)| History { clients, reactions })
 }
@@ -88,13 +147,15 @@
     id: String,
     kind: Kind,
     body: String,
+    /// `Deadline-Left`, ms.
+    deadline: u64,
 }
 
 impl Sent {
-    fn new(client: usize, number: usize, kind: Kind, length: usize) -> Sent {
+    fn new(client: usize, number: usize, (kind, length): (Kind, usize), deadline: u64) -> Sent {
         let id = format!("c{client}r{number}");
         let body = format!("{id}|").chars().cycle().take(length).collect();
-        Sent { id, kind, body }
+        Sent { id, kind, body, deadline }
     }
 
     fn bytes(&self) -> String {
@@ -104,9 +165,9 @@
             Kind::Stream => "stream",
             Kind::Resume => "resume",
         };
-        let (id, length) = (&self.id, self.body.len());
+        let (id, length, deadline) = (&self.id, self.body.len(), self.deadline);
         format!(
-            "POST /{route}/{id} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Left: 4000\r\n\
+            "POST /{route}/{id} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Left: {deadline}\r\n\
              Authorization: Bearer {KEY}\r\nContent-Length: {length}\r\n\r\n{}",
             self.body
         )
@@ -141,10 +202,27 @@
     }
 
     /// Whether a client may be given this body as a whole one.
-    fn is_whole_body(&self, body: &str) -> bool {
+    fn is_whole_body(&self, status: u16, body: &str) -> bool {
+        if status != 200 {
+            return body.replace(REFUSAL_BODY, "").is_empty();
+        }
         let events: String = (1..=EVENTS).map(|number| self.event(number)).collect();
         body == if self.is_stream() { events } else { self.success() }
     }
+
+    /// An answer of a replica that is no success.
+    fn odd_answer(&self, status: u16, framing: OddFraming, length: usize) -> String {
+        let (id, body) = (&self.id, REFUSAL_BODY.repeat(length));
+        let (line, body) = match framing {
+            OddFraming::Length => (format!("Content-Length: {length}\r\n"), body),
+            OddFraming::UntilClose => (String::new(), body),
+            OddFraming::Chunks => {
+                let chunk = if length == 0 { String::new() } else { format!("{length:x}\r\n{body}\r\n") };
+                ("Transfer-Encoding: chunked\r\n".into(), chunk + LAST_CHUNK)
+            }
+        };
+        format!("HTTP/1.1 {status} Odd\r\nAttempt-Id: {id}\r\n{line}\r\n{body}")
+    }
 }
 
 /// What replicas saw.
@@ -260,13 +338,49 @@
             seen.did_not_run(&sent.id);
             wire.write(not_run(&sent.id)).await
         }
-        Reaction::BreaksOff { part, .. } => {
-            let _ = wire.write(&answer.as_bytes()[..(part * answer.len() as f64) as usize]).await;
+        Reaction::BreaksOff { part, .. } => write_part(wire, &answer, part).await,
+        Reaction::Odd { status, framing, length, part } => {
+            if status == MISDIRECTED {
+                seen.did_not_run(&sent.id);
+            }
+            let answer = sent.odd_answer(status, framing, length);
+            if part < 1.0 || framing == OddFraming::UntilClose {
+                return write_part(wire, &answer, part).await;
+            }
+            wire.write(answer).await
+        }
+        Reaction::Silent => {
+            // Whoever waits gives up.
+            while wire.more().await {}
             false
         }
     }
 }
 
+/// Writes a part of an answer; the connection does not go on.
+async fn write_part(wire: &mut Wire, answer: &str, part: f64) -> bool {
+    let _ = wire.write(&answer.as_bytes()[..(part * answer.len() as f64) as usize]).await;
+    false
+}
+
+/// What a client is to see by a request's deadline and a little more. One thread plays all: if it stood still, whatever is due
+/// comes within a few turns.
+async fn in_time<T>(sent: &Sent, due: impl Future<Output = T>) -> Option<T> {
+    let mut due = pin!(due);
+    let until = Duration::from_millis(sent.deadline) + SLACK;
+    if let Ok(seen) = timeout(until, &mut due).await {
+        return Some(seen);
+    }
+    for _ in 0..TURNS {
+        tokio::select! {
+            biased;
+            seen = &mut due => return Some(seen),
+            () = tokio::task::yield_now() => {}
+        }
+    }
+    None
+}
+
 /// Plays a client, and looks at what it is given.
 async fn play_client(mut wire: Wire, plan: Client, requests: Vec<Sent>, seen: Rc<Seen>) {
     let bytes: String = requests.iter().map(Sent::bytes).collect();
@@ -280,15 +394,26 @@
         return wire.reset();
     }
     for sent in &requests {
-        let Some(answer) = wire.answer().await else { return };
+        let Some(answer) = in_time(sent, wire.answer()).await else {
+            return seen.fault(format!("{} has no end", sent.id));
+        };
+        let Some(answer) = answer else {
+            return seen.fault(format!("{} is not answered", sent.id));
+        };
         let id = answer.head.lines.get("attempt-id");
         if id.is_some_and(|id| id != sent.id) {
             return seen.fault(format!("{} is answered as {id:?}", sent.id));
         }
-        let Some(body) = answer.body else { return };
+        let Some(body) = answer.body else {
+            // It is cut off, and with it the connection.
+            if in_time(sent, wire.more()).await != Some(false) {
+                seen.fault(format!("{} is not whole, and its connection goes on", sent.id));
+            }
+            return;
+        };
         let body = String::from_utf8_lossy(&body);
-        if answer.head.status == 200 && !sent.is_whole_body(&body) {
-            return seen.fault(format!("{} is answered with {body:?}", sent.id));
+        if !sent.is_whole_body(answer.head.status, &body) {
+            return seen.fault(format!("{} is answered with {} and {body:?}", sent.id, answer.head.status));
         }
     }
     if !wire.input().is_empty() {
@@ -303,7 +428,9 @@
         .zip(&history.clients)
         .map(|(client, plan)| {
             let requests = (0..).zip(&plan.requests);
-            requests.map(|(number, (kind, length))| Sent::new(client, number, *kind, *length)).collect()
+            requests
+                .map(|(number, request)| Sent::new(client, number, *request, history.deadline()))
+                .collect()
         })
         .collect();
     let by_id = requests.iter().flatten().map(|sent| (sent.id.clone(), sent.clone())).collect();
