A proxy's metrics tell how requests ended for their clients

`steppick_requests_taken_total` and `steppick_requests_ended_total{end=answered|refused|cut-off|client-gone}`; what is missing from the first is under way.

--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -50,7 +50,7 @@
                 let under_way = UnderWay::new(&shared);
                 let close = request.head.close || shared.phase() != Phase::Serving;
                 let ending = answer(&shared, &mut client, &request, close).await;
-                drop(under_way);
+                under_way.end(ending);
                 if !ending.is_whole() {
                     return;
                 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -31,6 +31,7 @@
 mod view;
 
 pub use dispatch::{Mechanism, Mechanisms};
+pub use ending::{Ending, EndingCounts};
 pub use error::ProxyError;
 pub use event::ProxyEvent;
 pub use lifecycle::{Lifecycle, Phase};
--- a/crates/proxy/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -39,11 +39,15 @@
     }
 }
 
+fn metrics_text(shared: &Shared) -> String {
+    metrics::text(shared.view.borrow().dispatcher.figures(), &shared.endings.borrow())
+}
+
 fn answer(shared: &Shared, path: &str) -> Response {
     match path {
         READINESS if shared.is_ready() => Response::new(200, ""),
         READINESS => Response::new(503, ""),
-        METRICS => Response::new(200, metrics::text(shared.view.borrow().dispatcher.figures())),
+        METRICS => Response::new(200, metrics_text(shared)),
         _ => Response::new(404, ""),
     }
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the tasks of the process share. One thread: no locks.
 
+use crate::ending::{Ending, EndingCounts};
 use crate::event::EventLimit;
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::pool::Pool;
@@ -30,6 +31,8 @@
     pub lifecycle: Cell<Lifecycle>,
     /// Requests that were read and not answered.
     pub under_way: Cell<usize>,
+    /// How requests have ended.
+    pub endings: RefCell<EndingCounts>,
     /// The generator of the process.
     pub random: RefCell<SmallRng>,
     /// Bounds the log.
@@ -54,6 +57,7 @@
             pool: RefCell::default(),
             lifecycle: Cell::new(Lifecycle::new(grace)),
             under_way: Cell::new(0),
+            endings: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(seed.wrapping_add(1))),
             event_limit: EventLimit::default(),
             phase_changed: Notify::new(),
@@ -146,8 +150,14 @@
 impl UnderWay {
     pub fn new(shared: &std::rc::Rc<Shared>) -> UnderWay {
         shared.under_way.set(shared.under_way.get() + 1);
+        shared.endings.borrow_mut().count_taken();
         UnderWay(shared.clone())
     }
+
+    /// The request has ended so.
+    pub fn end(self, ending: Ending) {
+        self.0.endings.borrow_mut().count_ended(ending);
+    }
 }
 
 impl Drop for UnderWay {
--- a/crates/proxy/tests/endings.rs
+++ b/crates/proxy/tests/endings.rs
@@ -88,7 +88,8 @@
     async fn ends(&mut self, begun: Begun, seen: Seen) {
         let Seen::Whole(status) = seen else {
             self.client.ended().await;
-            return assert!(!self.client.has_text(LAST_CHUNK), "it looks whole");
+            assert!(!self.client.has_text(LAST_CHUNK), "it looks whole");
+            return self.are_counted(1, "cut-off", 1).await;
         };
         if begun == Begun::Nothing {
             assert_eq!(self.client.answer().await.0.status, status);
@@ -98,6 +99,20 @@
         // The proxy answers this one itself.
         self.client.write(ask("empty", "next", "")).await;
         assert_eq!(self.client.answer().await.0.lines.get("Attempt-Id"), Some("next"));
+        match status {
+            200 | 500 => self.are_counted(2, "answered", 1).await,
+            _ => self.are_counted(2, "refused", 2).await,
+        }
+    }
+
+    /// Shows what operators are told: requests that were taken, and how many have ended so.
+    async fn are_counted(&self, taken: u32, end: &str, count: u32) {
+        let metrics = self.fixture.metrics().await;
+        let lines = [
+            format!("steppick_requests_taken_total {taken}\n"),
+            format!("steppick_requests_ended_total{{end=\"{end}\"}} {count}\n"),
+        ];
+        assert!(lines.iter().all(|line| metrics.contains(line)), "{metrics}");
     }
 }
 
--- a/crates/proxy/tests/histories.rs
+++ b/crates/proxy/tests/histories.rs
@@ -45,8 +45,8 @@
 const LONGEST_REFUSAL: usize = 100_000;
 /// A status that is proof by itself.
 const MISDIRECTED: u16 = 421;
-/// What bodies of such answers are made of.
-const REFUSAL_BODY: &str = "o";
+/// What bodies of such answers are made of: they are no events, though they look like some.
+const REFUSAL_BODY: &str = "id: o\n\n";
 
 /// A route of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -224,7 +224,8 @@
 
     /// An answer of a replica that is no success.
     fn odd_answer(&self, status: u16, framing: OddFraming, length: usize) -> String {
-        let (id, body) = (&self.id, REFUSAL_BODY.repeat(length));
+        let body = REFUSAL_BODY.repeat(length / REFUSAL_BODY.len());
+        let (id, length) = (&self.id, body.len());
         let (line, body) = match framing {
             OddFraming::Length => (format!("Content-Length: {length}\r\n"), body),
             OddFraming::UntilClose => (String::new(), body),
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -123,6 +123,13 @@
         asker.answer().await.0.status
     }
 
+    /// What operators are told of the proxy's requests.
+    pub async fn metrics(&self) -> String {
+        let mut asker = Peer::connect(self.ready).await;
+        asker.write("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        asker.answer().await.1
+    }
+
     /// What SIGHUP does after `new` was put in the place of `old` in the settings.
     pub fn reload(&self, old: &str, new: &str) {
         assert!(SETTINGS.contains(old), "{old} is in the settings");
