Tests: a client that does not read, and twins that both fail, end as the table says

A client that does not read its stream finds it cut off when its deadline is over (the replica writes until the proxy closes; then all that comes is read: no last chunk). A failure that waited for its twin, which then breaks off, ends with a 502 of the proxy's own without Retry-After. Both pass; nothing of the product changes.

--- a/crates/proxy/tests/endings.rs
+++ b/crates/proxy/tests/endings.rs
@@ -9,6 +9,9 @@
 use std::thread;
 use support::*;
 
+/// Length of the events that a client does not read, bytes.
+const LONG_EVENT_BYTES: usize = 60_000;
+
 /// What the client has of its answer when something happens to the send that is out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Begun {
@@ -175,6 +178,21 @@
     });
 }
 
+/// A client that does not read keeps nothing alive: what it reads later ends, and does not look whole.
+#[test]
+fn a_client_that_does_not_read_finds_its_answer_cut_off() {
+    play(|| async {
+        let Played { connection, mut client, fixture: _fixture, .. } = Played::new(Begun::Head, "1500").await;
+        let mut connection = connection.expect("a send is out");
+        // More than all buffers on the way hold; the connection ends when the proxy gives up.
+        let long_event =
+            format!("{:x}\r\ndata: {}\n\n\r\n", 8 + LONG_EVENT_BYTES, "x".repeat(LONG_EVENT_BYTES));
+        while connection.write_or_end(&long_event).await {}
+        while client.skip().await {}
+        assert!(!client.has_text(LAST_CHUNK));
+    });
+}
+
 /// No sends after the first are allowed: what broke off is not taken up.
 #[rstest]
 #[case::nothing("read", Seen::Whole(502))]
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -278,6 +278,20 @@
         assert!(self.0.write(text).await, "the connection is open");
     }
 
+    /// Writes; false once the connection has ended.
+    pub async fn write_or_end(&mut self, text: impl AsRef<[u8]>) -> bool {
+        self.0.write(text).await
+    }
+
+    /// Reads more and keeps its last bytes alone; false at the end.
+    pub async fn skip(&mut self) -> bool {
+        const KEPT: usize = 16;
+        let more = self.0.more().await;
+        let skipped = self.0.input().len().saturating_sub(KEPT);
+        self.0.take(skipped);
+        more
+    }
+
     /// Waits for the connection's end.
     pub async fn ended(&mut self) {
         while self.0.more().await {}
--- a/crates/proxy/tests/twins.rs
+++ b/crates/proxy/tests/twins.rs
@@ -54,6 +54,23 @@
     });
 }
 
+/// A failure that waited, and nothing came of the other: the client is told that it may have run.
+#[test]
+fn twins_that_both_fail_end_with_an_answer() {
+    play(|| async {
+        let (one, two) = (Replica::new("i-1").await, Replica::new("i-2").await);
+        let (_fixture, mut client) = earned(&one, &two).await;
+        client.write(ask("read", "a", "")).await;
+        let ((mut failing, _), (breaking, _)) = tokio::join!(one.request(), two.request());
+        failing.write(success("a", "broken").replace("200 OK", "500 Broken")).await;
+        // The proxy has dropped it before the other one ends.
+        failing.ended().await;
+        drop(breaking);
+        let (head, body) = client.answer().await;
+        assert_eq!((head.status, head.lines.get("Retry-After"), body.as_str()), (502, None, ""));
+    });
+}
+
 #[test]
 fn a_client_that_leaves_ends_both() {
     play(|| async {
