Test of a client that does not read looks at how the request is counted

A mutation run (scratch copy) showed that it could not fail where such a client counts as answered: the idle connection is closed as well, 15 s later, and no last chunk comes either way. It asks the metrics now: one request, `client-gone`. No other test is touched.

--- a/crates/proxy/tests/endings.rs
+++ b/crates/proxy/tests/endings.rs
@@ -182,14 +182,15 @@
 #[test]
 fn a_client_that_does_not_read_finds_its_answer_cut_off() {
     play(|| async {
-        let Played { connection, mut client, fixture: _fixture, .. } = Played::new(Begun::Head, "1500").await;
-        let mut connection = connection.expect("a send is out");
+        let mut played = Played::new(Begun::Head, "1500").await;
+        let mut connection = played.connection.take().expect("a send is out");
         // More than all buffers on the way hold; the connection ends when the proxy gives up.
         let long_event =
             format!("{:x}\r\ndata: {}\n\n\r\n", 8 + LONG_EVENT_BYTES, "x".repeat(LONG_EVENT_BYTES));
         while connection.write_or_end(&long_event).await {}
-        while client.skip().await {}
-        assert!(!client.has_text(LAST_CHUNK));
+        played.are_counted(1, "client-gone", 1).await;
+        while played.client.skip().await {}
+        assert!(!played.client.has_text(LAST_CHUNK));
     });
 }
 
