--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -9,6 +9,7 @@
 use crate::plan::Plan;
 use crate::shared::{BodyRoom, Shared, UnderWay};
 use http::{BodyReader, Framing, HeadError, RequestHead};
+use process::Event;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -23,6 +24,10 @@
 struct Request {
     head: RequestHead,
     body: Vec<u8>,
+    /// When its last byte came, read or not, and the answer before it on its connection had ended.
+    came: Instant,
+    /// From then to its being read whole.
+    read_lag: Duration,
     /// Memory reserved for the body.
     _room: Vec<BodyRoom>,
 }
@@ -44,13 +49,15 @@
 /// Serves a client's connection to its end.
 pub(crate) async fn serve(shared: Rc<Shared>, stream: TcpStream) {
     let Ok(mut client) = Connection::accepted(stream) else { return };
+    let mut last_ended = None;
     loop {
-        match read(&shared, &mut client).await {
+        match read(&shared, &mut client, last_ended).await {
             Ok(request) => {
                 let under_way = UnderWay::new(&shared);
                 let close = request.head.close || shared.phase() != Phase::Serving;
                 let ending = answer(&shared, &mut client, &request, close).await;
                 under_way.end(ending);
+                last_ended = Some(Instant::now());
                 if !ending.is_whole() {
                     return;
                 }
@@ -80,22 +87,43 @@
     let Some(in_force) = shared.view.borrow().in_force() else {
         return refuse(client, &own(503, Some(COME_BACK), head.lines.get("attempt-id"), close)).await;
     };
-    let planned = Plan::new(head, &in_force, shared.now(), &mut shared.random.borrow_mut());
+    let came = shared.time(request.came);
+    let planned = Plan::new(head, &in_force, came, &mut shared.random.borrow_mut());
     match planned {
-        Ok(plan) => Exchange::new(shared, client, (head, &request.body), &plan, close).run().await,
+        Ok(plan) => {
+            let deadline = shared.instant(plan.ask.deadline);
+            let ending = Exchange::new(shared, client, (head, &request.body), &plan, close).run().await;
+            let lag = deadline.elapsed();
+            shared.lags.borrow_mut().ended(ending, lag);
+            if !lag.is_zero() {
+                log_late(&plan.attempt_id, ending, lag, request.read_lag);
+            }
+            ending
+        }
         Err(refusal) => {
             refuse(client, &own(refusal.status(), None, head.lines.get("attempt-id"), close)).await
         }
     }
 }
 
+/// Logs a request that ended after its deadline.
+fn log_late(attempt: &str, ending: Ending, lag: Duration, read_lag: Duration) {
+    let (how, lag, read_lag) = (<&str>::from(ending), lag.as_millis(), read_lag.as_millis());
+    ProxyEvent::EndedLate
+        .debug(format_args!("attempt {attempt}: {how} {lag} ms late, read {read_lag} ms after it came"));
+}
+
 /// Gives the client an answer of the proxy's own.
 async fn refuse(client: &mut Connection, answer: &[u8]) -> Ending {
     client.write(answer).await.map_or(Ending::ClientGone, |()| Ending::Refused)
 }
 
-/// Reads the next request.
-async fn read(shared: &Rc<Shared>, client: &mut Connection) -> Result<Request, Unread> {
+/// Reads the next request; the answer to the one before it ended at `last_ended`.
+async fn read(
+    shared: &Rc<Shared>,
+    client: &mut Connection,
+    last_ended: Option<Instant>,
+) -> Result<Request, Unread> {
     if client.input.is_empty() {
         rest(shared, client).await?;
     }
@@ -113,7 +141,13 @@
             Err(HeadError::Malformed(_)) => return Err(400.into()),
         }
     };
-    read_body(shared, client, head).await
+    let mut request = read_body(shared, client, head).await?;
+    if let Some(last_ended) = last_ended {
+        request.came = request.came.max(last_ended);
+    }
+    request.read_lag = request.came.elapsed();
+    shared.lags.borrow_mut().read(request.read_lag);
+    Ok(request)
 }
 
 /// Reads the body of a request.
@@ -145,7 +179,8 @@
             return Err(413.into());
         }
         if reader.is_done() {
-            return Ok(Request { head, body, _room: room });
+            let came = client.received_at();
+            return Ok(Request { head, body, came, read_lag: Duration::ZERO, _room: room });
         }
         if head.framing == Framing::Chunked && body.len() > SMALL_BODY * (room.len() + 1) {
             room.push(reserve(shared, SMALL_BODY)?);
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -73,6 +73,13 @@
         self.stream.read_buf(&mut self.input).await
     }
 
+    /// When the last data came that the kernel has received on this connection, however late it is read.
+    pub fn received_at(&self) -> Instant {
+        let now = Instant::now();
+        let age = tcp_info::since_last_received(&self.stream).unwrap_or_default();
+        now.checked_sub(age).unwrap_or(now)
+    }
+
     /// Drops the first bytes of the input: they are used.
     pub fn used(&mut self, count: usize) {
         self.input.drain(..count);
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -35,6 +35,8 @@
     BadAnswer = 1103,
     /// A stream goes on at another replica: after which event, where and under which salt.
     Resumed = 1104,
+    /// A request ended after its deadline: how, how late, and how late it was read.
+    EndedLate = 1105,
     /// It was told to end.
     Ending = 1200,
     /// It has ended.
--- a/crates/proxy/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -1,7 +1,7 @@
 //! Tells the platform whether clients are to be sent here, and operators what became of requests.
 
 use crate::connection::Connection;
-use crate::metrics;
+use crate::metrics::Metrics;
 use crate::shared::Shared;
 use http::Response;
 use std::rc::Rc;
@@ -40,7 +40,15 @@
 }
 
 fn metrics_text(shared: &Shared) -> String {
-    metrics::text(shared.view.borrow().dispatcher.figures(), &shared.endings.borrow())
+    let view = shared.view.borrow();
+    let (endings, lags) = (shared.endings.borrow(), shared.lags.borrow());
+    let metrics = Metrics {
+        figures: view.dispatcher.figures(),
+        endings: &endings,
+        lags: &lags,
+        run_delay: process::run_delay(),
+    };
+    metrics.text()
 }
 
 fn answer(shared: &Shared, path: &str) -> Response {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::ending::{Ending, EndingCounts};
 use crate::event::EventLimit;
+use crate::lags::Lags;
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::pool::Pool;
 use crate::view::View;
@@ -11,6 +12,7 @@
 use rand::SeedableRng;
 use settings::ProcessSettings;
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -33,6 +35,8 @@
     pub under_way: Cell<usize>,
     /// How requests have ended.
     pub endings: RefCell<EndingCounts>,
+    /// How far behind the process is.
+    pub lags: RefCell<Lags>,
     /// The generator of the process.
     pub random: RefCell<SmallRng>,
     /// Bounds the log.
@@ -58,6 +62,7 @@
             lifecycle: Cell::new(Lifecycle::new(grace)),
             under_way: Cell::new(0),
             endings: RefCell::default(),
+            lags: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(seed.wrapping_add(1))),
             event_limit: EventLimit::default(),
             phase_changed: Notify::new(),
@@ -72,6 +77,13 @@
         self.started.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// The time of an instant on the process's clock; below 0 before its start.
+    pub fn time(&self, at: Instant) -> Ms {
+        let since = at.saturating_duration_since(self.started).as_secs_f64();
+        let before = self.started.saturating_duration_since(at).as_secs_f64();
+        (since - before) * 1000.0
+    }
+
     /// The instant of a time on the process's clock.
     pub fn instant(&self, at: Ms) -> Instant {
         self.started + std::time::Duration::from_secs_f64(at.max(0.0) / 1000.0)
@@ -120,7 +132,7 @@
     }
 
     /// Reserves memory for a request's body; `None` if there is none left.
-    pub fn reserve(self: &std::rc::Rc<Shared>, bytes: usize) -> Option<BodyRoom> {
+    pub fn reserve(self: &Rc<Shared>, bytes: usize) -> Option<BodyRoom> {
         let most = (self.settings.borrow().caps.memory_mb as f64 * 1e6 * BODY_PART) as usize;
         let taken = self.body_bytes.get() + bytes;
         (taken <= most).then(|| {
@@ -133,7 +145,7 @@
 /// Memory reserved for a body, given back when dropped.
 #[derive(Debug)]
 pub(crate) struct BodyRoom {
-    shared: std::rc::Rc<Shared>,
+    shared: Rc<Shared>,
     bytes: usize,
 }
 
@@ -145,10 +157,10 @@
 
 /// Counts a request that is under way.
 #[derive(Debug)]
-pub(crate) struct UnderWay(std::rc::Rc<Shared>);
+pub(crate) struct UnderWay(Rc<Shared>);
 
 impl UnderWay {
-    pub fn new(shared: &std::rc::Rc<Shared>) -> UnderWay {
+    pub fn new(shared: &Rc<Shared>) -> UnderWay {
         shared.under_way.set(shared.under_way.get() + 1);
         shared.endings.borrow_mut().count_taken();
         UnderWay(shared.clone())
