--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,13 +1,15 @@
 //! The sends of a request that are out at one time, and the passage of the answer that wins.
 
 use crate::connection::Connection;
+use crate::deadline::reached;
 use crate::exchange::Exchange;
 use crate::opening::{recycle, Opened, Sending};
 use crate::outgoing::{request_bytes, SendFacts};
+use crate::run_queue::Stage;
 use dispatch::{Next, Outcome, Target};
 use http::{BodyReader, ResponseFraming, ResponseHead};
 use std::pin::pin;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 /// Longest answer that is held until it is whole, bytes; a longer one is passed on as it comes.
 const HELD: usize = 64 * 1024;
@@ -67,7 +69,7 @@
             _ => Wait::Closed,
         },
         () = client.left() => Wait::ClientLeft,
-        () = sleep_until(deadline) => Wait::Deadline,
+        () = reached(deadline) => Wait::Deadline,
     }
 }
 
@@ -107,7 +109,7 @@
                 opened = &mut first_send, if out[0].is_some() => (0, opened),
                 opened = &mut twin_send, if out[1].is_some() => (1, opened),
                 () = self.client.left() => return Raced::Over(self.end_all(out, Outcome::Abandoned)),
-                () = sleep_until(deadline) => return Raced::Over(self.end_all(out, Outcome::Expired)),
+                () = reached(deadline) => return Raced::Over(self.end_all(out, Outcome::Expired)),
             };
             let Some(target) = out[which].take() else { continue };
             let is_last = out.iter().all(Option::is_none);
@@ -153,9 +155,12 @@
         taken.unwrap_or_else(Taken::Over)
     }
 
-    /// Waits for more from the replica.
+    /// Waits for more from the replica. What came by the deadline, or beside it, has been passed on by then.
     async fn more(&mut self, replica: &mut Connection) -> Result<(), Outcome> {
         let deadline = self.deadline();
+        if Instant::now() >= deadline {
+            return Err(Outcome::Expired);
+        }
         match wait(self.client, replica, deadline).await {
             Wait::Data => Ok(()),
             Wait::Closed => Err(Outcome::Broken),
@@ -225,6 +230,7 @@
 
     /// The first piece of an answer has come.
     fn began(&mut self, target: &Target) {
+        self.task.set_stage(Stage::Passing);
         let now = self.shared.now();
         self.shared.view.borrow_mut().dispatcher.began(&mut self.call, target.replica, now);
     }
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -5,6 +5,7 @@
 use crate::ending::Ending;
 use crate::event::ProxyEvent;
 use crate::exchange::Exchange;
+use crate::executor::Task;
 use crate::lifecycle::Phase;
 use crate::plan::Plan;
 use crate::shared::{BodyRoom, Shared, UnderWay};
@@ -47,15 +48,15 @@
 }
 
 /// Serves a client's connection to its end.
-pub(crate) async fn serve(shared: Rc<Shared>, stream: TcpStream) {
-    let Ok(mut client) = Connection::accepted(stream) else { return };
+pub(crate) async fn serve(shared: Rc<Shared>, stream: TcpStream, task: Task) {
+    let mut client = Connection::accepted(stream);
     let mut last_ended = None;
     loop {
         match read(&shared, &mut client, last_ended).await {
             Ok(request) => {
                 let under_way = UnderWay::new(&shared);
                 let close = request.head.close || shared.phase() != Phase::Serving;
-                let ending = answer(&shared, &mut client, &request, close).await;
+                let ending = answer(&shared, &mut client, &request, close, &task).await;
                 under_way.end(ending);
                 last_ended = Some(Instant::now());
                 if !ending.is_whole() {
@@ -82,7 +83,13 @@
 }
 
 /// Answers one request; tells how it ended.
-async fn answer(shared: &Rc<Shared>, client: &mut Connection, request: &Request, close: bool) -> Ending {
+async fn answer(
+    shared: &Rc<Shared>,
+    client: &mut Connection,
+    request: &Request,
+    close: bool,
+    task: &Task,
+) -> Ending {
     let head = &request.head;
     let Some(in_force) = shared.view.borrow().in_force() else {
         return refuse(client, &own(503, Some(COME_BACK), head.lines.get("attempt-id"), close)).await;
@@ -92,7 +99,11 @@
     match planned {
         Ok(plan) => {
             let deadline = shared.instant(plan.ask.deadline);
-            let ending = Exchange::new(shared, client, (head, &request.body), &plan, close).run().await;
+            task.begin_request(deadline);
+            let is_there = admitted(client, task, deadline).await;
+            let mut exchange = Exchange::new(shared, client, (head, &request.body), &plan, task, close);
+            let ending = if is_there { exchange.run().await } else { Ending::ClientGone };
+            task.end_request();
             let lag = deadline.elapsed();
             shared.lags.borrow_mut().ended(ending, lag);
             if !lag.is_zero() {
@@ -106,6 +117,15 @@
     }
 }
 
+/// Waits until the request may be sent or its deadline has passed; tells whether the client is still there.
+async fn admitted(client: &mut Connection, task: &Task, deadline: Instant) -> bool {
+    tokio::select! {
+        biased;
+        () = task.admitted(deadline) => true,
+        () = client.left() => false,
+    }
+}
+
 /// Logs a request that ended after its deadline.
 fn log_late(attempt: &str, ending: Ending, lag: Duration, read_lag: Duration) {
     let (how, lag, read_lag) = (<&str>::from(ending), lag.as_millis(), read_lag.as_millis());
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -1,9 +1,11 @@
 //! A TCP connection with the bytes that were read from it and not used.
 
+use crate::deadline::by;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddrV4;
+use std::os::fd::AsFd;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -45,25 +47,27 @@
     Begun,
 }
 
+/// Sets the options of a connection, or of a listener: the connections that it accepts have them from it.
+pub(crate) fn tune(socket: &impl AsFd) -> io::Result<()> {
+    let socket = SockRef::from(socket);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
+
 impl Connection {
-    /// A connection that a client made.
-    pub fn accepted(stream: TcpStream) -> io::Result<Connection> {
-        Connection::tuned(stream)
+    /// A connection that a client made. It has the options of its listener, see [`tune`].
+    pub fn accepted(stream: TcpStream) -> Connection {
+        Connection { stream, input: Vec::new(), is_half_written: false }
     }
 
     /// Makes a connection.
     pub async fn dial(address: SocketAddrV4) -> io::Result<Connection> {
         let socket = TcpSocket::new_v4()?;
         let connected = timeout(DIAL_TIMEOUT, socket.connect(address.into())).await;
-        Connection::tuned(connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??)
-    }
-
-    fn tuned(stream: TcpStream) -> io::Result<Connection> {
-        stream.set_nodelay(true)?;
-        let socket = SockRef::from(&stream);
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
-        let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
-        socket.set_tcp_keepalive(&probes)?;
+        let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        tune(&stream)?;
         Ok(Connection { stream, input: Vec::new(), is_half_written: false })
     }
 
@@ -94,8 +98,8 @@
     pub async fn write_by(&mut self, bytes: &[u8], until: Instant) -> Result<(), usize> {
         let mut taken = 0;
         while taken < bytes.len() {
-            match timeout_at(until, self.stream.write(&bytes[taken..])).await {
-                Ok(Ok(count)) if count > 0 => taken += count,
+            match by(until, self.stream.write(&bytes[taken..])).await {
+                Some(Ok(count)) if count > 0 => taken += count,
                 _ => return Err(taken),
             }
         }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -5,6 +5,7 @@
 use crate::connection::Connection;
 use crate::ending::Ending;
 use crate::event::ProxyEvent;
+use crate::executor::Task;
 use crate::plan::Plan;
 use crate::relay::Passage;
 use crate::shared::Shared;
@@ -22,6 +23,7 @@
     pub plan: &'a Plan,
     pub call: Call,
     pub passage: Passage,
+    pub task: &'a Task,
     close: bool,
 }
 
@@ -32,12 +34,13 @@
         client: &'a mut Connection,
         (head, body): (&'a RequestHead, &'a [u8]),
         plan: &'a Plan,
+        task: &'a Task,
         close: bool,
     ) -> Exchange<'a> {
         let call = shared.view.borrow_mut().dispatcher.begin(plan.ask.clone(), shared.now());
         let resumable = plan.is_stream && plan.ask.rules.is_idempotent;
         let passage = Passage::new(close, resumable, head.lines.get("last-event-id"));
-        Exchange { shared, client, head, body, plan, call, passage, close }
+        Exchange { shared, client, head, body, plan, call, passage, task, close }
     }
 
     /// When the request is given up.
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -16,6 +16,8 @@
     pub endings: &'process EndingCounts,
     /// How far behind it was.
     pub lags: &'process Lags,
+    /// From deadlines to the polls of their tasks.
+    pub deadline_lag: Histogram,
     /// How long it could have run and had no processor, if the kernel tells.
     pub run_delay: Option<Duration>,
 }
@@ -25,6 +27,7 @@
     pub fn text(&self) -> String {
         let mut text = requests(self.figures, self.endings);
         histogram(&mut text, "steppick_read_lag_ms", "", self.lags.of_reads());
+        histogram(&mut text, "steppick_deadline_lag_ms", "", &self.deadline_lag);
         for (ending, lag) in self.lags.of_ends() {
             let label = format!("end=\"{}\"", <&str>::from(ending));
             histogram(&mut text, "steppick_end_lag_ms", &label, lag);
--- a/crates/proxy/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -18,7 +18,7 @@
 
 /// Serves a connection of the platform to its end.
 pub(crate) async fn serve(shared: Rc<Shared>, stream: TcpStream) {
-    let Ok(mut asker) = Connection::accepted(stream) else { return };
+    let mut asker = Connection::accepted(stream);
     loop {
         match http::request(&asker.input) {
             Ok(Some((request, length))) => {
@@ -46,6 +46,7 @@
         figures: view.dispatcher.figures(),
         endings: &endings,
         lags: &lags,
+        deadline_lag: shared.run_queue.lock().deadline_lag(),
         run_delay: process::run_delay(),
     };
     metrics.text()
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -1,7 +1,9 @@
 //! The process: its sockets, signals and tasks.
 
+use crate::connection::tune;
 use crate::error::ProxyError;
 use crate::event::ProxyEvent;
+use crate::executor::{Executor, Spawner};
 use crate::lifecycle::Phase;
 use crate::shared::Shared;
 use crate::{client, link, readiness};
@@ -109,12 +111,20 @@
     shared.view.borrow_mut().dispatcher.set_twin_part(tuning.twin_part);
     shared.view.borrow_mut().dispatcher.set_mechanisms(tuning.mechanisms);
     let Sockets { front, ready, agent } = sockets;
+    for listener in [&front, &ready] {
+        if let Err(why) = tune(listener) {
+            ProxyEvent::AcceptFailed.warn(format_args!("without options: {why}"));
+        }
+    }
     let addresses = (front.local_addr().ok(), ready.local_addr().ok());
     ProxyEvent::Listening.info(format_args!("front {:?}, ready {:?}", addresses.0, addresses.1));
     let permits = Arc::new(Semaphore::new(usize::try_from(most_clients).unwrap_or(usize::MAX).max(1)));
     let front_closed = Rc::new(Notify::new());
     spawn_local(link::keep(shared.clone(), agent, seed));
-    spawn_local(accept_clients(shared.clone(), front, permits, tuning.start_patience, front_closed.clone()));
+    let executor = Executor::new(shared.run_queue.clone());
+    let clients = Clients { permits, patience: tuning.start_patience, closed: front_closed.clone() };
+    executor.spawner().spawn(|_| accept_clients(shared.clone(), front, clients, executor.spawner()));
+    spawn_local(executor.run());
     spawn_local(accept_askers(shared.clone(), ready));
     spawn_local(clean(shared.clone()));
     while let Some(Control::Reload(settings)) = control.recv().await {
@@ -133,13 +143,18 @@
     ProxyEvent::Ended.info(format_args!("{} requests under way", shared.under_way.get()));
 }
 
-async fn accept_clients(
-    shared: Rc<Shared>,
-    front: TcpListener,
+/// How clients' connections are accepted.
+struct Clients {
+    /// One for each connection.
     permits: Arc<Semaphore>,
+    /// How long they wait at first while the view of the fleet is not complete.
     patience: Duration,
+    /// No more are accepted.
     closed: Rc<Notify>,
-) {
+}
+
+async fn accept_clients(shared: Rc<Shared>, front: TcpListener, clients: Clients, spawner: Spawner) {
+    let Clients { permits, patience, closed } = clients;
     // Until then connections wait in the listener's queue, unread.
     let _ = timeout(patience, shared.view_complete()).await;
     loop {
@@ -150,9 +165,9 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let serving = client::serve(shared.clone(), stream);
-                spawn_local(async move {
-                    serving.await;
+                let shared = shared.clone();
+                spawner.spawn(|task| async move {
+                    client::serve(shared, stream, task).await;
                     drop(permit);
                 });
             }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::ending::{Ending, EndingCounts};
 use crate::event::EventLimit;
+use crate::executor::SharedQueue;
 use crate::lags::Lags;
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::pool::Pool;
@@ -13,6 +14,7 @@
 use settings::ProcessSettings;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -37,6 +39,8 @@
     pub endings: RefCell<EndingCounts>,
     /// How far behind the process is.
     pub lags: RefCell<Lags>,
+    /// The order in which clients' connections are served.
+    pub run_queue: Arc<SharedQueue>,
     /// The generator of the process.
     pub random: RefCell<SmallRng>,
     /// Bounds the log.
@@ -63,6 +67,7 @@
             under_way: Cell::new(0),
             endings: RefCell::default(),
             lags: RefCell::default(),
+            run_queue: Arc::default(),
             random: RefCell::new(SmallRng::seed_from_u64(seed.wrapping_add(1))),
             event_limit: EventLimit::default(),
             phase_changed: Notify::new(),
