The test of held-back requests notices when they are not held back

Found by putting the fault back (a mutation on a scratch copy): with requests sent at once scarce.rs still passed. Cause: the request was seen at the replica only after a connection to it had been made, by when all 60 streams had had their turn. Change: a connection to the replica rests before, so that what is sent is there at once. The assertion is the same.

--- a/crates/proxy/tests/scarce.rs
+++ b/crates/proxy/tests/scarce.rs
@@ -55,11 +55,16 @@
             sides.push(side);
             clients.push(client.into_std());
         }
+        // A connection to the replica rests: what is sent next is there at once.
+        let mut newest = fixture.client().await;
+        newest.write(ask("read", "first", "")).await;
+        let (mut side, _) = replica.request().await;
+        side.write(success("first", "whole")).await;
+        newest.answer().await;
         let is_over = Rc::new(Cell::new(false));
         take_processor(is_over.clone());
-        let mut newest = fixture.client().await;
-        for side in &mut sides {
-            side.write(event(2)).await;
+        for stream in &mut sides {
+            stream.write(event(2)).await;
         }
         // The proxy hears of the events and passes the first ones on.
         while !clients.iter().any(has_come) {
@@ -67,7 +72,7 @@
         }
         assert!(!clients.iter().all(has_come), "more streams than are polled at once");
         newest.write(ask("read", "newest", "")).await;
-        let (mut side, request) = replica.request().await;
+        let request = side.request().await;
         assert_eq!(request.header("attempt-id"), Some("newest"));
         let waiting = clients.iter().filter(|client| !has_come(client)).count();
         is_over.set(true);
