--- a/crates/agent/src/event.rs
+++ b/crates/agent/src/event.rs
@@ -31,6 +31,10 @@
     WeightsNamed = 3022,
     /// Replicas are reported to a new home that has not told of them.
     ReplicasReported = 3023,
+    /// Releases of services' software are newer than those known.
+    ReleasesTaken = 3024,
+    /// Releases can't be read.
+    ReleasesUnusable = 3025,
     /// A connection of a proxy can't be taken.
     LinkRefused = 3061,
     /// A process that is no proxy was turned away.
--- a/crates/agent/src/machine.rs
+++ b/crates/agent/src/machine.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 
 use catalog::Limits;
-use feed::{record_to_wire, ConfigurationTaken, Subscriber, View, Wanted};
+use feed::{messages_of_records, record_to_wire, ConfigurationTaken, Releases, Subscriber, View, Wanted};
 use links::LinkId;
 use peer::{Alive, Fleet, Hello, Interest, Message, Replicas, Subscription, NEVER};
 
@@ -141,6 +141,13 @@
                 let message = Message::Loads(loads);
                 out.extend(self.home_controller(now).map(|to| Effect::SendController { to, message }));
             }
+            // All controllers judge releases, whichever is the home.
+            Input::ProxyMessage { message: Message::ReleaseReport(report), .. } => {
+                for to in self.controllers.linked() {
+                    let message = Message::ReleaseReport(report.clone());
+                    out.push(Effect::SendController { to, message });
+                }
+            }
             Input::ProxyMessage { message: Message::Interest(interest), .. } => {
                 self.pass_interest(now, &interest, out);
             }
@@ -214,6 +221,8 @@
     ) {
         match message {
             Message::Configuration(configuration) => self.configuration(from, configuration, out),
+            Message::Software(software) => self.view.take_software(&software),
+            Message::Releases(releases) => self.releases(from, &releases),
             Message::Replicas(replicas) => self.replicas(now, from, &replicas, out),
             Message::Weights(weights) => self.weights(now, from, &weights),
             Message::Fleet(fleet) => self.fleet(from, &fleet),
@@ -263,8 +272,8 @@
             return;
         }
         AgentEvent::ReplicasReported.info(format_args!("{} replicas to controller {to}", untold.len()));
-        let records: Vec<_> = untold.iter().map(record_to_wire).collect();
-        out.push(Effect::SendController { to, message: Message::Replicas(Replicas::from(records)) });
+        let messages = messages_of_records(&untold).into_iter();
+        out.extend(messages.map(|message| Effect::SendController { to, message }));
     }
 
     /// Each controller tells of the replicas that it reads: all of them are asked.
@@ -294,6 +303,18 @@
         }
     }
 
+    fn releases(&mut self, from: SocketAddrV4, releases: &peer::Blob) {
+        match Releases::read(&releases.bytes) {
+            Ok(releases) => {
+                if self.view.take_releases(releases) {
+                    let revision = self.view.releases().revision;
+                    AgentEvent::ReleasesTaken.info(format_args!("revision {revision} from {from}"));
+                }
+            }
+            Err(why) => AgentEvent::ReleasesUnusable.error(format_args!("from {from}: {why}")),
+        }
+    }
+
     fn configuration(
         &mut self,
         from: SocketAddrV4,
--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -7,6 +7,9 @@
 use crate::report::StandingReports;
 use crate::{Limits, Millis, ModelVersion, Record, State, WeightsReport};
 
+/// Replicas whose software is remembered before their records come.
+const MOST_AWAITED: usize = 8_192;
+
 /// What became of a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
@@ -72,6 +75,8 @@
     entries: HashMap<String, Entry>,
     changes: ChangeLog,
     by_address: HashMap<SocketAddrV4, String>,
+    /// The software of replicas whose records are told next.
+    awaited_software: HashMap<String, String>,
     /// Lost replicas that were forgotten since the last call of [`Catalog::take_forgotten`].
     forgotten_ids: Vec<String>,
 }
@@ -83,10 +88,25 @@
             entries: HashMap::new(),
             changes: ChangeLog::default(),
             by_address: HashMap::new(),
+            awaited_software: HashMap::new(),
             forgotten_ids: Vec::new(),
         }
     }
 
+    /// Notes the software of a replica, before the record that is told next.
+    pub fn note_software(&mut self, id: &str, version: &str) {
+        if let Some(entry) = self.entries.get(id) {
+            let record = Record { software: version.to_string(), ..entry.record.clone() };
+            self.take(record);
+        } else {
+            // What is left over belongs to replicas that there was no room for.
+            if self.awaited_software.len() >= MOST_AWAITED {
+                self.awaited_software.clear();
+            }
+            self.awaited_software.insert(id.to_string(), version.to_string());
+        }
+    }
+
     /// Takes a heartbeat that a replica sent here.
     pub fn heartbeat(&mut self, now: Millis, record: Record) -> Heard {
         if !self.entries.contains_key(&record.id) {
@@ -154,8 +174,8 @@
         self.take(lost);
     }
 
-    /// Takes a record that a peer, a controller or a subscriber told.
-    pub fn merge(&mut self, now: Millis, record: Record) -> Merged {
+    /// Takes a record that a peer, a controller or a subscriber told. One without software says nothing of it.
+    pub fn merge(&mut self, now: Millis, mut record: Record) -> Merged {
         let Some(entry) = self.entries.get_mut(&record.id) else {
             if record.state != State::Gone && self.live().count() >= self.limits.most_replicas {
                 return Merged::Same;
@@ -167,6 +187,9 @@
             entry.heard = now;
             entry.heard_beat = record.beat;
         }
+        if record.software.is_empty() {
+            record.software.clone_from(&entry.record.software);
+        }
         let told = record.clone();
         match self.take(record) {
             Merged::Same if self.get(&told.id).is_some_and(|known| known.says_more_than(&told)) => {
@@ -293,8 +316,11 @@
         }
     }
 
-    fn insert(&mut self, now: Millis, record: Record, heard_here: Option<Millis>) {
+    fn insert(&mut self, now: Millis, mut record: Record, heard_here: Option<Millis>) {
         let id = record.id.clone();
+        if let Some(software) = self.awaited_software.remove(&id) {
+            record.software = record.software.max(software);
+        }
         if record.state != State::Gone {
             self.by_address.insert(record.address, id.clone());
         }
--- a/crates/catalog/src/record.rs
+++ b/crates/catalog/src/record.rs
@@ -38,6 +38,8 @@
     pub models: Vec<ModelVersion>,
     /// How much longer it stays slow from its start, milliseconds, as of the heartbeat.
     pub cold_left_ms: u32,
+    /// Version of its software; empty where nobody told.
+    pub software: String,
 }
 
 impl Record {
@@ -53,6 +55,7 @@
             beat: 0,
             models: Vec::new(),
             cold_left_ms: 0,
+            software: String::new(),
         }
     }
 
@@ -74,6 +77,10 @@
         if greater.is_as_late_as(lesser) {
             greater.take_same_heartbeat(lesser);
         }
+        // It stays the same in a life, and a word that does not tell it takes nothing back.
+        if greater.software < lesser.software {
+            greater.software.clone_from(&lesser.software);
+        }
         greater.sorted()
     }
 
@@ -134,6 +141,7 @@
             || self.free_slots != before.free_slots
             || self.service != before.service
             || self.zone != before.zone
+            || self.software != before.software
             || (self.cold_left_ms == 0) != (before.cold_left_ms == 0)
     }
 }
--- a/crates/catalog/tests/catalogue.rs
+++ b/crates/catalog/tests/catalogue.rs
@@ -31,6 +31,7 @@
         beat,
         models: vec![ModelVersion { name: "m".to_string(), version: 1 }],
         cold_left_ms: 0,
+        software: "v1".to_string(),
     }
 }
 
--- a/crates/catalog/tests/numbers.rs
+++ b/crates/catalog/tests/numbers.rs
@@ -30,6 +30,7 @@
         beat,
         models: weights(version),
         cold_left_ms: 0,
+        software: "v1".to_string(),
     }
 }
 
@@ -104,6 +105,7 @@
     one.zone = ["north", "south"].choose(random).expect("some").to_string();
     one.service = ["reader", "writer"].choose(random).expect("some").to_string();
     one.cold_left_ms = random.random_range(0..3);
+    one.software = ["", "v1", "v2"].choose(random).expect("some").to_string();
     let names = ["m", "n", "o"].iter().filter(|_| random.random_bool(0.7)).collect::<Vec<_>>();
     let version = |name: &&str| ModelVersion { name: name.to_string(), version: random.random_range(1..4) };
     one.models = names.into_iter().map(version).collect();
--- a/crates/controller/src/command.rs
+++ b/crates/controller/src/command.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::change::{ConfigurationOrder, WeightsOrder};
+use crate::release_order;
 
 /// Longest body of an operator's call, bytes.
 pub const MOST_BODY_BYTES: usize = 3 * 1024 * 1024;
@@ -25,6 +26,10 @@
     Configure(Box<ConfigurationOrder>),
     /// The operator names a version of a model's weights.
     NameWeights(WeightsOrder),
+    /// The operator brings a version of a service's software in.
+    BeginRelease(rollout::Order),
+    /// The operator reads how far a service's newest release is.
+    ReadRelease { service: String },
     /// The operator reads the configuration.
     ReadConfiguration,
     /// The operator asks what this controller knows of the fleet.
@@ -82,6 +87,9 @@
     address: SocketAddrV4,
     #[serde(default)]
     zone: String,
+    /// Of its software.
+    #[serde(default)]
+    version: String,
     #[serde(default)]
     free_slots: u32,
     state: String,
@@ -123,9 +131,19 @@
         ("GET", ["config", "read"]) => Ok(Command::ReadConfiguration),
         ("GET", ["fleet", "status"]) => Ok(Command::ShowStatus),
         ("POST", ["version-put"]) => name_weights(operator_body(call)?),
-        (_, ["nodes", _, "heartbeat" | "leave"] | ["config", _] | ["version-put"] | ["fleet", "status"]) => {
-            Err(Reply::refusal(405, "this path takes another method"))
+        ("POST", ["releases", "begin"]) => {
+            Ok(Command::BeginRelease(release_order::read(operator_body(call)?)?))
         }
+        ("GET", ["releases", service, "read"]) => Ok(Command::ReadRelease { service: service.to_string() }),
+        (
+            _,
+            ["nodes", _, "heartbeat" | "leave"]
+            | ["config", _]
+            | ["version-put"]
+            | ["fleet", "status"]
+            | ["releases", "begin"]
+            | ["releases", _, "read"],
+        ) => Err(Reply::refusal(405, "this path takes another method")),
         _ => Err(Reply::refusal(404, "no such path; see the operator's API")),
     }
 }
@@ -175,6 +193,9 @@
     if heartbeat.service.is_empty() || heartbeat.service.len() > MOST_NAME_BYTES {
         return Err(Reply::refusal(400, "service must be named"));
     }
+    if heartbeat.version.len() > MOST_NAME_BYTES {
+        return Err(Reply::refusal(400, "version is too long"));
+    }
     let models = heartbeat.models.into_iter();
     Ok(Command::Heartbeat(Box::new(Record {
         id: id.to_string(),
@@ -186,6 +207,7 @@
         beat: heartbeat.call_count,
         models: models.map(|model| ModelVersion { name: model.name, version: model.version }).collect(),
         cold_left_ms: heartbeat.cold_left_ms.clamp(0.0, f64::from(u32::MAX)) as u32,
+        software: heartbeat.version,
     })))
 }
 
--- a/crates/controller/src/event.rs
+++ b/crates/controller/src/event.rs
@@ -29,6 +29,14 @@
     WeightsNamed = 2023,
     /// The holder of the duty can't be read.
     DutyUnreadable = 2024,
+    /// The releases in their register can't be read.
+    ReleasesUnreadable = 2025,
+    /// A release of a service's software is ordered.
+    ReleaseOrdered = 2026,
+    /// A release is in another phase.
+    ReleaseStep = 2027,
+    /// This controller proposes a step of a release.
+    ReleaseProposed = 2028,
     /// Something is new of a replica.
     ReplicaNews = 2030,
     /// A replica ended.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod kv_events;
 pub mod machine;
 pub mod program;
+mod release_order;
 mod replica_calls;
 pub mod surroundings;
 pub mod values;
--- a/crates/controller/src/machine/agents.rs
+++ b/crates/controller/src/machine/agents.rs
@@ -1,6 +1,6 @@
 //! What passes between a controller and the agents that subscribe to it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use feed::{Subscriber, UrgentChange, View};
 use links::LinkId;
@@ -35,6 +35,8 @@
     subscriber: Subscriber,
     /// It can say which kept parts it wants to hear of.
     asks: bool,
+    /// The version of the protocol that it speaks.
+    protocol: u16,
     /// A batch is on its way; the next one waits for its end, so that a slow agent holds one batch only.
     busy: bool,
 }
@@ -64,7 +66,7 @@
         let mut subscriber = Subscriber::new(hello.configuration).with_pause(READY_EVERY_MS);
         subscriber.set_tells_ready(hello.protocol < peer::TELLS_HOME);
         let asks = hello.protocol >= peer::TELLS_INTEREST;
-        self.links.insert(link, Agent { machine, subscriber, asks, busy: false });
+        self.links.insert(link, Agent { machine, subscriber, asks, protocol: hello.protocol, busy: false });
         self.narrow();
         self.has_asked = true;
         self.next_feed = now;
@@ -130,6 +132,19 @@
         self.has_asked = true;
     }
 
+    /// Whether some agent is of a release that knows no releases of services.
+    pub fn know_no_releases(&self) -> bool {
+        self.links.values().any(|agent| agent.protocol < peer::TELLS_RELEASES)
+    }
+
+    /// Machines whose agents are linked, or were so lately.
+    pub fn in_touch(&self, now: Millis, within_ms: Millis) -> Vec<String> {
+        let linked: BTreeSet<&String> = self.links.values().map(|agent| &agent.machine).collect();
+        let seen = self.seen.iter().filter(|(_, seen)| now.saturating_sub(**seen) < within_ms);
+        let lately = seen.map(|(machine, _)| machine).collect();
+        linked.union(&lately).map(|machine| (*machine).clone()).collect()
+    }
+
     /// Number of agents that are linked now.
     pub fn linked(&self) -> usize {
         self.links.len()
@@ -162,6 +177,7 @@
                     self.agents.next_feed = at.now;
                 }
             }
+            Message::Software(software) => self.view.take_software(&software),
             // An agent passes on which replicas others call lost.
             Message::Replicas(replicas) => {
                 self.take_replicas(at, &replicas);
@@ -171,6 +187,11 @@
                     agent.subscriber.has_configuration(alive.configuration);
                 }
             }
+            Message::ReleaseReport(report) => {
+                if let Some(machine) = self.agents.links.get(&link).map(|agent| agent.machine.clone()) {
+                    self.release_reported(at.now, machine, &report);
+                }
+            }
             Message::Loads(news) => self.loads.agent_told(at.now, link, &news),
             Message::Interest(interest) => {
                 self.view.prefixes.ask(at.now, &interest.parts);
--- a/crates/controller/src/machine/calls.rs
+++ b/crates/controller/src/machine/calls.rs
@@ -11,6 +11,7 @@
 use crate::command::{too_large, Command, Reply};
 use crate::event::ControllerEvent;
 use crate::machine::contact::without_contact;
+use crate::machine::releases::{read_reply, ReleaseOrder};
 use crate::machine::{CallId, Effect, Machine, Moment};
 use crate::values::{ConfigurationValue, ValueError, WeightsValue};
 use crate::Millis;
@@ -18,7 +19,7 @@
 /// An operator's call ends within this: callers move on after a second of silence.
 pub(crate) const CALL_MS: Millis = 850;
 /// When a caller that was refused may come back.
-const RETRY_AFTER_MS: u64 = 200;
+pub(crate) const RETRY_AFTER_MS: u64 = 200;
 
 /// A request at the register that is under way.
 #[derive(Debug)]
@@ -27,6 +28,8 @@
     Call { call: CallId, kind: CallKind },
     /// For the duty.
     Duty,
+    /// For a step of a release.
+    ReleaseStep,
 }
 
 /// What a call wants of the register.
@@ -34,6 +37,8 @@
 pub(crate) enum CallKind {
     Configure(Arc<ConfigurationOrder>),
     NameWeights(WeightsOrder),
+    BeginRelease(ReleaseOrder),
+    ReadRelease { service: String },
     Read,
 }
 
@@ -52,6 +57,8 @@
             Command::Leave { id } => self.replica_leaves(at, call, id),
             Command::Configure(order) => self.configure(at, call, *order, out),
             Command::NameWeights(order) => self.name_weights(at, call, order, out),
+            Command::BeginRelease(order) => self.begin_release(at, call, order, out),
+            Command::ReadRelease { service } => self.read_release(at, call, service, out),
             Command::ShowStatus => {
                 let reply = Reply::new(200, self.status(at));
                 self.replies.push(Effect::Reply { call, reply });
@@ -165,6 +172,9 @@
     match outcome {
         Outcome::Decided { .. } => Reply::empty(200),
         Outcome::Kept { current } => kept(kind, at, current.as_ref()),
+        Outcome::Read { current } if matches!(kind, CallKind::ReadRelease { .. }) => {
+            kept(kind, at, current.as_ref())
+        }
         Outcome::Read { current: Some(current) } => body(&current),
         Outcome::Read { current: None } => Reply::refusal(404, "no configuration has been taken yet"),
         Outcome::Unclear => {
@@ -191,6 +201,8 @@
     let changed = || Reply::later(503, "another change came in between; try again", RETRY_AFTER_MS);
     match kind {
         CallKind::Read => current.map_or_else(|| Reply::refusal(404, "no configuration yet"), body),
+        CallKind::ReadRelease { service } => read_reply(service, current),
+        CallKind::BeginRelease(order) => order.kept(at, current),
         CallKind::Configure(order) => match judge(order, current) {
             Ok(Verdict::Taken) => Reply::empty(200),
             Ok(Verdict::OtherVersion(version)) => Reply::refusal(
--- a/crates/controller/src/machine/duties.rs
+++ b/crates/controller/src/machine/duties.rs
@@ -198,7 +198,7 @@
     }
 
     /// Place of this controller among those alive.
-    fn rank(&self) -> u64 {
+    pub(crate) fn rank(&self) -> u64 {
         self.membership.alive().filter(|member| member.peer < self.me.peer).count() as u64
     }
 
--- a/crates/controller/src/machine/mod.rs
+++ b/crates/controller/src/machine/mod.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod loads;
 mod peers;
+mod releases;
 mod sources;
 mod status;
 
@@ -35,6 +36,7 @@
 pub use contact::CONTACT_LEASE_MS;
 use loads::LoadExchange;
 use peers::{Absence, Peers};
+use releases::ReleaseDuty;
 
 /// The moment of an input.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -176,6 +178,7 @@
     view: View,
     holder: Holder,
     moves: Moves,
+    releases: ReleaseDuty,
     loads: LoadExchange,
     peers: Peers,
     agents: Agents,
@@ -220,6 +223,7 @@
             view,
             holder: Holder::new(now, me.peer, timing.lease_ms),
             moves: Moves::new(timing.version_ms),
+            releases: ReleaseDuty::default(),
             loads: LoadExchange::default(),
             peers: Peers::default(),
             agents: Agents::default(),
@@ -345,6 +349,7 @@
             self.compare_membership(at, out);
             self.update_fleet(at.now);
             self.consider_duty(at, out);
+            self.consider_releases(at, out);
             self.view.forget_prefixes_of_ended();
             self.agents.forget_parts(at.now);
             self.view.prefixes.forget_unwanted(at.now);
@@ -364,6 +369,11 @@
         let Some(register) = &mut self.register else { return };
         let mut effects = Vec::new();
         register.step(at.now, input, &mut effects);
+        self.run_register(at, effects, out);
+        self.tell_held_back();
+    }
+
+    fn run_register(&mut self, at: Moment, effects: Vec<RegisterEffect>, out: &mut Vec<Effect>) {
         for effect in effects {
             match effect {
                 RegisterEffect::Send { to, message } => self.send_register(to, &message, out),
@@ -388,6 +398,7 @@
             RegisterKey::Configuration => self.learned_configuration(bytes),
             RegisterKey::Weights => self.learned_weights(at, bytes),
             RegisterKey::Duty => self.learned_duty(at, bytes),
+            RegisterKey::Releases => self.learned_releases(at, bytes),
             RegisterKey::Members => {}
         }
     }
@@ -397,6 +408,10 @@
             Ok(value) => value,
             Err(why) => return ControllerEvent::ConfigurationUnreadable.error(format_args!("{why}")),
         };
+        self.take_or_hold_back(value);
+    }
+
+    fn take_configuration(&mut self, value: ConfigurationValue) {
         self.note_stores(&value.body);
         match self.view.take_configuration(value.version, value.body) {
             Ok(_) => ControllerEvent::ConfigurationDecided
@@ -437,6 +452,7 @@
                 self.replies.push(Effect::Reply { call, reply });
             }
             Pending::Duty => self.duty_settled(at, outcome),
+            Pending::ReleaseStep => self.release_settled(at, outcome),
         }
     }
 }
--- a/crates/controller/src/machine/peers.rs
+++ b/crates/controller/src/machine/peers.rs
@@ -47,7 +47,7 @@
 
     /// The messages that are due.
     fn messages(&mut self, now: Millis, view: &View) -> Vec<Message> {
-        let mut messages = Vec::from_iter(self.replicas.message(now, view));
+        let mut messages = self.replicas.messages(now, view);
         if !self.replicas.is_up_to_date(view) {
             return messages;
         }
@@ -105,6 +105,12 @@
         self.links.keys().copied().collect()
     }
 
+    /// Whether some controller is of a release that knows no releases of services.
+    pub fn knows_no_releases(&self) -> bool {
+        let of_linked = self.protocols.iter().filter(|(peer, _)| self.links.contains_key(*peer));
+        of_linked.into_iter().any(|(_, protocol)| *protocol < peer::TELLS_RELEASES)
+    }
+
     /// Whether a controller is of a release that keeps no ends on disk.
     pub fn keeps_no_ends(&self, peer: SocketAddrV4) -> bool {
         self.protocols.get(&peer).is_some_and(|protocol| *protocol < peer::KEEPS_ENDS)
@@ -146,6 +152,7 @@
                 }
                 Err(why) => ControllerEvent::MembershipMessage.warn(format_args!("from {from}: {why}")),
             },
+            Message::Software(software) => self.view.take_software(&software),
             Message::Replicas(replicas) => {
                 self.take_replicas(at, &replicas);
             }
--- a/crates/controller/src/machine/status.rs
+++ b/crates/controller/src/machine/status.rs
@@ -4,6 +4,7 @@
 
 use catalog::State;
 use membership::Status as MemberStatus;
+use rollout::Release;
 use serde::Serialize;
 use weights::Namings;
 
@@ -25,6 +26,7 @@
     agents: usize,
     weights: Vec<WeightsStatus<'a>>,
     duty: DutyStatus,
+    releases: Vec<ReleaseStatus<'a>>,
     replicas: BTreeMap<&'a str, ServiceStatus>,
 }
 
@@ -65,6 +67,21 @@
     under_way: usize,
 }
 
+/// The newest release of a service.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct ReleaseStatus<'a> {
+    service: &'a str,
+    number: u64,
+    to_version: &'a str,
+    over_ms: Millis,
+    phase: String,
+    /// Why it is in that phase, with the figures of the judgement.
+    reason: &'a str,
+    /// What this controller has seen of it, while it is under way.
+    judgement: Option<String>,
+}
+
 /// Numbers of a service's replicas by state.
 #[derive(Debug, Default, Serialize)]
 struct ServiceStatus {
@@ -96,6 +113,7 @@
                 mine: self.holder.is_mine(),
                 under_way: self.moves.under_way().count(),
             },
+            releases: self.release_statuses(),
             replicas: self.service_statuses(),
         };
         serde_json::to_vec(&status).unwrap_or_default()
@@ -136,6 +154,24 @@
         WeightsStatus { model, version, holding, serving: versions.len(), behind_ms }
     }
 
+    fn release_statuses(&self) -> Vec<ReleaseStatus<'_>> {
+        let services = self.view.releases().services().iter();
+        let newest = services.filter_map(|known| Some((known.service(), known.newest()?)));
+        newest.map(|(service, release)| self.release_status(service, release)).collect()
+    }
+
+    fn release_status<'a>(&'a self, service: &'a str, release: &'a Release) -> ReleaseStatus<'a> {
+        ReleaseStatus {
+            service,
+            number: release.number,
+            to_version: release.to_version(),
+            over_ms: release.over_ms,
+            phase: release.phase.to_string(),
+            reason: release.reason(),
+            judgement: self.judgement_of(release),
+        }
+    }
+
     fn service_statuses(&self) -> BTreeMap<&str, ServiceStatus> {
         let mut services: BTreeMap<&str, ServiceStatus> = BTreeMap::new();
         for record in self.view.replicas.live() {
--- a/crates/controller/tests/contracts.rs
+++ b/crates/controller/tests/contracts.rs
@@ -103,6 +103,7 @@
         beat: 1,
         models: vec![ModelVersion { name: "m".into(), version }],
         cold_left_ms: 0,
+        software: "v1".to_string(),
     }
 }
 
--- a/crates/controller/tests/moves.rs
+++ b/crates/controller/tests/moves.rs
@@ -23,6 +23,7 @@
         beat: 1,
         models: vec![ModelVersion { name: MODEL.to_string(), version }],
         cold_left_ms: 0,
+        software: "v1".to_string(),
     }
 }
 
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -86,6 +86,8 @@
     last_arrival: BTreeMap<(usize, usize), u64>,
     /// The records that each controller has sent to each other one on their present link.
     told: BTreeMap<(usize, usize), BTreeMap<String, Record>>,
+    /// The same of their software, which goes before the records.
+    told_software: BTreeMap<(usize, usize), BTreeMap<String, String>>,
     /// Messages on replicas that controllers have sent each other.
     pub replica_messages: usize,
     agents: Vec<AgentState>,
@@ -120,6 +122,7 @@
             flights: Vec::new(),
             last_arrival: BTreeMap::new(),
             told: BTreeMap::new(),
+            told_software: BTreeMap::new(),
             replica_messages: 0,
             agents: Vec::new(),
             seen: Vec::new(),
@@ -259,6 +262,7 @@
                 let peer = address(to);
                 if reachable && self.up.insert((from, to)) {
                     self.told.remove(&(from, to));
+                    self.told_software.remove(&(from, to));
                     self.step(from, Input::PeerUp { peer });
                     let protocol = self.protocol;
                     self.step(to, Input::PeerHello { peer: address(from), protocol });
@@ -439,11 +443,19 @@
     /// A heartbeat's number goes behind what the heartbeat told: the receiver may put it on what it knows.
     fn check_numbers(&mut self, from: usize, to: usize, message: &Message) {
         let told = self.told.entry((from, to)).or_default();
+        let software = self.told_software.entry((from, to)).or_default();
         match message {
+            Message::Software(news) => {
+                let news = news.replicas.iter();
+                software.extend(news.map(|one| (one.id.to_string(), one.version.to_string())));
+            }
             Message::Replicas(replicas) => {
                 self.replica_messages += 1;
                 let records = replicas.records.iter().map(record_from_wire);
-                told.extend(records.map(|record| (record.id.clone(), record)));
+                for mut record in records {
+                    record.software = software.get(&record.id).cloned().unwrap_or_default();
+                    told.insert(record.id.clone(), record);
+                }
             }
             Message::Beats(beats) => {
                 let Some(machine) = self.hosts[from].machine.as_ref() else { return };
--- a/crates/dispatch/src/call.rs
+++ b/crates/dispatch/src/call.rs
@@ -27,6 +27,8 @@
 pub struct Ask {
     /// The service of its route.
     pub service: Rc<str>,
+    /// Its route, by [`peer::replica_key`] of the name.
+    pub route: u32,
     /// What its route allows.
     pub rules: Rules,
     /// `Model`, if it names one.
--- a/crates/dispatch/src/candidates.rs
+++ b/crates/dispatch/src/candidates.rs
@@ -8,19 +8,30 @@
 use crate::mechanisms::Mechanism;
 use crate::moving::{Known, KnownVersion};
 use crate::replica::Replica;
+use crate::versions::Side;
 use evidence::Ms;
 use load::Load;
 use prefix_index::{Kept, Part, ReplicaNumber};
 
 impl Dispatcher {
-    /// The replicas that a call may be sent to.
+    /// The replicas that a call may be sent to, of the version of their software that is to get it.
     pub(crate) fn candidates(&mut self, call: &Call, now: Ms) -> Result<(Vec<Candidate>, Known), Final> {
+        let side = self.side(call, now);
+        let found = self.candidates_of(call, side, now);
+        match self.other_side(call, side, now).filter(|_| found.is_err()) {
+            Some(other) => self.candidates_of(call, other, now),
+            None => found,
+        }
+    }
+
+    fn candidates_of(&mut self, call: &Call, side: Side, now: Ms) -> Result<(Vec<Candidate>, Known), Final> {
         let Some(service) = self.services.get(&*call.ask.service) else {
             return Err(call.give_up(Cause::NoReplica, COME_BACK));
         };
         let is_open = |replica: &&Replica| replica.is_ready() && !call.tried.contains(&replica.number);
         let open: Vec<&Replica> =
             service.replicas.iter().filter_map(|number| self.replicas.get(number)).filter(is_open).collect();
+        let open = self.of_side(&call.ask.service, side, open, now);
         if open.is_empty() {
             return Err(call
                 .give_up(if call.tried.is_empty() { Cause::NoReplica } else { Cause::NoTries }, COME_BACK));
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -10,6 +10,7 @@
 use crate::salt::Salts;
 use crate::speed::Speed;
 use crate::twins::Twins;
+use crate::versions::Versions;
 use evidence::Ms;
 use peer::{Prefixes, ReplicaRecord, ReplicaState, UNREACHABLE};
 use prefix_index::{Part, PartKey, PrefixIndex, ReplicaNumber, Source};
@@ -41,6 +42,8 @@
     pub extra_tries: f64,
     /// Time to move to a named version of a model, ms.
     pub version: Ms,
+    /// The part of a service's requests that a bad version of its software may get.
+    pub bad_share: f64,
 }
 
 /// What is known of a service.
@@ -74,6 +77,7 @@
     pub(crate) seen_parts: Vec<PartKey>,
     pub(crate) random: SmallRng,
     pub(crate) mechanisms: Mechanisms,
+    pub(crate) versions: Versions,
     pub(crate) figures: Figures,
     twin_part: f64,
 }
@@ -100,6 +104,7 @@
             seen_parts: Vec::new(),
             random: SmallRng::seed_from_u64(seed),
             mechanisms: Mechanisms::default(),
+            versions: Versions::default(),
             figures: Figures::default(),
             twin_part: 0.0,
         }
@@ -194,7 +199,8 @@
         }
         let number = ReplicaNumber(self.next_number);
         let (id, service) = (id.to_string(), record.service.to_string());
-        let Some(replica) = Replica::new(number, record) else { return };
+        let software = self.versions.software_of(&id, &service);
+        let Some(replica) = Replica::new(number, record, software) else { return };
         self.next_number += 1;
         self.numbers.insert(id, number);
         let twins = Twins::new(self.twin_part);
@@ -297,6 +303,7 @@
     /// A client's request has come.
     pub fn begin(&mut self, ask: Ask, now: Ms) -> Call {
         self.budget(&ask.service).request(now);
+        self.count_route(&ask.service, ask.route);
         if let Some(service) = self.services.get_mut(&*ask.service) {
             service.twins.request();
         }
--- a/crates/dispatch/src/judging.rs
+++ b/crates/dispatch/src/judging.rs
@@ -52,7 +52,13 @@
 
     /// A send has ended; tells what follows.
     pub fn ended(&mut self, call: &mut Call, number: ReplicaNumber, outcome: Outcome, now: Ms) -> Next {
-        let expected = self.release(call, number, outcome, now).and_then(|out| out.version);
+        let out = self.release(call, number, outcome, now);
+        if let Some(out) = &out {
+            let rate = self.read_rate(&call.ask.service);
+            let explained = rate.reading(out.work.unread() as u32) + out.work.moving;
+            self.note_release(call, number, outcome, now - out.at - explained);
+        }
+        let expected = out.and_then(|out| out.version);
         self.judge(call, number, expected, outcome, now);
         call.note(outcome);
         match outcome {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod sending;
 mod speed;
 mod twins;
+mod versions;
 
 pub use budget::{BudgetLimits, RetryBudget};
 pub use call::{Ask, Call, Final, Next, Outcome, Rules, Target};
--- a/crates/dispatch/src/moving.rs
+++ b/crates/dispatch/src/moving.rs
@@ -82,7 +82,7 @@
     fn holder(&self, kept: &Kept, now: Ms) -> Option<Holder<'_>> {
         if let Some(replica) = self.replicas.get(&kept.replica) {
             let (address, zone) = (replica.address, replica.record.zone.as_str());
-            let is_usable = replica.is_ready() && replica.is_well(now);
+            let is_usable = replica.is_ready() && replica.is_well(now) && self.may_be_read(replica);
             return is_usable.then_some(Holder { address, zone, tokens: kept.tokens, link_mbps: None });
         }
         let store = self.stores.numbered(kept.replica)?;
--- a/crates/dispatch/src/replica.rs
+++ b/crates/dispatch/src/replica.rs
@@ -17,6 +17,8 @@
     pub key: u32,
     pub address: SocketAddrV4,
     pub record: ReplicaRecord,
+    /// Version of its software; empty where nobody told.
+    pub software: String,
     pub health: Health,
     /// Calls of this proxy that are out.
     pub out: u32,
@@ -28,7 +30,7 @@
 
 impl Replica {
     /// `None` if the record holds no address.
-    pub fn new(number: ReplicaNumber, record: ReplicaRecord) -> Option<Replica> {
+    pub fn new(number: ReplicaNumber, record: ReplicaRecord, software: String) -> Option<Replica> {
         let id = Rc::from(record.id.as_str());
         let key = replica_key(record.id.as_str());
         let address = record.address.socket()?;
@@ -39,6 +41,7 @@
             key,
             address,
             record,
+            software,
             health,
             out: 0,
             pending_tokens: 0.0,
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -81,7 +81,8 @@
         let may_repeat = call.ask.rules.is_idempotent && call.ask.rules.tries >= 2 && call.sends == 1;
         // The send itself is one of the calls out there.
         let is_first_alone = self.replicas.get(&first).is_some_and(|replica| replica.out <= 1);
-        if !may_repeat || !is_first_alone || !self.twins_allowed(call, now) {
+        // What a twin hides is not seen of a version on trial.
+        if !may_repeat || !is_first_alone || self.is_on_trial(first) || !self.twins_allowed(call, now) {
             return None;
         }
         let twin = self.send(call, now).ok()?;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -13,7 +13,7 @@
 pub const START: Ms = 100_000.0;
 
 pub const BOUNDS: Bounds =
-    Bounds { retry_ratio: 0.2, retry_window: 10_000.0, extra_tries: 40.0, version: 6_000.0 };
+    Bounds { retry_ratio: 0.2, retry_window: 10_000.0, extra_tries: 40.0, version: 6_000.0, bad_share: 0.1 };
 
 /// A ready replica of service `s` with model `m` at a version.
 pub fn record(number: u8, version: u64) -> ReplicaRecord {
@@ -41,6 +41,7 @@
 
 pub fn ask(is_idempotent: bool, tries: u32) -> Ask {
     Ask {
+        route: 1,
         service: Rc::from("s"),
         rules: Rules { is_idempotent, tries },
         model: None,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -15,8 +15,9 @@
 pub use interest::{Asked, Wanted, ASK_AGAIN_MS, FORGET_MS};
 pub use namings::namings_from_wire;
 pub use prefixes::{PrefixFeed, PrefixTable};
-pub use records::{record_from_wire, record_to_wire, report_from_wire, report_to_wire};
+pub use records::{messages_of_records, record_from_wire, record_to_wire, report_from_wire, report_to_wire};
 pub use replicas::ReplicaFeed;
+pub use rollout::Releases;
 pub use subscriber::{Subscriber, HOME_FIRST_MS};
 pub use view::{ReplicasTaken, UrgentChange, View};
 
--- a/crates/feed/src/records.rs
+++ b/crates/feed/src/records.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use catalog::{ModelVersion, Record, State, WeightsReport};
-use peer::{ReplicaRecord, ReplicaState};
+use peer::{Message, ReplicaRecord, ReplicaSoftware, ReplicaState, Replicas, Software};
 
 /// A record as it is sent.
 pub fn record_to_wire(record: &Record) -> ReplicaRecord {
@@ -38,9 +38,26 @@
         beat: wire.beat,
         models: models_from_wire(&wire.models),
         cold_left_ms: wire.cold_left_ms,
+        software: String::new(),
     }
 }
 
+/// Messages that tell of these records: their software first, so that whoever knows of a replica knows what it runs.
+pub fn messages_of_records(records: &[Record]) -> Vec<Message> {
+    if records.is_empty() {
+        return Vec::new();
+    }
+    let known = records.iter().filter(|record| !record.software.is_empty());
+    let software = |record: &Record| ReplicaSoftware {
+        id: record.id.as_str().into(),
+        version: record.software.as_str().into(),
+    };
+    let software: Vec<ReplicaSoftware> = known.map(software).collect();
+    let software = (!software.is_empty()).then(|| Message::Software(Software::from(software)));
+    let records: Vec<ReplicaRecord> = records.iter().map(record_to_wire).collect();
+    software.into_iter().chain([Message::Replicas(Replicas::from(records))]).collect()
+}
+
 /// A report as it is sent.
 pub fn report_to_wire(report: &WeightsReport) -> peer::WeightsReport {
     peer::WeightsReport::new(&report.id, report.after_beat, models_to_wire(&report.models))
--- a/crates/feed/src/replicas.rs
+++ b/crates/feed/src/replicas.rs
@@ -7,9 +7,9 @@
 //! thousands at a time.
 
 use catalog::{Record, State};
-use peer::{Message, Replicas};
+use peer::Message;
 
-use crate::records::record_to_wire;
+use crate::records::messages_of_records;
 use crate::view::View;
 use crate::Millis;
 
@@ -58,7 +58,7 @@
     }
 
     /// The records that the receiver has not got yet and that are due; what is returned counts as sent.
-    pub fn message(&mut self, now: Millis, view: &View) -> Option<Message> {
+    pub fn messages(&mut self, now: Millis, view: &View) -> Vec<Message> {
         let newest = view.replicas.last_change();
         let mut records = Vec::new();
         if self.seen_urgent != Some(newest) {
@@ -70,8 +70,7 @@
             self.seen_ready = Some(newest);
             self.next_ready = now + self.pause;
         }
-        let records: Vec<_> = records.iter().map(record_to_wire).collect();
-        (!records.is_empty()).then(|| Message::Replicas(Replicas::from(records)))
+        messages_of_records(&records)
     }
 }
 
--- a/crates/feed/src/subscriber.rs
+++ b/crates/feed/src/subscriber.rs
@@ -31,6 +31,8 @@
     lacks_since: Option<Millis>,
     replicas: ReplicaFeed,
     weights: u64,
+    /// Revision of the releases that were sent.
+    releases: u64,
     fleet: u64,
     alive_at: Option<Millis>,
     prefixes: PrefixFeed,
@@ -46,6 +48,7 @@
             lacks_since: None,
             replicas: ReplicaFeed::of_home(0),
             weights: 0,
+            releases: 0,
             fleet: 0,
             alive_at: None,
             prefixes: PrefixFeed::default(),
@@ -123,7 +126,9 @@
     /// newest proof that the feeder's knowledge is the majority's.
     pub fn messages(&mut self, now: Millis, view: &View, majority_age_ms: u32) -> Vec<Message> {
         let mut messages = Vec::new();
-        messages.extend(self.replicas.message(now, view));
+        // Before all that they decide on.
+        messages.extend(self.releases(view));
+        messages.extend(self.replicas.messages(now, view));
         messages.extend(self.configuration(now, view));
         messages.extend(self.weights(now, view));
         messages.extend(self.fleet(view));
@@ -168,6 +173,14 @@
         })
     }
 
+    fn releases(&mut self, view: &View) -> Option<Message> {
+        let newest = view.releases().revision;
+        (self.releases < newest).then(|| {
+            self.releases = newest;
+            Message::Releases(view.releases().bytes().into())
+        })
+    }
+
     fn fleet(&mut self, view: &View) -> Option<Message> {
         (self.fleet != view.fleet_change).then(|| {
             self.fleet = view.fleet_change;
--- a/crates/feed/src/view.rs
+++ b/crates/feed/src/view.rs
@@ -4,7 +4,8 @@
 
 use catalog::{Catalog, Limits, Merged, Record, State};
 use configuration::ConfigurationError;
-use peer::{Address, Fleet, Weights};
+use peer::{Address, Fleet, Software, Weights};
+use rollout::Releases;
 use weights::{NamedWeights, Naming};
 
 use crate::held::{ConfigurationTaken, HeldConfiguration};
@@ -28,6 +29,7 @@
     replicas: u64,
     configuration: u64,
     weights: u64,
+    releases: u64,
 }
 
 /// Knowledge of the fleet, merged from whoever tells it. Never goes back within the life of the process.
@@ -38,6 +40,7 @@
     configuration: Option<HeldConfiguration>,
     weights: NamedWeights,
     pub(crate) weights_change: u64,
+    releases: Releases,
     controllers: Vec<SocketAddrV4>,
     proxies: u32,
     pub(crate) fleet_change: u64,
@@ -51,6 +54,7 @@
             configuration: None,
             weights: NamedWeights::default(),
             weights_change: 0,
+            releases: Releases::default(),
             controllers: Vec::new(),
             proxies: 0,
             fleet_change: 0,
@@ -61,13 +65,14 @@
         self.configuration.as_ref()
     }
 
-    /// How far this view has got in what subscribers must hear at once: configurations, named weights, and replicas that
-    /// drain or have ended.
+    /// How far this view has got in what subscribers must hear at once: configurations, named weights, releases, and
+    /// replicas that drain or have ended.
     pub fn urgent_change(&self) -> UrgentChange {
         UrgentChange {
             replicas: self.replicas.last_urgent_change(),
             configuration: self.configuration_version(),
             weights: self.weights_change,
+            releases: self.releases.revision,
         }
     }
 
@@ -75,7 +80,7 @@
     pub fn newest_change(&self) -> u64 {
         let replicas = self.replicas.last_change();
         let others = self.prefixes.last_step() + self.weights_change + self.fleet_change;
-        replicas + others + self.configuration_version()
+        replicas + others + self.configuration_version() + self.releases.revision
     }
 
     /// Version of the configuration held, 0 for none.
@@ -122,6 +127,27 @@
         }
     }
 
+    /// The releases of the services' software.
+    pub fn releases(&self) -> &Releases {
+        &self.releases
+    }
+
+    /// Takes releases in, if they are newer. Whether they are.
+    pub fn take_releases(&mut self, releases: Releases) -> bool {
+        let is_news = releases.revision > self.releases.revision;
+        if is_news {
+            self.releases = releases;
+        }
+        is_news
+    }
+
+    /// Takes the software of replicas, which is told before their records.
+    pub fn take_software(&mut self, software: &Software) {
+        for replica in &software.replicas {
+            self.replicas.note_software(replica.id.as_str(), replica.version.as_str());
+        }
+    }
+
     /// Takes records of replicas. Where this view knows better than the sender, it is told again to all.
     pub fn take_replicas(&mut self, now: Millis, replicas: &peer::Replicas) -> ReplicasTaken {
         let mut taken = ReplicasTaken::default();
--- a/crates/feed/tests/replicas.rs
+++ b/crates/feed/tests/replicas.rs
@@ -27,12 +27,18 @@
         beat,
         models: Vec::new(),
         cold_left_ms: 0,
+        software: "v1".to_string(),
     };
     view.replicas.heartbeat(now, record);
 }
 
 fn told(feed: &mut ReplicaFeed, now: u64, view: &View) -> Vec<(String, ReplicaState)> {
-    let Some(Message::Replicas(replicas)) = feed.message(now, view) else { return Vec::new() };
+    let messages = feed.messages(now, view);
+    let [Message::Software(software), Message::Replicas(replicas)] = messages.as_slice() else {
+        assert!(messages.is_empty(), "software goes before its records: {messages:?}");
+        return Vec::new();
+    };
+    assert_eq!(software.replicas.len(), replicas.records.len());
     replicas.records.iter().map(|record| (record.id.as_str().to_string(), record.state)).collect()
 }
 
@@ -121,14 +127,14 @@
             }
             _ => {
                 let feed = random.random_range(0..2);
-                if let Some(Message::Replicas(news)) = feeds[feed].message(step, &view) {
+                if let Some(Message::Replicas(news)) = feeds[feed].messages(step, &view).pop() {
                     receiver.take_replicas(step, &news);
                 }
             }
         }
     }
     for feed in &mut feeds {
-        if let Some(Message::Replicas(news)) = feed.message(5_000, &view) {
+        if let Some(Message::Replicas(news)) = feed.messages(5_000, &view).pop() {
             receiver.take_replicas(5_000, &news);
         }
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 mod frame;
 mod message;
 mod parts;
+mod release;
 mod replica;
 mod text;
 
@@ -15,10 +16,12 @@
 pub use message::{
     Alive, Blob, Configuration, Fleet, Hello, Interest, Loads, Message, NamedVersion, PartChange, Prefixes,
     ReplicaLoad, Role, Subscription, Weights, KEEPS_ENDS, MOST_CHANGES, MOST_RECORDS, NEVER, PROTOCOL,
-    TELLS_HOME, TELLS_INTEREST, UNREACHABLE,
+    TELLS_HOME, TELLS_INTEREST, TELLS_RELEASES, UNREACHABLE,
 };
 pub use parts::{part_key, replica_key};
+pub use release::{BucketCount, ReleaseAnswers, ReleaseReport};
 pub use replica::{
-    Beat, Beats, Ends, ModelVersion, ReplicaRecord, ReplicaState, Replicas, WeightsReport, WeightsReports,
+    Beat, Beats, Ends, ModelVersion, ReplicaRecord, ReplicaSoftware, ReplicaState, Replicas, Software,
+    WeightsReport, WeightsReports,
 };
 pub use text::{Address, Text};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,11 +1,12 @@
 //! The messages. Numbers and fields are only ever added.
 
-use crate::replica::{Beats, Ends, Replicas, WeightsReports};
+use crate::release::ReleaseReport;
+use crate::replica::{Beats, Ends, Replicas, Software, WeightsReports};
 use crate::{Address, Text};
 use deku::prelude::*;
 
 /// The version of the protocol that this program speaks.
-pub const PROTOCOL: u16 = 4;
+pub const PROTOCOL: u16 = 5;
 /// From this version on, agents tell which parts of prompts they want to hear of ([`Interest`]).
 pub const TELLS_INTEREST: u16 = 2;
 
@@ -15,6 +16,9 @@
 /// From this version on, controllers keep ends of replicas on disk for each other ([`Message::KeepEnds`]).
 pub const KEEPS_ENDS: u16 = 4;
 
+/// From this version on, processes know releases of services' software ([`Message::Releases`]).
+pub const TELLS_RELEASES: u16 = 5;
+
 /// An age that means: not yet, or longer ago than can be said.
 pub const NEVER: u32 = u32::MAX;
 
@@ -304,6 +308,15 @@
     /// Weights that replicas were seen to hold between two beats.
     #[deku(id = "17")]
     WeightsReports(WeightsReports),
+    /// All releases, in their own encoding.
+    #[deku(id = "18")]
+    Releases(Blob),
+    /// What a proxy saw of a release.
+    #[deku(id = "19")]
+    ReleaseReport(ReleaseReport),
+    /// The software of replicas, before their records.
+    #[deku(id = "20")]
+    Software(Software),
     /// A message of a later version; to be skipped.
     #[deku(id_pat = "_")]
     Unknown {
--- a/crates/peer/src/replica.rs
+++ b/crates/peer/src/replica.rs
@@ -124,6 +124,31 @@
     }
 }
 
+/// The software that a replica runs; it stays the same in a life.
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct ReplicaSoftware {
+    /// Id of the replica.
+    pub id: Text,
+    /// Version of its software.
+    pub version: Text,
+}
+
+/// The software of replicas. It goes before their records, so that whoever knows of a replica knows what it runs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+pub struct Software {
+    #[deku(assert = "*count <= MOST_RECORDS", endian = "little", update = "self.replicas.len()")]
+    count: u32,
+    /// The replicas.
+    #[deku(count = "count")]
+    pub replicas: Vec<ReplicaSoftware>,
+}
+
+impl From<Vec<ReplicaSoftware>> for Software {
+    fn from(replicas: Vec<ReplicaSoftware>) -> Software {
+        Software { count: replicas.len() as u32, replicas }
+    }
+}
+
 /// A replica that a controller heard.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 pub struct Beat {
--- a/crates/proxy/src/event.rs
+++ b/crates/proxy/src/event.rs
@@ -21,6 +21,10 @@
     ConfigurationUnusable = 1021,
     /// Versions of weights are named: since when, and from when on nothing goes to older ones.
     WeightsNamed = 1022,
+    /// Releases of services' software are in other phases.
+    Released = 1024,
+    /// Releases can't be read; those known stay.
+    ReleasesUnusable = 1025,
     /// A client's connection can't be taken.
     AcceptFailed = 1030,
     /// A client's request is no sound HTTP.
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -106,6 +106,15 @@
             ProxyEvent::WeightsNamed.info(format_args!("{named}; older ones are out by {bound} ms"));
             None
         }
+        ViewAnswer::Released => {
+            let view = shared.view.borrow();
+            ProxyEvent::Released.info(format_args!("{}", view.dispatcher.describe_releases()));
+            None
+        }
+        ViewAnswer::UnusableReleases(why) => {
+            ProxyEvent::ReleasesUnusable.warn(format_args!("{why}"));
+            None
+        }
         ViewAnswer::Unusable(why) => {
             ProxyEvent::ConfigurationUnusable.warn(format_args!("version {version} stays: {why}"));
             None
--- a/crates/proxy/src/plan.rs
+++ b/crates/proxy/src/plan.rs
@@ -69,6 +69,7 @@
         let is_stream = route.known_kind() == RouteKind::Streaming;
         let ask = Ask {
             service: service(route, random),
+            route: peer::replica_key(&route.name),
             rules: Rules { is_idempotent: route.is_idempotent(), tries: route.most_tries() },
             model: text("model"),
             prompt: text("prompt-prefix"),
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -193,5 +193,6 @@
         retry_window: bounds.retry_window_s * 1000.0,
         extra_tries: bounds.extra_tries as f64,
         version: bounds.version_ms as f64,
+        bad_share: bounds.bad_share,
     }
 }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -4,7 +4,8 @@
 use configuration::{Configuration, ConfigurationError, KeyTable, Router, Service};
 use dispatch::{Bounds, Dispatcher, Engine, Engines, Ms, ReplicaNumber, Salts, Store, TenantPolicy};
 use feed::{namings_from_wire, Asked};
-use peer::Message;
+use peer::{Message, NEVER};
+use rollout::{Releases, ReleasesError};
 use std::rc::Rc;
 
 /// Bytes that the index of kept parts may take.
@@ -23,6 +24,10 @@
     Unusable(ConfigurationError),
     /// Versions of weights are named that were not known.
     Named,
+    /// Releases of services' software are in other phases.
+    Released,
+    /// The releases can't be read; those known stay.
+    UnusableReleases(ReleasesError),
 }
 
 /// A configuration with its look-up tables.
@@ -79,6 +84,15 @@
     pub fn take(&mut self, message: Message, now: Ms) -> ViewAnswer {
         match message {
             Message::Configuration(message) => return self.configure(&message),
+            Message::Releases(releases) => return self.take_releases(&releases, now),
+            Message::Software(software) => {
+                for replica in &software.replicas {
+                    self.dispatcher.note_software(replica.id.as_str(), replica.version.as_str());
+                }
+            }
+            Message::Alive(alive) if alive.majority_age_ms != NEVER => {
+                self.dispatcher.heard_of_majority(now, f64::from(alive.majority_age_ms));
+            }
             Message::Replicas(replicas) => {
                 self.has_replicas = true;
                 replicas.records.into_iter().for_each(|record| self.dispatcher.update_replica(record));
@@ -99,7 +113,7 @@
 
     /// When [`View::news`] may have something to tell.
     pub fn news_due(&self) -> Ms {
-        self.dispatcher.loads_due()
+        self.dispatcher.loads_due().min(self.dispatcher.release_reports_due())
     }
 
     /// What the agent is to hear now.
@@ -108,7 +122,20 @@
             self.asked.see(now as u64, part.0);
         }
         let loads = self.dispatcher.tell_loads(now).map(Message::Loads);
-        loads.into_iter().chain(self.asked.message().map(Message::Interest)).collect()
+        let reports = self.dispatcher.release_reports(now).into_iter().map(Message::ReleaseReport);
+        loads.into_iter().chain(reports).chain(self.asked.message().map(Message::Interest)).collect()
+    }
+
+    fn take_releases(&mut self, releases: &peer::Blob, now: Ms) -> ViewAnswer {
+        let releases = match Releases::read(&releases.bytes) {
+            Ok(releases) => releases,
+            Err(why) => return ViewAnswer::UnusableReleases(why),
+        };
+        if self.dispatcher.set_releases(releases, now) {
+            ViewAnswer::Released
+        } else {
+            ViewAnswer::Taken
+        }
     }
 
     fn take_weights(&mut self, weights: &peer::Weights, now: Ms) -> ViewAnswer {
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -252,7 +252,8 @@
         let held = pull.held.iter().copied().chain(std::iter::repeat(Ballot::ZERO));
         let keys = RegisterKey::ORDINARY.into_iter();
         let report = |(key, held)| RegisterReport { key, report: Report::of(self.accepted(key), held) };
-        let registers = keys.zip(held).map(report).collect();
+        let is_told = |(key, _): &(RegisterKey, Ballot)| !key.is_new() || self.accepted(*key).is_some();
+        let registers = keys.zip(held).filter(is_told).map(report).collect();
         let state = StateReport::new(epoch, self.id(), data_epoch, registers);
         Some(Answer { message: RegisterMessage::State { state }, basis: Basis::Whole })
     }
@@ -275,12 +276,22 @@
     /// slots count as clean from now on.
     pub fn take_write(&mut self) -> (Record, BTreeSet<Slot>, Snapshot) {
         let slots = std::mem::take(&mut self.dirty);
-        let entries = slots.iter().map(|slot| self.state.entry(*slot)).collect();
+        let written = slots.iter().filter(|slot| !self.is_unused(**slot));
+        let entries = written.map(|slot| self.state.entry(*slot)).collect();
         let snapshot =
             Snapshot { data_epoch: self.state.data_epoch, registers: self.state.registers.clone() };
         (Record { entries }, slots, snapshot)
     }
 
+    /// Whether a slot is of a register that earlier releases don't know, and that neither this acceptor nor its disk has
+    /// used.
+    fn is_unused(&self, slot: Slot) -> bool {
+        let (Slot::Promised(key) | Slot::Accepted(key) | Slot::Value(key)) = slot else { return false };
+        let unused = RegisterState::default();
+        let registers = [&self.state.registers, &self.durable.registers];
+        key.is_new() && registers.iter().all(|registers| registers[key.index()] == unused)
+    }
+
     /// The disk holds `snapshot`.
     pub fn written(&mut self, snapshot: Snapshot) {
         self.durable = snapshot;
--- a/crates/register/src/key.rs
+++ b/crates/register/src/key.rs
@@ -37,12 +37,20 @@
     /// The next acceptor set; the group's own, closed to callers.
     #[deku(id = 3)]
     Members = 3,
+    /// Releases of the services' software.
+    #[deku(id = 4)]
+    Releases = 4,
 }
 
 impl RegisterKey {
     /// The registers that callers may change.
-    pub const ORDINARY: [RegisterKey; 3] =
-        [RegisterKey::Configuration, RegisterKey::Weights, RegisterKey::Duty];
+    pub const ORDINARY: [RegisterKey; 4] =
+        [RegisterKey::Configuration, RegisterKey::Weights, RegisterKey::Duty, RegisterKey::Releases];
+
+    /// Whether earlier releases of the program don't know this register: nothing is said of it, or written, while it is empty.
+    pub(crate) fn is_new(self) -> bool {
+        self == RegisterKey::Releases
+    }
 
     /// Position in tables with one entry a register.
     pub fn index(self) -> usize {
--- a/crates/register/src/upkeep.rs
+++ b/crates/register/src/upkeep.rs
@@ -105,7 +105,8 @@
         }
         let origin =
             |key: &RegisterKey| self.acceptor.accepted(*key).map_or(Ballot::ZERO, |accepted| accepted.origin);
-        let held = RegisterKey::ORDINARY.iter().map(origin).collect();
+        let is_told = |key: &&RegisterKey| !key.is_new() || self.acceptor.accepted(**key).is_some();
+        let held = RegisterKey::ORDINARY.iter().filter(is_told).map(origin).collect();
         let pull = Pull::new(known.set.epoch, held);
         for source in Transfer::sources(known) {
             self.send(source, RegisterMessage::Pull { pull: pull.clone() }, out);
--- a/crates/register/tests/simulated/scenario.rs
+++ b/crates/register/tests/simulated/scenario.rs
@@ -4,6 +4,7 @@
 use rand::Rng;
 use register::RegisterKey;
 use simulation::{MachineIndex, Millis, Reported};
+use strum::EnumCount;
 
 use crate::crew::Crew;
 use crate::faults::Faults;
@@ -75,7 +76,7 @@
     crew: Crew,
     faults: Faults,
     history: History,
-    newest: [ValueId; 3],
+    newest: [ValueId; RegisterKey::COUNT],
     next_value: ValueId,
     detect_at: Millis,
     strike_on_acknowledgement: bool,
@@ -113,7 +114,7 @@
             crew,
             faults: Faults::default(),
             history: History::default(),
-            newest: [0; 3],
+            newest: [0; RegisterKey::COUNT],
             next_value: 1,
             detect_at: 0,
             strike_on_acknowledgement: false,
@@ -223,7 +224,7 @@
         let Some(machine) = present.choose(random).copied() else {
             return;
         };
-        let key = RegisterKey::ORDINARY[[0, 0, 0, 1, 2][random.random_range(0..5)]];
+        let key = RegisterKey::ORDINARY[[0, 0, 0, 1, 2, 3][random.random_range(0..6)]];
         let is_change = random.random_range(0..100) < 60;
         let is_stale = random.random_range(0..100) < 15;
         let asked = if is_change {
--- a/crates/settings/src/bounds.rs
+++ b/crates/settings/src/bounds.rs
@@ -71,6 +71,8 @@
     pub thaw_ms: u64,
     /// Within this after a version of weights is named nothing begins on an older one.
     pub version_ms: u64,
+    /// The part of a service's requests that a bad version of its software may get.
+    pub bad_share: f64,
 }
 
 impl Default for Bounds {
@@ -91,6 +93,7 @@
             lease_ms: 3000,
             thaw_ms: 300,
             version_ms: 6000,
+            bad_share: 0.1,
         }
     }
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -38,5 +38,8 @@
     if !(0.0..=10.0).contains(&bounds.retry_ratio) {
         return fault("bounds.retry-ratio", bounds.retry_ratio.to_string(), "give a share from 0 to 10");
     }
+    if !(0.0..=1.0).contains(&bounds.bad_share) {
+        return fault("bounds.bad-share", bounds.bad_share.to_string(), "give a share from 0 to 1");
+    }
     Ok(())
 }
--- a/src/cli/fleet/mod.rs
+++ b/src/cli/fleet/mod.rs
@@ -17,7 +17,8 @@
 use strum::VariantNames;
 
 /// Names of the sub-commands, to tell them from those of the coordinator.
-pub const COMMANDS: [&str; 6] = ["proxy", "agent", "controller", "check", "configuration", "status"];
+pub const COMMANDS: [&str; 7] =
+    ["proxy", "agent", "controller", "check", "configuration", "release", "status"];
 
 /// The router fleet: programs of its machines, and commands for its operators.
 #[derive(Debug, Clone, Bpaf)]
@@ -38,6 +39,9 @@
     /// Read or replace the configuration in force
     #[bpaf(command("configuration"))]
     Configuration(#[bpaf(external(configuration_call))] ConfigurationCall),
+    /// Move a service to another version of its software, or show how far that is
+    #[bpaf(command("release"))]
+    Release(#[bpaf(external(release_call))] ReleaseCall),
     /// Show what a controller knows of the fleet
     #[bpaf(command("status"))]
     Status(#[bpaf(external(controller_address))] ControllerAddress),
@@ -110,6 +114,37 @@
     },
 }
 
+/// A call about releases of a service's software.
+#[derive(Debug, Clone, Bpaf)]
+pub enum ReleaseCall {
+    /// Begin to move a service's traffic to another version
+    #[bpaf(command("begin"))]
+    Begin {
+        /// Which controller.
+        #[bpaf(external(controller_address))]
+        controller: ControllerAddress,
+        /// Seconds that it may take
+        #[bpaf(argument("SECONDS"))]
+        over: f64,
+        /// The service
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+        /// The version that is to get its traffic
+        #[bpaf(positional("VERSION"))]
+        to_version: String,
+    },
+    /// Show how far a service's newest release is
+    #[bpaf(command("status"))]
+    Status {
+        /// Which controller.
+        #[bpaf(external(controller_address))]
+        controller: ControllerAddress,
+        /// The service
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+    },
+}
+
 /// Which controller is called.
 #[derive(Debug, Clone, Bpaf)]
 pub struct ControllerAddress {
@@ -142,6 +177,12 @@
         FleetCommand::Configuration(ConfigurationCall::Replace { controller, based_on, file }) => {
             operate::replace_configuration(controller.address, *based_on, file)
         }
+        FleetCommand::Release(ReleaseCall::Begin { controller, over, service, to_version }) => {
+            operate::begin_release(controller.address, service, to_version, *over)
+        }
+        FleetCommand::Release(ReleaseCall::Status { controller, service }) => {
+            operate::release_status(controller.address, service)
+        }
         FleetCommand::Status(controller) => operate::status(controller.address),
     }
 }
--- a/src/cli/fleet/operate.rs
+++ b/src/cli/fleet/operate.rs
@@ -35,6 +35,33 @@
     Ok(())
 }
 
+/// Orders that a service's traffic moves to another version.
+///
+/// # Errors
+/// The order makes no sense, the controller can't be asked, or another release is under way.
+pub fn begin_release(
+    controller: SocketAddr,
+    service: &str,
+    to_version: &str,
+    over_s: f64,
+) -> Result<(), FleetError> {
+    let order = serde_json::json!({ "service": service, "to-version": to_version, "over-s": over_s });
+    let body = order.to_string();
+    ask(controller, &Call { line: "POST /releases/begin", based_on: None, body: body.as_bytes() })?;
+    println!("acknowledged");
+    Ok(())
+}
+
+/// Prints how far a service's newest release is.
+///
+/// # Errors
+/// The controller can't be asked, or no release of the service was ordered.
+pub fn release_status(controller: SocketAddr, service: &str) -> Result<(), FleetError> {
+    let line = format!("GET /releases/{service}/read");
+    println!("{}", ask(controller, &Call { line: &line, based_on: None, body: b"" })?);
+    Ok(())
+}
+
 /// Prints what a controller knows of the fleet.
 ///
 /// # Errors
