--- a/crates/dispatch/src/candidates.rs
+++ b/crates/dispatch/src/candidates.rs
@@ -17,11 +17,22 @@
     /// The replicas that a call may be sent to, of the version of their software that is to get it.
     pub(crate) fn candidates(&mut self, call: &Call, now: Ms) -> Result<(Vec<Candidate>, Known), Final> {
         let side = self.side(call, now);
-        let found = self.candidates_of(call, side, now);
-        match self.other_side(call, side, now).filter(|_| found.is_err()) {
-            Some(other) => self.candidates_of(call, other, now),
-            None => found,
+        let Some(other) = self.other_side(call, side, now) else {
+            return self.candidates_of(call, side, now);
+        };
+        if side == Side::Old && !self.has_well_ones(call, side, now) {
+            return self.candidates_of(call, other, now);
         }
+        let found = self.candidates_of(call, side, now);
+        found.or_else(|_| self.candidates_of(call, other, now))
+    }
+
+    /// Whether evidence does not speak against all ready replicas of a side.
+    fn has_well_ones(&self, call: &Call, side: Side, now: Ms) -> bool {
+        let Some(service) = self.services.get(&*call.ask.service) else { return false };
+        let known = service.replicas.iter().filter_map(|number| self.replicas.get(number));
+        let well = known.filter(|replica| replica.is_ready() && self.is_well(replica, now)).collect();
+        !self.of_side(&call.ask.service, side, well, now).is_empty()
     }
 
     fn candidates_of(&mut self, call: &Call, side: Side, now: Ms) -> Result<(Vec<Candidate>, Known), Final> {
--- a/crates/dispatch/tests/releases.rs
+++ b/crates/dispatch/tests/releases.rs
@@ -109,6 +109,26 @@
     assert!(share_of_new(&mut dispatcher, START + 4_000.0, 2_000) > 0.0);
 }
 
+/// The old replicas may have been stopped while a proxy was cut off: it finds that out by itself.
+#[rstest]
+fn without_contact_the_new_version_serves_once_no_old_replica_is_reached() {
+    let mut dispatcher = fleet();
+    dispatcher.set_releases(ordered(), START);
+    let now = START + CONTACT_MS as Ms + 1.0;
+    let mut served = 0;
+    for _ in 0..100 {
+        let mut call = dispatcher.begin(ask(true, 2), now);
+        while let Ok(target) = dispatcher.send(&mut call, now) {
+            let outcome = if is_new(&target.id) { Outcome::Answered } else { Outcome::Unreached };
+            served += u32::from(is_new(&target.id));
+            if dispatcher.ended(&mut call, target.replica, outcome, now) != Next::Repeat {
+                break;
+            }
+        }
+    }
+    assert!(served > 90, "{served}");
+}
+
 #[rstest]
 fn the_shift_ends_with_all_at_the_new_version() {
     let mut dispatcher = fleet();
--- a/crates/rollout/src/conductor.rs
+++ b/crates/rollout/src/conductor.rs
@@ -74,6 +74,8 @@
     ordered: i64,
     phase: Phase,
     phase_since: Millis,
+    /// Since when this controller watches it.
+    watched_since: Millis,
     judge: Judge,
     proxies: BTreeMap<P, Heard>,
     /// The step that is due, with since when.
@@ -174,6 +176,7 @@
             ordered: now as i64 - age as i64,
             phase: release.phase,
             phase_since: now,
+            watched_since: now,
             judge: Judge::default(),
             proxies: BTreeMap::new(),
             due: None,
@@ -213,7 +216,9 @@
         if is_judged && is_there {
             return Some((Step::Shift, figures));
         }
-        let is_too_late = age >= self.over_ms + GIVE_UP_MS;
+        // What others were told before this controller started is not known here, and the time of day may be wrong.
+        let has_watched = now >= self.watched_since + GIVE_UP_MS;
+        let is_too_late = has_watched && age >= self.over_ms + GIVE_UP_MS;
         is_too_late.then(|| (Step::Revert, format!("not judged in time: {figures}")))
     }
 
--- a/crates/rollout/tests/conducting.rs
+++ b/crates/rollout/tests/conducting.rs
@@ -213,7 +213,8 @@
     assert_eq!(world.phase(), Phase::Finished, "{:?}", world.steps);
 }
 
-/// The age of a release that was ordered before this controller started is told by the time of day.
+/// The age of a release that was ordered before this controller started is told by the time of day, which may be wrong: it
+/// gives nothing up that it has not watched itself.
 #[rstest]
 fn a_controller_that_starts_late_knows_the_age() {
     let mut world = World::new();
@@ -224,6 +225,8 @@
     other.now += 20_000;
     other.restart();
     other.silent = other.proxies.clone();
+    other.play(4_900);
+    assert_eq!(other.phase(), Phase::Trial, "it has not watched it for long");
     other.play(200);
     assert!(other.phase().is_reverted(), "it is past its deadline and was never judged");
 }
