Tests notice three mutations of releases; the harness of controllers in two files

Cause: of 25 mutations three were not noticed: blocks fetched from replicas that a release has stopped, twins of requests on trial, and a configuration told before the releases are known.

Ruled out for the third: that the guard does nothing.

Change: tests only.

--- a/crates/controller/tests/draining.rs
+++ b/crates/controller/tests/draining.rs
@@ -154,7 +154,7 @@
     // Heartbeats at different times between two messages on them to the other controllers, which leave every 400 ms.
     cluster.play(2_000 + 100 * seed);
     let mut replica = Sender::new(&mut cluster, "a");
-    let before = cluster.replica_messages;
+    let before = cluster.told.replica_messages;
     for beat in 0..BEATS {
         replica.cold_left_ms = 30_000 - beat * BEAT_EVERY_MS;
         replica.say(&mut cluster, home, "ready");
@@ -169,7 +169,7 @@
     assert_eq!(replica.version(&cluster), 2, "it was moved");
     // Two things are new: the replica, and its weights. Each controller tells each other one of each twice at most.
     let most = 2 * 2 * CONTROLLERS * (CONTROLLERS - 1);
-    let told = cluster.replica_messages - before;
+    let told = cluster.told.replica_messages - before;
     assert!(
         told <= most,
         "{told} messages in {BEATS} heartbeats, at most {most}; named after {named_after_ms} ms"
--- a/crates/controller/tests/releases.rs
+++ b/crates/controller/tests/releases.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use peer::{BucketCount, Message, ReleaseAnswers, ReleaseReport};
+use peer::{BucketCount, Loads, Message, ReleaseAnswers, ReleaseReport};
 use rollout::Releases;
 use rstest::rstest;
 use support::{configuration, Agent, Cluster};
@@ -211,6 +211,10 @@
     cluster.restart_all(500, &[]);
     let agents: Vec<Agent> =
         (0..5).map(|host| cluster.connect_agent(host, &format!("edge-{host}"))).collect();
+    // Whoever tells its load is told configurations at once.
+    for agent in &agents {
+        cluster.agent_sends(*agent, Message::Loads(Loads::new(true, Vec::new())));
+    }
     cluster.play(5_000);
     for agent in agents {
         let kinds: Vec<u8> = cluster.messages(agent).map(kind).collect();
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -2,15 +2,15 @@
 
 mod agents;
 mod calls;
+mod told;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use catalog::{Record, State};
+use catalog::State;
 use controller::command::Reply;
 use controller::duty::moves::ReplicaCall;
 use controller::machine::{Effect, Input, Machine, Moment, Timing};
-use feed::record_from_wire;
 use links::LinkId;
 use membership::{Member, Membership};
 use peer::{Message, KEEPS_ENDS, PROTOCOL};
@@ -20,6 +20,7 @@
 
 use super::disk::Disk;
 use super::replicas::Replicas;
+use told::Told;
 
 const SEEDS: usize = 3;
 const WALL_START_MS: u64 = 1_700_000_000_000;
@@ -84,12 +85,7 @@
     up: BTreeSet<(usize, usize)>,
     flights: Vec<Flight>,
     last_arrival: BTreeMap<(usize, usize), u64>,
-    /// The records that each controller has sent to each other one on their present link.
-    told: BTreeMap<(usize, usize), BTreeMap<String, Record>>,
-    /// The same of their software, which goes before the records.
-    told_software: BTreeMap<(usize, usize), BTreeMap<String, String>>,
-    /// Messages on replicas that controllers have sent each other.
-    pub replica_messages: usize,
+    pub told: Told,
     agents: Vec<AgentState>,
     seen: Vec<Seen>,
     replies: BTreeMap<CallHandle, Reply>,
@@ -121,9 +117,7 @@
             up: BTreeSet::new(),
             flights: Vec::new(),
             last_arrival: BTreeMap::new(),
-            told: BTreeMap::new(),
-            told_software: BTreeMap::new(),
-            replica_messages: 0,
+            told: Told::default(),
             agents: Vec::new(),
             seen: Vec::new(),
             replies: BTreeMap::new(),
@@ -261,8 +255,7 @@
                 let reachable = alive && !cut && wanted.contains(&address(to));
                 let peer = address(to);
                 if reachable && self.up.insert((from, to)) {
-                    self.told.remove(&(from, to));
-                    self.told_software.remove(&(from, to));
+                    self.told.forget(from, to);
                     self.step(from, Input::PeerUp { peer });
                     let protocol = self.protocol;
                     self.step(to, Input::PeerHello { peer: address(from), protocol });
@@ -431,7 +424,7 @@
 
     fn send(&mut self, from: usize, to: SocketAddrV4, message: Message) {
         let to = usize::from(to.ip().octets()[3] - 1);
-        self.check_numbers(from, to, &message);
+        self.told.check(from, to, self.hosts[from].machine.as_ref(), &message);
         let last = self.last_arrival.entry((from, to)).or_default();
         let arrives = (*last).max(self.now + self.random.random_range(1..4));
         *last = arrives;
@@ -440,36 +433,6 @@
         }
     }
 
-    /// A heartbeat's number goes behind what the heartbeat told: the receiver may put it on what it knows.
-    fn check_numbers(&mut self, from: usize, to: usize, message: &Message) {
-        let told = self.told.entry((from, to)).or_default();
-        let software = self.told_software.entry((from, to)).or_default();
-        match message {
-            Message::Software(news) => {
-                let news = news.replicas.iter();
-                software.extend(news.map(|one| (one.id.to_string(), one.version.to_string())));
-            }
-            Message::Replicas(replicas) => {
-                self.replica_messages += 1;
-                let records = replicas.records.iter().map(record_from_wire);
-                for mut record in records {
-                    record.software = software.get(&record.id).cloned().unwrap_or_default();
-                    told.insert(record.id.clone(), record);
-                }
-            }
-            Message::Beats(beats) => {
-                let Some(machine) = self.hosts[from].machine.as_ref() else { return };
-                for beat in &beats.heard {
-                    let known = machine.view().replicas.get(beat.id.as_str());
-                    let told = told.get(beat.id.as_str());
-                    let is_told = known.zip(told).is_some_and(|(known, told)| !known.is_news_after(told));
-                    assert!(is_told, "{from} tells {to} of {beat:?}: {known:?}, it was told {told:?}");
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn tell(&mut self, link: LinkId, messages: Vec<Message>) {
         let place = self.agents.iter().position(|agent| agent.link == link).expect("an agent's link");
         let agent = &mut self.agents[place];
--- a/crates/dispatch/tests/releases.rs
+++ b/crates/dispatch/tests/releases.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use dispatch::{Dispatcher, Ms, Next, Outcome};
-use peer::{ReleaseReport, ReplicaRecord, ReplicaState};
+use dispatch::{Dispatcher, Engine, Ms, Next, Outcome, Salts};
+use peer::{part_key, PartChange, Prefixes, ReleaseReport, ReplicaRecord, ReplicaState};
 use rollout::exposure::{CONTACT_MS, RAMP_MS};
 use rollout::{Judged, Order, Phase, Releases, Step};
 use rstest::rstest;
@@ -314,3 +314,46 @@
     }
     assert_eq!(share_of_new(&mut dispatcher, START, 100), 0.0, "who is left serves");
 }
+
+/// A twin that wins would hide what the version on trial answers.
+#[rstest]
+fn what_goes_to_a_version_on_trial_has_no_twin() {
+    let mut dispatcher = fleet();
+    dispatcher.set_twin_part(1.0);
+    dispatcher.set_releases(ordered(), START);
+    let (mut of_old, mut of_new) = (0, 0);
+    for _ in 0..3_000 {
+        let mut call = dispatcher.begin(ask(true, 2), START);
+        let first = dispatcher.send(&mut call, START).expect("sent");
+        let twin = dispatcher.twin(&mut call, START);
+        assert!(twin.as_ref().is_none_or(|twin| !is_new(&twin.id)), "a twin is a send after the first");
+        let twins = if is_new(&first.id) { &mut of_new } else { &mut of_old };
+        *twins += u32::from(twin.is_some());
+        let sent = [Some(first), twin];
+        for target in sent.into_iter().flatten() {
+            dispatcher.ended(&mut call, target.replica, Outcome::Answered, START);
+        }
+    }
+    assert!(of_old > 100 && of_new == 0, "{of_old} {of_new}");
+}
+
+/// Replicas that are stopped hold a move up for a tenth of a second.
+#[rstest]
+#[case::shift(&[Step::Shift], true)]
+#[case::finished(&[Step::Shift, Step::Finish], false)]
+fn blocks_are_fetched_from_the_old_version_until_it_is_stopped(
+    #[case] steps: &[Step],
+    #[case] fetches: bool,
+) {
+    let mut dispatcher = fleet();
+    let engine = Engine { token_bytes: 163_840.0, link_mbps: 1_100_000.0 };
+    dispatcher.set_moves([(String::from("s"), engine)].into(), Vec::new());
+    let part = part_key("m", &Salts::default().salt(1, None), "aa");
+    let holder = dispatcher.replica_number("i-1").expect("known");
+    let news = Prefixes::new("i-1", 7, false, vec![PartChange { part, tokens: 5_000 }]);
+    dispatcher.take_prefixes(holder, &news);
+    dispatcher.set_releases(after(steps), START);
+    let (_, target) = sent(&mut dispatcher, prompt("aa:5000,b1:10"), START);
+    assert!(is_new(&target.id));
+    assert_eq!(target.fetch.is_some(), fetches);
+}
