--- a/crates/controller/tests/releases.rs
+++ b/crates/controller/tests/releases.rs
@@ -356,3 +356,25 @@
     play_reports(&mut cluster, &agents, 1_000, false, true);
     assert_eq!(state(&mut cluster, 1), "finished");
 }
+
+/// Until an order is given, programs of the release before can take over: no disk holds the new register's entries and no
+/// message that they need names it, also where machines are replaced and lose their disks.
+#[rstest]
+fn before_the_first_order_nothing_names_the_new_register(#[values(1, 2, 3)] seed: u64) {
+    const FIRST_NEW_SLOT: u16 = 32;
+    let mut cluster = configured(seed, 3);
+    cluster.stop(0);
+    let added = cluster.add();
+    cluster.play(6_000);
+    cluster.restart_all(500, &[1]);
+    cluster.play(6_000);
+    let holds_new =
+        |cluster: &Cluster, host| cluster.slots_on_disk(host).iter().any(|slot| *slot >= FIRST_NEW_SLOT);
+    assert!((1..=added).all(|host| !holds_new(&cluster, host)));
+    assert_eq!(cluster.told.names_of_releases, 0);
+    cluster.heartbeat(1, "a", 1, "ready", 9);
+    assert_eq!(order(&mut cluster, 1, ORDER), Some(200));
+    cluster.play(1_000);
+    assert!((1..=added).filter(|host| holds_new(&cluster, *host)).count() >= 2, "a majority holds it");
+    assert!(cluster.told.names_of_releases > 0);
+}
--- a/crates/controller/tests/support/cluster/mod.rs
+++ b/crates/controller/tests/support/cluster/mod.rs
@@ -464,6 +464,11 @@
         self.arrived.get(&host).copied().unwrap_or_default()
     }
 
+    /// The slots that a controller's disk holds.
+    pub fn slots_on_disk(&self, host: usize) -> BTreeSet<u16> {
+        self.hosts[host].disk.slots().collect()
+    }
+
     /// Bytes that a controller's disk holds.
     pub fn bytes_on_disk(&self, host: usize) -> usize {
         self.hosts[host].disk.bytes()
--- a/crates/controller/tests/support/cluster/told.rs
+++ b/crates/controller/tests/support/cluster/told.rs
@@ -6,6 +6,7 @@
 use controller::machine::Machine;
 use feed::record_from_wire;
 use peer::Message;
+use register::{RegisterKey, RegisterMessage};
 
 /// What one controller has sent another one on their present link.
 #[derive(Default)]
@@ -21,6 +22,8 @@
     links: BTreeMap<(usize, usize), Link>,
     /// Messages on replicas so far.
     pub replica_messages: usize,
+    /// Messages that name the register of releases and that earlier programs have to understand.
+    pub names_of_releases: usize,
 }
 
 impl Told {
@@ -33,6 +36,11 @@
     pub fn check(&mut self, from: usize, to: usize, sender: Option<&Machine>, message: &Message) {
         let link = self.links.entry((from, to)).or_default();
         match message {
+            Message::Register(blob) => {
+                let decoded = register::message::decode(&blob.bytes);
+                self.names_of_releases +=
+                    usize::from(decoded.is_ok_and(|(message, _)| names_releases(&message)));
+            }
             Message::Software(news) => {
                 let news = news.replicas.iter();
                 link.software.extend(news.map(|one| (one.id.to_string(), one.version.to_string())));
@@ -57,3 +65,14 @@
         }
     }
 }
+
+/// Whether a message that serves all registers names that of the releases. Queries of it alone are skipped by earlier programs.
+fn names_releases(message: &RegisterMessage) -> bool {
+    let is_new = |key: RegisterKey| key == RegisterKey::Releases;
+    match message {
+        RegisterMessage::Pull { pull } => pull.held.len() >= RegisterKey::ORDINARY.len(),
+        RegisterMessage::State { state } => state.registers.iter().any(|register| is_new(register.key)),
+        RegisterMessage::Digest { digest } => digest.learned.iter().any(|learned| is_new(learned.key)),
+        _ => false,
+    }
+}
--- a/crates/controller/tests/support/disk.rs
+++ b/crates/controller/tests/support/disk.rs
@@ -59,6 +59,11 @@
         StoredEnds::from_entries(self.found()).expect("entries that were written can be read")
     }
 
+    /// The slots that hold something.
+    pub fn slots(&self) -> impl Iterator<Item = u16> + '_ {
+        self.entries.keys().copied()
+    }
+
     /// Bytes of all entries.
     pub fn bytes(&self) -> usize {
         self.entries.values().map(|bytes| bytes.0.len()).sum()
--- a/crates/rollout/tests/conducting.rs
+++ b/crates/rollout/tests/conducting.rs
@@ -169,6 +169,17 @@
     assert_eq!(world.phase(), Phase::Finished);
 }
 
+/// One that has not reported yet may hold requests: it has the time to say so.
+#[rstest]
+fn a_proxy_that_has_said_nothing_yet_is_waited_for_a_while() {
+    let mut world = World::new();
+    world.silent = vec!["edge-1".to_string()];
+    world.play(SHIFT_MS + 2_800);
+    assert_eq!(world.phase(), Phase::Shift);
+    world.play(500);
+    assert_eq!(world.phase(), Phase::Finished);
+}
+
 #[rstest]
 fn without_proxies_nothing_is_finished() {
     let mut world = World::new();
