The shift begins 7 s before the deadline: operators whose reads are lost hear in time

Suspected: in the replay finished held 1.4 s before the deadline, and the operator, six in ten of whose answers were lost, acted on it 0.8 s later. Ruled out in the replay: a late acknowledgement (both orders within 0.1 s of being sent), a late verdict.

Change: 7 s in place of 5. A version that turns bad 8 s after an order of 16 s is met at a share of 4 to 10% then; exposure.rs holds the sum for one that turns bad with all of the traffic.

--- a/crates/rollout/src/exposure.rs
+++ b/crates/rollout/src/exposure.rs
@@ -20,9 +20,9 @@
 pub const RAMP_MS: Millis = 1_500;
 /// Without word from a majority for longer, a proxy gives a version on trial nothing: it may have been reverted.
 pub const CONTACT_MS: Millis = 3_000;
-/// The shift begins so long before the deadline, ms: the ramp, the longest ordinary answers of the old version, and time for
-/// another controller to take the last step.
-const SHIFT_LEAD_MS: Millis = RAMP_MS + 3_500;
+/// The shift begins so long before the deadline, ms: the ramp, the longest ordinary answers of the old version, time for
+/// another controller to take the last step, and for an operator whose reads get lost to hear of it.
+const SHIFT_LEAD_MS: Millis = RAMP_MS + 5_500;
 
 /// Share of the traffic that a version on trial gets, if a bad one may get `bad_share`.
 pub fn trial_share(bad_share: f64) -> f64 {
--- a/crates/rollout/tests/conducting.rs
+++ b/crates/rollout/tests/conducting.rs
@@ -12,7 +12,7 @@
 const NOON_MS: u64 = 1_700_000_000_000;
 const OVER_MS: u64 = 12_000;
 /// From then on the shift may begin.
-const SHIFT_MS: u64 = 7_000;
+const SHIFT_MS: u64 = 6_000;
 const READY: ReadyReplicas = ReadyReplicas { new: 10, old: 10 };
 const TICK_MS: u64 = 100;
 
@@ -127,7 +127,7 @@
     assert_eq!(world.phase(), Phase::Trial, "the share is held as long as it may be");
     world.play(OVER_MS - SHIFT_MS);
     assert_eq!(world.phase(), Phase::Finished);
-    assert!(world.steps.iter().all(|(at, _)| *at < OVER_MS - 1_000), "{:?}", world.steps);
+    assert!(world.steps.iter().all(|(at, _)| *at < OVER_MS - 3_000), "{:?}", world.steps);
 }
 
 #[rstest]
--- a/crates/rollout/tests/exposure.rs
+++ b/crates/rollout/tests/exposure.rs
@@ -67,7 +67,7 @@
 }
 
 #[rstest]
-#[case(16_000, 11_000)]
+#[case(16_000, 9_000)]
 #[case(4_000, 2_000)]
 #[case(1, 1)]
 fn a_short_release_keeps_half_of_its_time_for_the_trial(#[case] over_ms: u64, #[case] from: u64) {
